--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,4 @@
+// The pistachioweir program.
+int main() {
+  return 0;
+}
