--- /dev/null
+++ b/src/config/value_parsers.h
@@ -0,0 +1,35 @@
+// Readers of the small values that settings and manifests share.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "include/base/priority.h"
+#include "include/config/settings.h"
+#include "src/config/json_node.h"
+
+namespace pistachioweir {
+
+// Longest name of a VM, service, method, data centre or region.
+inline constexpr std::size_t kMaxNameLength = 64;
+
+// A name that can stand in a URL, a log line and a metric's label as it is:
+// letters, digits, '.', '_' and '-'.
+[[nodiscard]] bool IsName(std::string_view text);
+[[nodiscard]] std::optional<std::string> ParseName(const json_node& node);
+
+// A service's name: not one that the callers' interface uses itself.
+[[nodiscard]] std::optional<std::string> ParseServiceName(
+    const json_node& node);
+
+// "127.0.0.1:7001" or "[::1]:7001": one address of one interface, no name and
+// no wildcard, because daemons tell each other these addresses.
+[[nodiscard]] std::optional<endpoint> ParseEndpointText(std::string_view text);
+[[nodiscard]] std::optional<endpoint> ParseEndpoint(const json_node& node);
+
+[[nodiscard]] bool IsLoopback(const endpoint& address);
+
+[[nodiscard]] std::optional<priority> ParsePriority(const json_node& node);
+
+}  // namespace pistachioweir
