--- a/include/config/manifest.h
+++ b/include/config/manifest.h
@@ -36,6 +36,8 @@
   // Extra executions that one root request may cause over its whole call tree.
   std::uint32_t retry_credit = 2;
   std::vector<downstream_call> calls;
+
+  friend bool operator==(const method_spec&, const method_spec&) = default;
 };
 
 // One target VM of a service, as the manifest's author knows it. Which of
@@ -57,6 +59,9 @@
 
   // The method called `name`, or nullptr. Owned by this manifest.
   [[nodiscard]] const method_spec* FindMethod(std::string_view name) const;
+
+  friend bool operator==(const service_manifest&,
+                         const service_manifest&) = default;
 };
 
 }  // namespace pistachioweir
