--- /dev/null
+++ b/include/admit/admission_controller.h
@@ -0,0 +1,225 @@
+// admission_controller: decides for one target which requests run now, which
+// wait and which are refused.
+//
+// Pure logic: no I/O, no threads, time and random bits are arguments. The
+// owner keeps one per target under its own lock, tells it of every request
+// that comes and ends, and carries out what TakeNext() hands back. Made for
+// demand above what the target can finish: it keeps the target's concurrency
+// where it works best, the queue no longer than deadlines allow, and refuses
+// the least important requests first, at once and with a time to come back.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "include/admit/admission_level.h"
+#include "include/admit/admission_rank.h"
+#include "include/admit/concurrency_limit.h"
+#include "include/admit/service_time.h"
+#include "include/base/outcome.h"
+#include "include/base/priority.h"
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+struct admission_options {
+  // Requests that the target runs at a time, from the manifest.
+  std::uint32_t slots = 1;
+  // Methods of the service; a request names its method by index.
+  std::uint32_t methods = 1;
+  // Requests that may wait. Bounds memory; deadlines bound the wait long
+  // before.
+  std::uint32_t max_queue = 1024;
+  // Whether the concurrency limit is learnt; else it is `slots`.
+  bool learn_limit = true;
+  // Whether an admission level is kept; else it stays at zero.
+  bool use_level = true;
+  // Whether priorities and deadlines order and bound the queue; else it is a
+  // plain bounded FIFO.
+  bool use_deadlines = true;
+};
+
+// Names one offered request until it ends.
+struct admission_handle {
+  std::uint32_t index = 0;
+  std::uint32_t generation = 0;
+
+  friend bool operator==(const admission_handle&,
+                         const admission_handle&) = default;
+};
+
+struct admission_request {
+  priority level = priority::kNormal;
+  std::uint8_t ticket = 0;
+  std::uint32_t method = 0;
+  time_point deadline;
+  // The owner's name for the request, handed back with events.
+  std::uint64_t cookie = 0;
+};
+
+enum class admission_action : std::uint8_t { kRun, kQueued, kRefused };
+
+// What becomes of a request. With kRefused nothing ran, `why` tells the
+// reason and `retry_after` when to come back; the request has ended. With kRun
+// the owner runs it and calls Finish() once.
+struct admission_decision {
+  admission_action action = admission_action::kRefused;
+  admission_handle handle;
+  reason why = reason::kNone;
+  milliseconds retry_after{0};
+};
+
+// A later decision about a request that was queued: kRun or kRefused.
+struct admission_event {
+  std::uint64_t cookie = 0;
+  admission_decision decision;
+};
+
+// How a run ended.
+struct finish_report {
+  // The part of the run that was spent waiting for calls that the target made
+  // to other services. Their slowness must not lower this target's limit.
+  duration downstream{0};
+  // Whether the target answered; a run that was cut short, timed out or was
+  // refused by the target says nothing about its service time.
+  bool answered = true;
+  // The target refused for want of capacity.
+  bool target_refused = false;
+};
+
+// What rides on every answer.
+struct load_report {
+  admission_rank admission_level = 0;
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t limit = 1;
+};
+
+// Counts since the start, by priority where that matters.
+struct admission_counters {
+  std::uint64_t offered = 0;
+  std::uint64_t started = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t cancelled = 0;
+  std::array<std::uint64_t, kPriorityCount> refused{};
+};
+
+class admission_controller {
+ public:
+  explicit admission_controller(const admission_options& options);
+
+  // Decides about a new request. May give up queued requests of less
+  // importance: call TakeNext() until it returns nothing afterwards.
+  admission_decision Offer(const admission_request& request,
+                           time_point now,
+                           std::uint32_t random);
+
+  // The next queued request that is to run or is given up, or nothing. Call
+  // until it returns nothing after Offer(), Finish(), Cancel() and at
+  // next_wakeup().
+  std::optional<admission_event> TakeNext(time_point now, std::uint32_t random);
+
+  // A request that ran has ended. Frees its slot.
+  void Finish(admission_handle handle,
+              const finish_report& report,
+              time_point now);
+
+  // The caller has gone. True if the request was still queued: it has ended,
+  // nothing ran. False if it runs (Finish() is still due) or has ended.
+  bool Cancel(admission_handle handle);
+
+  // Requests of `method` below `level` would be refused further down the call
+  // chain; refusing them here saves the work in between. Holds for a short
+  // time only, so repeat it with every answer from below.
+  void SetDownstreamLevel(std::uint32_t method,
+                          admission_rank level,
+                          time_point now);
+
+  // A newer manifest is in force. Methods are named by its indices from now
+  // on. Requests in progress are kept.
+  void Reconfigure(std::uint32_t slots, std::uint32_t methods);
+
+  // When TakeNext() should be called even if nothing else happens.
+  [[nodiscard]] time_point next_wakeup() const;
+  [[nodiscard]] load_report Report(std::uint32_t method, time_point now) const;
+  [[nodiscard]] const admission_counters& counters() const { return counters_; }
+  // The level that this target sets itself, without those further down.
+  [[nodiscard]] admission_rank own_level() const { return level_.level(); }
+  [[nodiscard]] std::uint32_t limit() const;
+  [[nodiscard]] std::uint32_t running() const { return running_; }
+  [[nodiscard]] std::uint32_t queued() const { return queued_; }
+
+ private:
+  enum class item_state : std::uint8_t { kFree, kQueued, kRunning, kGivenUp };
+
+  static constexpr std::uint32_t kNone = UINT32_MAX;
+
+  struct item {
+    admission_request request;
+    time_point arrived;
+    time_point started;
+    duration expected{0};  // Counted in its queue's `work` while queued.
+    std::uint32_t generation = 0;
+    std::uint32_t previous = kNone;
+    std::uint32_t next = kNone;
+    reason why = reason::kNone;
+    item_state state = item_state::kFree;
+  };
+
+  // Doubly linked through `previous` and `next`, oldest first.
+  struct item_list {
+    std::uint32_t first = kNone;
+    std::uint32_t last = kNone;
+    duration work{0};  // Sum of `expected`.
+  };
+
+  struct downstream_level {
+    admission_rank level = 0;
+    time_point until;
+  };
+
+  [[nodiscard]] std::size_t QueueOf(priority level) const;
+  [[nodiscard]] admission_rank LevelFor(std::uint32_t method,
+                                        time_point now) const;
+  [[nodiscard]] duration WaitAhead(std::size_t queue) const;
+  [[nodiscard]] bool CanFinish(const item& entry,
+                               duration wait,
+                               time_point now) const;
+  [[nodiscard]] milliseconds RetryAfter(admission_rank rank,
+                                        admission_rank level,
+                                        std::uint32_t random) const;
+  admission_decision Refuse(const admission_request& request,
+                            reason why,
+                            time_point now,
+                            std::uint32_t random);
+  bool MakeRoom(std::size_t queue);
+  void GiveUpLowerThan(std::size_t queue);
+  void GiveUp(std::uint32_t index, reason why);
+  void GiveUpInfeasible(time_point now);
+  std::uint32_t PickQueued() const;
+  std::uint32_t Allocate(const admission_request& request, time_point now);
+  void Release(std::uint32_t index);
+  void Start(std::uint32_t index, time_point now);
+  void Append(item_list& list, std::uint32_t index);
+  void Remove(item_list& list, std::uint32_t index);
+  [[nodiscard]] item* Find(admission_handle handle);
+
+  admission_options options_;
+  std::vector<item> items_;  // A fixed pool; never grows while serving.
+  std::uint32_t first_free_ = kNone;
+  std::array<item_list, kPriorityCount> queues_;  // Most important first.
+  item_list given_up_;                            // Not yet told by TakeNext().
+  std::uint32_t queued_ = 0;   // Items in `queues_`; at most max_queue.
+  std::uint32_t running_ = 0;  // At most the limit that held when started.
+  time_point next_sweep_;
+  std::vector<service_time> service_times_;   // By method.
+  std::vector<downstream_level> downstream_;  // By method.
+  service_time any_service_time_;
+  concurrency_limit limit_;
+  admission_level level_;
+  admission_counters counters_;
+};
+
+}  // namespace pistachioweir
--- a/include/call/envelope.h
+++ b/include/call/envelope.h
@@ -62,7 +62,7 @@
   incarnation_id executor{};
   epoch_id epoch{};
   bool draining = false;
-  // Requests below this level are refused: (priority << 8) | ticket.
+  // Requests of a lower rank are refused; see include/admit/admission_rank.h.
   std::uint32_t admission_level = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
--- /dev/null
+++ b/include/quarantine/quarantine.h
@@ -0,0 +1,108 @@
+// quarantine: refuses a request that has crashed targets, whoever sends it.
+//
+// Made for a request that takes down each target that runs it while its caller
+// sends it again and again: without it one caller empties the service. What is
+// known is a fingerprint, a count of different crashes and a time; entries are
+// values that daemons exchange. The owner keeps one under its own lock.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+// Service, method and body, hashed. Two different requests share one with a
+// chance of 2^-128 unless someone looks for it; the harm is a refusal.
+struct request_fingerprint {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  friend auto operator<=>(const request_fingerprint&,
+                          const request_fingerprint&) = default;
+};
+
+[[nodiscard]] request_fingerprint FingerprintOf(std::string_view service,
+                                                std::string_view method,
+                                                std::string_view body);
+
+// Names one death of one target, the same wherever it is told; never zero.
+enum class crash_id : std::uint64_t {};
+
+// Of the target beside the daemon with this incarnation, which has seen
+// `crashes` of it so far.
+[[nodiscard]] crash_id CrashIdOf(std::uint64_t incarnation,
+                                 std::uint32_t crashes);
+
+struct quarantine_options {
+  // Different crashes that quarantine a request. One is no evidence: all other
+  // requests in progress then are suspects too.
+  static constexpr std::uint32_t kCrashes = 2;
+
+  // How long a request is refused, and how long a suspect is remembered.
+  milliseconds period{60000};
+  // Entries; the oldest suspect goes first when full.
+  std::uint32_t max_entries = 4096;
+};
+
+// What daemons tell each other of one request.
+struct quarantine_entry {
+  request_fingerprint fingerprint;
+  std::array<crash_id, quarantine_options::kCrashes> crashes{};
+  milliseconds remaining{0};  // Relative: no clock is compared between VMs.
+};
+
+class quarantine {
+ public:
+  explicit quarantine(const quarantine_options& options = {});
+
+  // The request was in progress when a target died.
+  void OnCrash(const request_fingerprint& request,
+               crash_id crash,
+               time_point now);
+  // The request ran to its end: it was in progress by chance. Clears a
+  // suspect, not a request that is quarantined.
+  void OnCompleted(const request_fingerprint& request);
+
+  // How long the request is still refused; zero if it isn't.
+  [[nodiscard]] milliseconds Remaining(const request_fingerprint& request,
+                                       time_point now) const;
+  // Whether no request is suspected, so that callers need not hash bodies.
+  [[nodiscard]] bool empty() const { return entries_.empty(); }
+
+  // Up to `max` entries that are in force, the newest first.
+  [[nodiscard]] std::vector<quarantine_entry> Export(time_point now,
+                                                     std::size_t max) const;
+  void Import(const quarantine_entry& entry, time_point now);
+  // Forgets what has ended; call every few seconds.
+  void Expire(time_point now);
+
+ private:
+  struct state {
+    std::array<crash_id, quarantine_options::kCrashes> crashes{};
+    time_point until;   // In force, if all of `crashes` are known.
+    time_point forget;  // Later than `until`.
+  };
+
+  struct fingerprint_hash {
+    std::size_t operator()(const request_fingerprint& value) const {
+      return value.low;
+    }
+  };
+
+  // True if `crash` was not known of `entry`.
+  static bool AddCrash(state& entry, crash_id crash);
+  static bool IsQuarantined(const state& entry);
+  state& FindOrAdd(const request_fingerprint& request, time_point now);
+  void MakeRoom();
+
+  quarantine_options options_;
+  // At most max_entries.
+  std::unordered_map<request_fingerprint, state, fingerprint_hash> entries_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/include/route/balancer.h
@@ -0,0 +1,171 @@
+// balancer: chooses for one called service the target that a call is sent to,
+// or refuses the call at the entrance.
+//
+// Pure logic: no I/O, no threads, time and random bits are arguments. The
+// owner, a daemon that makes calls, keeps one per called service under its own
+// lock. It decides by what it has seen itself, its own calls in flight and the
+// load that rode on answers; health and load endpoints lag or mislead.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/admit/admission_controller.h"
+#include "include/admit/admission_rank.h"
+#include "include/base/ids.h"
+#include "include/base/outcome.h"
+#include "include/base/priority.h"
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+// How a target is chosen among those that may take the call.
+enum class placement_policy : std::uint8_t { kRandom, kPowerOfTwo };
+
+struct balancer_options {
+  std::string data_centre;  // Of the daemon that makes the calls.
+  placement_policy policy = placement_policy::kPowerOfTwo;
+  bool use_levels = true;    // Refuse at the entrance.
+  bool use_ejection = true;  // Eject targets that fail, slow start.
+  // Tries of one call, the first included, over different targets.
+  std::uint32_t max_tries = 3;
+};
+
+// One target as membership tells it.
+struct target_info {
+  vm_id vm;
+  std::string data_centre;
+  bool leaving = false;
+  // Has just started: gets its share step by step.
+  bool cold = false;
+};
+
+// Names a target until it is dropped from the list; a stale one is harmless.
+struct target_ref {
+  std::uint32_t index = 0;
+  std::uint32_t generation = 0;
+
+  friend bool operator==(const target_ref&, const target_ref&) = default;
+};
+
+// Where one call has been tried already.
+struct tried_targets {
+  static constexpr std::uint32_t kMax = 4;
+
+  std::array<target_ref, kMax> refs{};
+  std::uint32_t count = 0;  // At most kMax.
+};
+
+struct placement_request {
+  std::uint32_t method = 0;  // Index in the called service's manifest.
+  priority level = priority::kNormal;
+  std::uint8_t ticket = 0;
+  tried_targets tried;
+};
+
+// Either a target, or why there is none: kNoTarget or kOverload, with a time
+// to come back. Nothing ran.
+struct placement {
+  bool placed = false;
+  target_ref target;
+  reason why = reason::kNone;
+  milliseconds retry_after{0};
+};
+
+// How a call to a target ended, from the caller's side.
+enum class call_result : std::uint8_t {
+  kAnswered,  // Completed, whatever the target's status says.
+  kRefused,   // Definitely not executed; the daemon there is well.
+  kFailed,    // Connection refused or lost, target crashed.
+  kTimedOut,  // No answer by the deadline.
+  kCancelled  // By this side; says nothing about the target.
+};
+
+class balancer {
+ public:
+  explicit balancer(const balancer_options& options);
+
+  // The list of targets has changed. Targets that stay keep what is known of
+  // them; those that are gone or leaving get no new calls.
+  void SetTargets(const std::vector<target_info>& targets, time_point now);
+
+  // Chooses a target and counts the call as in flight there, until Finish().
+  // The random bits decide ties, candidates and probes.
+  placement Place(const placement_request& request,
+                  time_point now,
+                  std::uint64_t random);
+
+  // The call that Place() counted has ended. `report` is what rode on the
+  // answer, or nullptr.
+  void Finish(target_ref target,
+              std::uint32_t method,
+              call_result result,
+              duration latency,
+              const load_report* report,
+              time_point now);
+
+  // The target said itself that it is leaving: no new calls from now on.
+  void MarkLeaving(target_ref target);
+
+  // Whether a call that was refused may be tried on another target.
+  [[nodiscard]] bool MayTryElsewhere(const placement_request& request,
+                                     time_point now) const;
+  // Calls of `method` below this are refused here, wherever they would go.
+  [[nodiscard]] admission_rank EntranceLevel(std::uint32_t method,
+                                             time_point now) const;
+  // Empty for a target that is not in the list any more.
+  [[nodiscard]] std::string_view VmOf(target_ref target) const;
+  // Targets that may get new calls.
+  [[nodiscard]] std::uint32_t usable(time_point now) const;
+
+ private:
+  struct learnt_level {
+    admission_rank level = 0;
+    time_point heard;
+  };
+
+  struct target {
+    target_info info;
+    std::uint32_t generation = 0;
+    bool listed = false;
+    bool leaving = false;
+    bool local = false;  // In the caller's own data centre.
+    std::uint32_t in_flight = 0;
+    // In flight and queued there for other callers, when last heard.
+    double others = 0;
+    double limit = 1;
+    double latency = 0;  // Nanoseconds; recent average.
+    time_point warm_from;
+    std::uint32_t failures = 0;  // In a row.
+    std::uint32_t ejections = 0;
+    time_point ejected_until;
+    time_point next_probe;
+    std::vector<learnt_level> levels;  // By method.
+  };
+
+  [[nodiscard]] bool Usable(const target& candidate, time_point now) const;
+  [[nodiscard]] bool WasTried(const placement_request& request,
+                              std::uint32_t index) const;
+  [[nodiscard]] admission_rank LevelOf(const target& candidate,
+                                       std::uint32_t method,
+                                       time_point now) const;
+  [[nodiscard]] double Cost(const target& candidate, time_point now) const;
+  [[nodiscard]] std::uint32_t Choose(const placement_request& request,
+                                     time_point now,
+                                     std::uint64_t random) const;
+  void RecordFailure(target& failed, time_point now);
+  [[nodiscard]] bool MayEject(time_point now) const;
+  [[nodiscard]] target* Find(target_ref ref);
+  [[nodiscard]] const target* Find(target_ref ref) const;
+
+  static constexpr std::uint32_t kNone = UINT32_MAX;
+
+  balancer_options options_;
+  std::vector<target> targets_;  // Places are reused, never erased.
+  std::uint32_t listed_ = 0;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/admit/admission_controller.cc
@@ -0,0 +1,392 @@
+// Admission of one target: the queue, its order and its refusals.
+#include "include/admit/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pistachioweir {
+
+namespace {
+
+// Queued requests are checked for deadlines that can't be met any more this
+// often, so that each gets its answer at once and not when its turn comes.
+constexpr milliseconds kSweepPeriod{5};
+// How long a level heard from further down holds without being repeated.
+constexpr milliseconds kDownstreamHolds{200};
+// Retry-after: no shorter than a refusal takes to have an effect, no longer
+// than people wait for a service that has long recovered.
+constexpr milliseconds kLeastRetryAfter{20};
+constexpr milliseconds kMostRetryAfter{5000};
+// Ranks by which a level falls a second once slots are free; see
+// admission_level.
+constexpr std::int64_t kRanksPerSecond = 1000;
+
+}  // namespace
+
+admission_controller::admission_controller(const admission_options& options)
+    : options_(options),
+      // Room for what runs, what waits and what was given up by one Offer().
+      items_(options.slots + 2 * static_cast<std::size_t>(options.max_queue) +
+             2),
+      service_times_(std::max(1U, options.methods)),
+      downstream_(std::max(1U, options.methods)),
+      limit_(options.slots) {
+  for (std::uint32_t i = 0; i < items_.size(); ++i) {
+    items_[i].next = first_free_;
+    first_free_ = i;
+  }
+}
+
+std::uint32_t admission_controller::limit() const {
+  return options_.learn_limit ? limit_.value() : std::max(1U, options_.slots);
+}
+
+std::size_t admission_controller::QueueOf(priority level) const {
+  return options_.use_deadlines ? static_cast<std::size_t>(level) : 0;
+}
+
+admission_rank admission_controller::LevelFor(std::uint32_t method,
+                                              time_point now) const {
+  if (!options_.use_level) {
+    return 0;
+  }
+  const downstream_level& below = downstream_[method];
+  return std::max(level_.level(), now < below.until ? below.level : 0);
+}
+
+// Work of the same or more importance goes first; the rest gives way.
+duration admission_controller::WaitAhead(std::size_t queue) const {
+  duration work(0);
+  for (std::size_t i = 0; i <= queue; ++i) {
+    work += queues_[i].work;
+  }
+  return work / limit();
+}
+
+bool admission_controller::CanFinish(const item& entry,
+                                     duration wait,
+                                     time_point now) const {
+  return now + wait + entry.expected <= entry.request.deadline;
+}
+
+admission_decision admission_controller::Offer(const admission_request& request,
+                                               time_point now,
+                                               std::uint32_t random) {
+  assert(request.method < service_times_.size());
+  ++counters_.offered;
+  const admission_rank rank = RankOf(request.level, request.ticket);
+  if (request.deadline <= now) {
+    return Refuse(request, reason::kDeadlinePassed, now, random);
+  }
+  if (rank < LevelFor(request.method, now)) {
+    return Refuse(request, reason::kOverload, now, random);
+  }
+  level_.OnArrival(rank, now);
+  if (queued_ == 0 && running_ < limit()) {
+    const std::uint32_t index = Allocate(request, now);
+    if (index == kNone) {
+      return Refuse(request, reason::kQueueFull, now, random);
+    }
+    Start(index, now);
+    return {.action = admission_action::kRun,
+            .handle = {index, items_[index].generation}};
+  }
+  const std::size_t queue = QueueOf(request.level);
+  const duration expected = service_times_[request.method].Likely(now);
+  const bool feasible = !options_.use_deadlines ||
+                        now + WaitAhead(queue) + expected <= request.deadline;
+  if (!feasible) {
+    GiveUpLowerThan(queue);
+    return Refuse(request, reason::kDeadlineInfeasible, now, random);
+  }
+  if (queued_ >= options_.max_queue && !MakeRoom(queue)) {
+    return Refuse(request, reason::kQueueFull, now, random);
+  }
+  const std::uint32_t index = Allocate(request, now);
+  if (index == kNone) {
+    return Refuse(request, reason::kQueueFull, now, random);
+  }
+  Append(queues_[queue], index);
+  ++queued_;
+  return {.action = admission_action::kQueued,
+          .handle = {index, items_[index].generation}};
+}
+
+std::optional<admission_event> admission_controller::TakeNext(
+    time_point now,
+    std::uint32_t random) {
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepPeriod;
+    GiveUpInfeasible(now);
+  }
+  while (given_up_.first == kNone && queued_ > 0 && running_ < limit()) {
+    const std::uint32_t index = PickQueued();
+    item& chosen = items_[index];
+    const std::size_t queue = QueueOf(chosen.request.level);
+    if (options_.use_deadlines && !CanFinish(chosen, duration(0), now)) {
+      GiveUp(index, reason::kDeadlineInfeasible);
+      level_.OnLoadRefusal(now);
+      break;
+    }
+    Remove(queues_[queue], index);
+    --queued_;
+    Start(index, now);
+    return admission_event{.cookie = chosen.request.cookie,
+                           .decision = {.action = admission_action::kRun,
+                                        .handle = {index, chosen.generation}}};
+  }
+  if (given_up_.first == kNone) {
+    if (queued_ == 0 && running_ < limit()) {
+      level_.OnIdle(now);
+    }
+    return std::nullopt;
+  }
+  const std::uint32_t index = given_up_.first;
+  const item& ended = items_[index];
+  Remove(given_up_, index);
+  const admission_event event{
+      .cookie = ended.request.cookie,
+      .decision = Refuse(ended.request, ended.why, now, random)};
+  Release(index);
+  return event;
+}
+
+void admission_controller::Finish(admission_handle handle,
+                                  const finish_report& report,
+                                  time_point now) {
+  item* const entry = Find(handle);
+  if (entry == nullptr || entry->state != item_state::kRunning) {
+    return;
+  }
+  const duration held = now - entry->started;
+  service_time& known = service_times_[entry->request.method];
+  if (report.answered) {
+    const duration own = std::max(duration(0), held - report.downstream);
+    limit_.Add(own, any_service_time_.Mean(now), running_, now);
+    any_service_time_.Add(own, now);
+    known.Add(held, now);
+  }
+  if (report.target_refused) {
+    limit_.OnTargetRefused(running_, now);
+  }
+  level_.OnFinish(now);
+  --running_;
+  ++counters_.finished;
+  Release(handle.index);
+}
+
+bool admission_controller::Cancel(admission_handle handle) {
+  item* const entry = Find(handle);
+  if (entry == nullptr) {
+    return false;
+  }
+  if (entry->state == item_state::kGivenUp) {
+    Remove(given_up_, handle.index);
+  } else if (entry->state == item_state::kQueued) {
+    Remove(queues_[QueueOf(entry->request.level)], handle.index);
+    --queued_;
+  } else {
+    return false;
+  }
+  ++counters_.cancelled;
+  Release(handle.index);
+  return true;
+}
+
+void admission_controller::SetDownstreamLevel(std::uint32_t method,
+                                              admission_rank level,
+                                              time_point now) {
+  assert(method < downstream_.size());
+  downstream_[method] = {.level = level, .until = now + kDownstreamHolds};
+}
+
+void admission_controller::Reconfigure(std::uint32_t slots,
+                                       std::uint32_t methods) {
+  if (slots > options_.slots) {
+    const std::size_t old_size = items_.size();
+    items_.resize(old_size + slots - options_.slots);
+    for (std::size_t i = old_size; i < items_.size(); ++i) {
+      items_[i].next = first_free_;
+      first_free_ = static_cast<std::uint32_t>(i);
+    }
+  }
+  options_.slots = slots;
+  // Requests in progress may name methods of the older manifest.
+  const std::size_t size =
+      std::max<std::size_t>(methods, service_times_.size());
+  options_.methods = static_cast<std::uint32_t>(size);
+  service_times_.resize(size);
+  downstream_.resize(size);
+  limit_.SetSlots(slots);
+}
+
+time_point admission_controller::next_wakeup() const {
+  return queued_ > 0 ? next_sweep_ : time_point::max();
+}
+
+load_report admission_controller::Report(std::uint32_t method,
+                                         time_point now) const {
+  return {.admission_level = LevelFor(method, now),
+          .in_flight = running_,
+          .queued = queued_,
+          .limit = limit()};
+}
+
+// A refused caller should come back when there is room: after the work that
+// waits, and after the level has fallen to its rank. Spread by up to a half, or
+// all that were refused together come back together.
+milliseconds admission_controller::RetryAfter(admission_rank rank,
+                                              admission_rank level,
+                                              std::uint32_t random) const {
+  const duration drain = WaitAhead(kPriorityCount - 1);
+  const std::int64_t above = level > rank ? level - rank : 0;
+  const auto fall = milliseconds(above * 1000 / kRanksPerSecond);
+  const auto base =
+      std::clamp(std::chrono::duration_cast<milliseconds>(drain) + fall,
+                 kLeastRetryAfter, kMostRetryAfter);
+  const auto spread = static_cast<std::int64_t>(random % 512);
+  return base + milliseconds(base.count() * spread / 1024);
+}
+
+admission_decision admission_controller::Refuse(
+    const admission_request& request,
+    reason why,
+    time_point now,
+    std::uint32_t random) {
+  ++counters_.refused[static_cast<std::size_t>(request.level)];
+  if (why != reason::kOverload && why != reason::kDeadlinePassed) {
+    level_.OnLoadRefusal(now);
+    // From here on everything less important is refused first.
+    if (options_.use_level) {
+      level_.RaiseTo(LowestRank(request.level));
+    }
+  }
+  const admission_rank rank = RankOf(request.level, request.ticket);
+  return {
+      .action = admission_action::kRefused,
+      .why = why,
+      .retry_after = RetryAfter(rank, LevelFor(request.method, now), random)};
+}
+
+// The newest of the least important goes: it has waited least.
+bool admission_controller::MakeRoom(std::size_t queue) {
+  for (std::size_t lowest = kPriorityCount; lowest-- > queue + 1;) {
+    if (queues_[lowest].last != kNone) {
+      GiveUp(queues_[lowest].last, reason::kQueueFull);
+      return true;
+    }
+  }
+  return false;
+}
+
+// A request is refused for want of capacity only after all less important
+// ones that wait have been.
+void admission_controller::GiveUpLowerThan(std::size_t queue) {
+  for (std::size_t lowest = kPriorityCount; lowest-- > queue + 1;) {
+    while (queues_[lowest].first != kNone) {
+      GiveUp(queues_[lowest].first, reason::kOverload);
+    }
+  }
+}
+
+void admission_controller::GiveUp(std::uint32_t index, reason why) {
+  item& entry = items_[index];
+  Remove(queues_[QueueOf(entry.request.level)], index);
+  --queued_;
+  entry.state = item_state::kGivenUp;
+  entry.why = why;
+  Append(given_up_, index);
+}
+
+void admission_controller::GiveUpInfeasible(time_point now) {
+  for (const item_list& list : queues_) {
+    std::uint32_t index = list.first;
+    while (index != kNone) {
+      const item& entry = items_[index];
+      const std::uint32_t next = entry.next;
+      const bool feasible = options_.use_deadlines
+                                ? CanFinish(entry, duration(0), now)
+                                : now < entry.request.deadline;
+      if (!feasible) {
+        GiveUp(index, reason::kDeadlineInfeasible);
+        level_.OnLoadRefusal(now);
+      }
+      index = next;
+    }
+  }
+}
+
+std::uint32_t admission_controller::PickQueued() const {
+  for (const item_list& list : queues_) {
+    if (list.first != kNone) {
+      return list.first;
+    }
+  }
+  return kNone;
+}
+
+std::uint32_t admission_controller::Allocate(const admission_request& request,
+                                             time_point now) {
+  const std::uint32_t index = first_free_;
+  if (index == kNone) {
+    return kNone;
+  }
+  item& entry = items_[index];
+  first_free_ = entry.next;
+  entry.request = request;
+  entry.arrived = now;
+  entry.expected = service_times_[request.method].Likely(now);
+  entry.previous = kNone;
+  entry.next = kNone;
+  entry.why = reason::kNone;
+  entry.state = item_state::kQueued;
+  return index;
+}
+
+void admission_controller::Release(std::uint32_t index) {
+  item& entry = items_[index];
+  ++entry.generation;
+  entry.state = item_state::kFree;
+  entry.next = first_free_;
+  first_free_ = index;
+}
+
+void admission_controller::Start(std::uint32_t index, time_point now) {
+  item& entry = items_[index];
+  entry.state = item_state::kRunning;
+  entry.started = now;
+  ++running_;
+  ++counters_.started;
+  level_.OnStart(now - entry.arrived, now);
+}
+
+void admission_controller::Append(item_list& list, std::uint32_t index) {
+  item& entry = items_[index];
+  entry.previous = list.last;
+  entry.next = kNone;
+  (list.last == kNone ? list.first : items_[list.last].next) = index;
+  list.last = index;
+  list.work += entry.expected;
+}
+
+void admission_controller::Remove(item_list& list, std::uint32_t index) {
+  item& entry = items_[index];
+  (entry.previous == kNone ? list.first : items_[entry.previous].next) =
+      entry.next;
+  (entry.next == kNone ? list.last : items_[entry.next].previous) =
+      entry.previous;
+  list.work -= entry.expected;
+}
+
+admission_controller::item* admission_controller::Find(
+    admission_handle handle) {
+  if (handle.index >= items_.size()) {
+    return nullptr;
+  }
+  item& entry = items_[handle.index];
+  const bool live =
+      entry.generation == handle.generation && entry.state != item_state::kFree;
+  return live ? &entry : nullptr;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/quarantine/quarantine.cc
@@ -0,0 +1,147 @@
+// Quarantine of requests that crash targets.
+#include "include/quarantine/quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace pistachioweir {
+
+namespace {
+
+// After an entry has ended it is remembered once more for its period:
+// otherwise a peer that still holds it would bring it back, and it would
+// travel between daemons for ever.
+constexpr int kForgetPeriods = 2;
+
+}  // namespace
+
+request_fingerprint FingerprintOf(std::string_view service,
+                                  std::string_view method,
+                                  std::string_view body) {
+  const XXH64_hash_t of_service = XXH3_64bits(service.data(), service.size());
+  const XXH64_hash_t of_method =
+      XXH3_64bits_withSeed(method.data(), method.size(), of_service);
+  const XXH128_hash_t hash =
+      XXH3_128bits_withSeed(body.data(), body.size(), of_method);
+  return {.high = hash.high64, .low = hash.low64};
+}
+
+crash_id CrashIdOf(std::uint64_t incarnation, std::uint32_t crashes) {
+  const std::array<std::uint64_t, 2> parts{incarnation, crashes};
+  return crash_id{XXH3_64bits(parts.data(), sizeof(parts)) | 1};
+}
+
+quarantine::quarantine(const quarantine_options& options) : options_(options) {}
+
+bool quarantine::IsQuarantined(const state& entry) {
+  return std::ranges::all_of(entry.crashes,
+                             [](crash_id id) { return id != crash_id{}; });
+}
+
+bool quarantine::AddCrash(state& entry, crash_id crash) {
+  for (crash_id& known : entry.crashes) {
+    if (known == crash) {
+      return false;
+    }
+    if (known == crash_id{}) {
+      known = crash;
+      return true;
+    }
+  }
+  return false;
+}
+
+void quarantine::OnCrash(const request_fingerprint& request,
+                         crash_id crash,
+                         time_point now) {
+  state& entry = FindOrAdd(request, now);
+  if (AddCrash(entry, crash)) {
+    entry.until = now + options_.period;
+    entry.forget = now + kForgetPeriods * options_.period;
+  }
+}
+
+void quarantine::OnCompleted(const request_fingerprint& request) {
+  const auto found = entries_.find(request);
+  if (found != entries_.end() && !IsQuarantined(found->second)) {
+    entries_.erase(found);
+  }
+}
+
+milliseconds quarantine::Remaining(const request_fingerprint& request,
+                                   time_point now) const {
+  const auto found = entries_.find(request);
+  if (found == entries_.end() || !IsQuarantined(found->second) ||
+      found->second.until <= now) {
+    return milliseconds(0);
+  }
+  return std::chrono::ceil<milliseconds>(found->second.until - now);
+}
+
+std::vector<quarantine_entry> quarantine::Export(time_point now,
+                                                 std::size_t max) const {
+  std::vector<quarantine_entry> exported;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (entry.until > now) {
+      exported.push_back(
+          {.fingerprint = fingerprint,
+           .crashes = entry.crashes,
+           .remaining = std::chrono::ceil<milliseconds>(entry.until - now)});
+    }
+  }
+  std::ranges::sort(exported, [](const auto& a, const auto& b) {
+    return a.remaining > b.remaining;
+  });
+  exported.resize(std::min(max, exported.size()));
+  return exported;
+}
+
+// Only a crash that was not known moves the end of an entry; else two daemons
+// would prolong it by telling each other.
+void quarantine::Import(const quarantine_entry& entry, time_point now) {
+  const milliseconds remaining = std::min(entry.remaining, options_.period);
+  if (remaining <= milliseconds(0)) {
+    return;
+  }
+  state& known = FindOrAdd(entry.fingerprint, now);
+  bool added = false;
+  for (const crash_id crash : entry.crashes) {
+    added |= crash != crash_id{} && AddCrash(known, crash);
+  }
+  if (added) {
+    known.until = std::max(known.until, now + remaining);
+    known.forget = now + kForgetPeriods * options_.period;
+  }
+}
+
+void quarantine::Expire(time_point now) {
+  std::erase_if(entries_,
+                [now](const auto& item) { return item.second.forget <= now; });
+}
+
+quarantine::state& quarantine::FindOrAdd(const request_fingerprint& request,
+                                         time_point now) {
+  const auto found = entries_.find(request);
+  if (found != entries_.end()) {
+    if (found->second.forget <= now) {
+      found->second = state{};
+    }
+    return found->second;
+  }
+  if (entries_.size() >= options_.max_entries) {
+    MakeRoom();
+  }
+  return entries_[request];
+}
+
+void quarantine::MakeRoom() {
+  const auto less_worth = [](const auto& a, const auto& b) {
+    const bool a_holds = IsQuarantined(a.second);
+    const bool b_holds = IsQuarantined(b.second);
+    return a_holds != b_holds ? b_holds : a.second.until < b.second.until;
+  };
+  entries_.erase(std::ranges::min_element(entries_, less_worth));
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/route/balancer.cc
@@ -0,0 +1,306 @@
+// Placing of calls: power of two choices, slow start, ejection, refusal at the
+// entrance.
+#include "include/route/balancer.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace pistachioweir {
+
+namespace {
+
+// How much of a target's latency average the newest answer is.
+constexpr double kLatencyWeight = 1.0 / 16;
+// A cold target's share grows over this time, from kColdShare.
+constexpr milliseconds kSlowStart{2000};
+constexpr double kColdShare = 0.1;
+// Failures in a row that eject a target: one is chance, a silent connection
+// may give two.
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr milliseconds kFirstEjection{200};
+constexpr std::uint32_t kMostDoublings = 5;
+// Of the targets, how many may be ejected at a time: a caller whose own
+// network is bad would else empty the set and refuse everything.
+constexpr std::uint32_t kEjectableShare = 2;
+// A learnt level that isn't repeated falls this fast, in ranks a second, as the
+// target's own does when it has free slots.
+constexpr std::int64_t kLevelFallPerSecond = 1000;
+// A refusing target is asked once in this while, so that a level that has
+// fallen is noticed while everything is refused at the entrance.
+constexpr milliseconds kProbePeriod{50};
+// Cost of another data centre: a call there takes a round trip more, and
+// traffic between data centres is kept for when it helps.
+constexpr double kRemoteCost = 1.3;
+// Targets compared when there are many: two for the power of two choices, the
+// rest only if those refuse.
+constexpr std::uint32_t kMostLooks = 6;
+constexpr milliseconds kEntranceRetryAfter{50};
+
+}  // namespace
+
+balancer::balancer(const balancer_options& options) : options_(options) {}
+
+balancer::target* balancer::Find(target_ref ref) {
+  return const_cast<target*>(std::as_const(*this).Find(ref));
+}
+
+const balancer::target* balancer::Find(target_ref ref) const {
+  if (ref.index >= targets_.size() ||
+      targets_[ref.index].generation != ref.generation ||
+      !targets_[ref.index].listed) {
+    return nullptr;
+  }
+  return &targets_[ref.index];
+}
+
+void balancer::SetTargets(const std::vector<target_info>& targets,
+                          time_point now) {
+  const bool first_list = listed_ == 0;
+  for (target& known : targets_) {
+    const bool kept = std::ranges::any_of(
+        targets, [&](const target_info& t) { return t.vm == known.info.vm; });
+    if (known.listed && !kept) {
+      known.listed = false;
+      ++known.generation;
+      --listed_;
+    }
+  }
+  for (const target_info& info : targets) {
+    auto place = std::ranges::find_if(targets_, [&](const target& t) {
+      return t.listed && t.info.vm == info.vm;
+    });
+    if (place == targets_.end()) {
+      place = std::ranges::find_if(targets_,
+                                   [](const target& t) { return !t.listed; });
+      if (place == targets_.end()) {
+        targets_.emplace_back();
+        place = targets_.end() - 1;
+      }
+      const std::uint32_t generation = place->generation;
+      *place = target{};
+      place->generation = generation;
+      place->listed = true;
+      ++listed_;
+      // On the first list nothing is known: all are taken as warm.
+      const bool cold = info.cold || !first_list;
+      place->warm_from = cold ? now + kSlowStart : now;
+    }
+    place->info = info;
+    place->leaving = place->leaving || info.leaving;
+    place->local = info.data_centre == options_.data_centre;
+  }
+}
+
+void balancer::MarkLeaving(target_ref ref) {
+  if (target* const found = Find(ref)) {
+    found->leaving = true;
+  }
+}
+
+bool balancer::Usable(const target& candidate, time_point now) const {
+  return candidate.listed && !candidate.leaving &&
+         (!options_.use_ejection || candidate.ejected_until <= now);
+}
+
+std::uint32_t balancer::usable(time_point now) const {
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+      targets_, [&](const target& t) { return Usable(t, now); }));
+}
+
+bool balancer::WasTried(const placement_request& request,
+                        std::uint32_t index) const {
+  const target_ref ref{index, targets_[index].generation};
+  const auto end = request.tried.refs.begin() + request.tried.count;
+  return std::find(request.tried.refs.begin(), end, ref) != end;
+}
+
+admission_rank balancer::LevelOf(const target& candidate,
+                                 std::uint32_t method,
+                                 time_point now) const {
+  if (!options_.use_levels || method >= candidate.levels.size()) {
+    return 0;
+  }
+  const learnt_level& known = candidate.levels[method];
+  const auto age = std::chrono::duration_cast<milliseconds>(now - known.heard);
+  const auto fallen = static_cast<admission_rank>(std::clamp<std::int64_t>(
+      age.count() * kLevelFallPerSecond / 1000, 0, kRankCount));
+  return known.level > fallen ? known.level - fallen : 0;
+}
+
+// The time that a new call would take there, up to a common factor: how slow
+// the target has been, and how full it is.
+double balancer::Cost(const target& candidate, time_point now) const {
+  double capacity = std::max(1.0, candidate.limit);
+  if (options_.use_ejection && now < candidate.warm_from) {
+    const double left =
+        std::chrono::duration<double>(candidate.warm_from - now) /
+        std::chrono::duration<double>(kSlowStart);
+    capacity *= std::max(kColdShare, 1.0 - left);
+  }
+  const double load = (candidate.in_flight + candidate.others + 1) / capacity;
+  const double distance = candidate.local ? 1.0 : kRemoteCost;
+  return (candidate.latency + 1e6) * load * distance;
+}
+
+std::uint32_t balancer::Choose(const placement_request& request,
+                               time_point now,
+                               std::uint64_t random) const {
+  const auto size = static_cast<std::uint32_t>(targets_.size());
+  if (size == 0) {
+    return kNone;
+  }
+  const admission_rank rank = RankOf(request.level, request.ticket);
+  const std::uint32_t looks = std::min(size, kMostLooks);
+  const std::uint32_t enough =
+      options_.policy == placement_policy::kRandom ? 1 : 2;
+  // A stride that shares no factor with the size visits each place once.
+  const auto start = static_cast<std::uint32_t>(random % size);
+  auto stride = static_cast<std::uint32_t>((random >> 32) % size);
+  while (size > 1 && (stride == 0 || std::gcd(stride, size) != 1)) {
+    stride = (stride + 1) % size;
+  }
+  std::uint32_t best = kNone;
+  double best_cost = 0;
+  std::uint32_t found = 0;
+  for (std::uint32_t i = 0; i < looks && found < enough; ++i) {
+    const std::uint32_t index = (start + i * stride) % size;
+    const target& candidate = targets_[index];
+    if (!Usable(candidate, now) || WasTried(request, index) ||
+        LevelOf(candidate, request.method, now) > rank) {
+      continue;
+    }
+    ++found;
+    const double cost = Cost(candidate, now);
+    if (best == kNone || cost < best_cost) {
+      best = index;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+placement balancer::Place(const placement_request& request,
+                          time_point now,
+                          std::uint64_t random) {
+  std::uint32_t index = Choose(request, now, random);
+  bool any = false;
+  if (index == kNone) {
+    for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+      target& candidate = targets_[i];
+      if (!Usable(candidate, now) || WasTried(request, i)) {
+        continue;
+      }
+      any = true;
+      if (request.tried.count == 0 && candidate.next_probe <= now) {
+        candidate.next_probe = now + kProbePeriod;
+        index = i;
+        break;
+      }
+    }
+  }
+  if (index == kNone) {
+    const bool overloaded = any || request.tried.count > 0;
+    const auto spread = static_cast<std::int64_t>(random % 512);
+    return {.why = overloaded ? reason::kOverload : reason::kNoTarget,
+            .retry_after =
+                kEntranceRetryAfter + kEntranceRetryAfter * spread / 512};
+  }
+  ++targets_[index].in_flight;
+  return {.placed = true, .target = {index, targets_[index].generation}};
+}
+
+bool balancer::MayTryElsewhere(const placement_request& request,
+                               time_point now) const {
+  if (request.tried.count >= options_.max_tries ||
+      request.tried.count >= tried_targets::kMax) {
+    return false;
+  }
+  const admission_rank rank = RankOf(request.level, request.ticket);
+  for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+    if (Usable(targets_[i], now) && !WasTried(request, i) &&
+        LevelOf(targets_[i], request.method, now) <= rank) {
+      return true;
+    }
+  }
+  return false;
+}
+
+admission_rank balancer::EntranceLevel(std::uint32_t method,
+                                       time_point now) const {
+  admission_rank lowest = kRankCount;
+  for (const target& candidate : targets_) {
+    if (Usable(candidate, now)) {
+      lowest = std::min(lowest, LevelOf(candidate, method, now));
+    }
+  }
+  return lowest == kRankCount ? 0 : lowest;
+}
+
+std::string_view balancer::VmOf(target_ref ref) const {
+  const target* const found = Find(ref);
+  return found == nullptr ? std::string_view() : found->info.vm;
+}
+
+void balancer::Finish(target_ref ref,
+                      std::uint32_t method,
+                      call_result result,
+                      duration latency,
+                      const load_report* report,
+                      time_point now) {
+  target* const found = Find(ref);
+  if (found == nullptr) {
+    return;
+  }
+  found->in_flight -= std::min(1U, found->in_flight);
+  if (result == call_result::kAnswered) {
+    const auto sample = static_cast<double>(latency.count());
+    found->latency =
+        found->latency == 0
+            ? sample
+            : found->latency + kLatencyWeight * (sample - found->latency);
+  }
+  if (result == call_result::kFailed || result == call_result::kTimedOut) {
+    RecordFailure(*found, now);
+  } else if (result != call_result::kCancelled) {
+    found->failures = 0;
+    found->ejections = 0;
+  }
+  if (report == nullptr) {
+    return;
+  }
+  const double there = report->in_flight + report->queued;
+  found->others = std::max(0.0, there - found->in_flight);
+  found->limit = report->limit;
+  if (method >= found->levels.size()) {
+    found->levels.resize(method + 1);
+  }
+  found->levels[method] = {.level = report->admission_level, .heard = now};
+}
+
+void balancer::RecordFailure(target& failed, time_point now) {
+  ++failed.failures;
+  if (!options_.use_ejection || failed.failures < kFailuresToEject ||
+      failed.ejected_until > now || !MayEject(now)) {
+    return;
+  }
+  const std::uint32_t doublings = std::min(failed.ejections, kMostDoublings);
+  failed.ejected_until = now + kFirstEjection * (1U << doublings);
+  ++failed.ejections;
+  failed.failures = kFailuresToEject - 1;  // One more failure ejects again.
+}
+
+bool balancer::MayEject(time_point now) const {
+  std::uint32_t ejected = 0;
+  std::uint32_t eligible = 0;
+  for (const target& candidate : targets_) {
+    if (candidate.listed && !candidate.leaving) {
+      ++eligible;
+      ejected += candidate.ejected_until > now ? 1 : 0;
+    }
+  }
+  return (ejected + 1) * kEjectableShare <= std::max(2U, eligible) &&
+         ejected + 1 < eligible;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/tests/balancer_test.cc
@@ -0,0 +1,55 @@
+// Placing of calls on the targets of one service.
+#include "include/route/balancer.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace pistachioweir {
+namespace {
+
+const time_point kStart{seconds(1000)};
+
+std::vector<target_info> ThreeTargets() {
+  return {{.vm = "a", .data_centre = "waw-1"},
+          {.vm = "b", .data_centre = "waw-2"},
+          {.vm = "c", .data_centre = "waw-3"}};
+}
+
+TEST(BalancerTest, SaysThatThereIsNoTarget) {
+  balancer chooser({.data_centre = "waw-1"});
+  const auto choice = chooser.Place({}, kStart, 7);
+  EXPECT_FALSE(choice.placed);
+  EXPECT_EQ(choice.why, reason::kNoTarget);
+}
+
+TEST(BalancerTest, SendsNothingToALeavingTarget) {
+  balancer chooser({.data_centre = "waw-1"});
+  auto targets = ThreeTargets();
+  targets[0].leaving = true;
+  chooser.SetTargets(targets, kStart);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 200; ++i) {
+    const auto choice = chooser.Place({}, kStart, random());
+    ASSERT_TRUE(choice.placed);
+    EXPECT_NE(chooser.VmOf(choice.target), "a");
+  }
+}
+
+// All three targets stop answering, as seen from a caller whose own network is
+// broken. If it ejected them all, it would refuse everything by itself for as
+// long as the ejection lasts, also when its network is back.
+TEST(BalancerTest, NeverEjectsEveryTarget) {
+  balancer chooser({.data_centre = "waw-1"});
+  chooser.SetTargets(ThreeTargets(), kStart);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 200; ++i) {
+    const auto choice = chooser.Place({}, kStart, random());
+    ASSERT_TRUE(choice.placed);
+    chooser.Finish(choice.target, 0, call_result::kFailed, {}, nullptr, kStart);
+  }
+  EXPECT_GE(chooser.usable(kStart), 2U);
+}
+
+}  // namespace
+}  // namespace pistachioweir
--- /dev/null
+++ b/tests/quarantine_test.cc
@@ -0,0 +1,71 @@
+// Quarantine of requests that crash targets.
+#include "include/quarantine/quarantine.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace pistachioweir {
+namespace {
+
+const time_point kStart{seconds(1000)};
+const request_fingerprint kRequest = FingerprintOf("contracts", "sign", "x");
+
+// One request kills each target that runs it, and its caller sends it again
+// and again. Without quarantine all targets of the service die one by one.
+TEST(QuarantineTest, TwoCrashesQuarantineForABoundedTime) {
+  quarantine table({.period = milliseconds(1000)});
+  table.OnCrash(kRequest, crash_id{1}, kStart);
+  EXPECT_EQ(table.Remaining(kRequest, kStart), milliseconds(0));
+  table.OnCrash(kRequest, crash_id{1}, kStart);
+  EXPECT_EQ(table.Remaining(kRequest, kStart), milliseconds(0));
+  table.OnCrash(kRequest, crash_id{2}, kStart);
+  EXPECT_EQ(table.Remaining(kRequest, kStart), milliseconds(1000));
+  EXPECT_EQ(table.Remaining(kRequest, kStart + seconds(1)), milliseconds(0));
+}
+
+TEST(QuarantineTest, ARequestThatCompletesIsNoSuspect) {
+  quarantine table;
+  table.OnCrash(kRequest, crash_id{1}, kStart);
+  table.OnCompleted(kRequest);
+  table.OnCrash(kRequest, crash_id{2}, kStart);
+  EXPECT_EQ(table.Remaining(kRequest, kStart), milliseconds(0));
+}
+
+// Two daemons tell each other the same entry for ever. If each telling moved
+// its end, the request would stay refused after the bug is long mended.
+TEST(QuarantineTest, GossipDoesNotProlongAnEntry) {
+  quarantine one({.period = milliseconds(1000)});
+  quarantine other({.period = milliseconds(1000)});
+  one.OnCrash(kRequest, crash_id{1}, kStart);
+  one.OnCrash(kRequest, crash_id{2}, kStart);
+  for (int i = 0; i < 3000; i += 10) {
+    const time_point now = kStart + milliseconds(i);
+    for (const auto& entry : one.Export(now, 8)) {
+      other.Import(entry, now + milliseconds(5));
+    }
+    for (const auto& entry : other.Export(now, 8)) {
+      one.Import(entry, now + milliseconds(5));
+    }
+    one.Expire(now);
+    other.Expire(now);
+  }
+  const time_point end = kStart + milliseconds(1100);
+  EXPECT_EQ(one.Remaining(kRequest, end), milliseconds(0));
+  EXPECT_EQ(other.Remaining(kRequest, end), milliseconds(0));
+}
+
+TEST(QuarantineTest, TheTableIsBoundedAndKeepsWhatIsInForce) {
+  quarantine table({.max_entries = 4});
+  table.OnCrash(kRequest, crash_id{1}, kStart);
+  table.OnCrash(kRequest, crash_id{2}, kStart);
+  for (int i = 0; i < 100; ++i) {
+    table.OnCrash(FingerprintOf("s", "m", std::to_string(i)), crash_id{3},
+                  kStart);
+  }
+  EXPECT_LE(table.Export(kStart, 1000).size(), 4U);
+  EXPECT_GT(table.Remaining(kRequest, kStart), milliseconds(0));
+}
+
+}  // namespace
+}  // namespace pistachioweir
