--- /dev/null
+++ b/include/once/key_home.h
@@ -0,0 +1,311 @@
+// key_home: the home's side of at-most-once execution. Issues keys, starts at
+// most one execution for each, drives it from executor to executor, and
+// remembers what came of it for as long as the key lives.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/outcome.h"
+#include "include/base/time.h"
+#include "include/call/envelope.h"
+#include "include/once/executor_table.h"
+#include "include/once/fingerprint.h"
+#include "include/once/guards.h"
+#include "include/once/sequence_set.h"
+#include "include/retry/credit_ledger.h"
+
+namespace pistachioweir {
+
+struct key_home_options {
+  daemon_ref self;
+  // This shard issues the sequence numbers that are `shard` modulo `shards`.
+  std::uint32_t shard = 0;
+  std::uint32_t shards = 1;
+  // Keys with a record: issued, running or remembered.
+  std::size_t max_keys = 20000;
+  // Of these, by one caller's address.
+  std::size_t max_keys_per_caller = 4000;
+  // Bytes of answers kept for callers that ask again.
+  std::size_t max_answer_bytes = 8 << 20;
+  // Callers that wait for one execution.
+  std::size_t max_waiters = 16;
+  // Times that one attempt is sent to its executor, the first one included. A
+  // copy costs no execution; the bound keeps silence from becoming a stream.
+  std::uint32_t max_sends = 3;
+  // Pause before an attempt goes again to an executor whose table is full.
+  milliseconds busy_pause{20};
+};
+
+// Keys, or why there are none.
+struct issued_keys {
+  std::vector<idempotency_key> keys;
+  reason refusal = reason::kNone;  // kDraining or kTableFull.
+};
+
+// A caller's request to run something under a key.
+struct begin_request {
+  idempotency_key key;
+  request_fingerprint fingerprint;
+  waiter_id waiter{};
+  // Retries that may be spent for the key. Only the first request's counts.
+  std::uint32_t retry_credit = 0;
+};
+
+// What the daemon has to do next. Each names the key, and the attempt it is
+// about, so that it can be carried out without the home's lock.
+
+// Nothing for now: the caller waits, or the event was about something settled.
+struct no_action {};
+
+// Choose a target that is none of `tried`, then call Placed() or NotPlaced().
+struct place_attempt {
+  idempotency_key key;
+  std::uint32_t attempt = 0;
+  std::vector<vm_id> tried;
+};
+
+// Send the call to `target`'s daemon, after `delay` if that isn't zero, then
+// call AttemptAnswered() or AttemptLost().
+struct send_attempt {
+  execution_binding binding;
+  vm_id target;
+  std::uint32_t credit = 0;  // Retry credit that goes with the call.
+  milliseconds delay{0};
+};
+
+// Send a cancel, then call CancelAnswered() if there is an answer.
+struct send_cancel {
+  execution_binding binding;
+  vm_id target;
+};
+
+// Tell `waiters` the result. With `cancel`, also cancel what may still run.
+struct finish_call {
+  idempotency_key key;
+  std::vector<waiter_id> waiters;
+  outcome result;
+  std::optional<send_cancel> cancel;
+};
+
+using home_action = std::
+    variant<no_action, place_attempt, send_attempt, send_cancel, finish_call>;
+
+struct key_home_counters {
+  std::uint64_t issued = 0;
+  std::uint64_t issue_refused = 0;
+  std::uint64_t started = 0;
+  std::uint64_t joined = 0;
+  std::uint64_t replayed = 0;
+  std::uint64_t resent = 0;
+  std::uint64_t moved = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t evicted = 0;
+  std::uint64_t answers_discarded = 0;
+};
+
+// One shard: no lock, no clock. The daemon holds several (base/sharded.h),
+// issues from shard hash(caller address) and finds a key's shard by
+// ShardOf(key).
+//
+// Only the home's word makes a request with a key "not executed". A daemon that
+// relays such a request and refuses it by itself can't say so: an earlier copy
+// may stand still in a paused daemon and reach the home later. It asks the home
+// to Refuse() the key, and says unknown if the home can't be reached (guard
+// HOME_HAS_LAST_WORD in spec/at_most_once.pml).
+template <typename Guards>
+class basic_key_home {
+ public:
+  explicit basic_key_home(const key_home_options& options);
+
+  // Issues `count` keys, or fewer if the bounds leave no more. An issued key
+  // can start an execution within `lifetime`.
+  issued_keys Issue(std::uint32_t count,
+                    const std::string& caller,
+                    milliseconds lifetime,
+                    time_point now);
+
+  // Starts the key's execution, joins it, or tells what came of it. Another
+  // request under the same key is refused with kBadKey; that speaks for this
+  // request alone, the first one goes on.
+  home_action Begin(const begin_request& request, time_point now);
+
+  // Somebody refuses the key's request before it began. Settles the key as not
+  // executed, unless it began: then joins as Begin() does.
+  home_action Refuse(const begin_request& request,
+                     const outcome& refusal,
+                     time_point now);
+
+  // Answers to place_attempt.
+  home_action Placed(const idempotency_key& key,
+                     std::uint32_t attempt,
+                     const daemon_ref& target,
+                     epoch_id epoch);
+  home_action NotPlaced(const idempotency_key& key,
+                        std::uint32_t attempt,
+                        const outcome& refusal,
+                        time_point now);
+
+  // The executor answered a copy of the attempt.
+  home_action AttemptAnswered(const idempotency_key& key,
+                              std::uint32_t attempt,
+                              const answer_envelope& answer,
+                              time_point now);
+
+  // The copy that was asked for last never left this daemon: no connection
+  // could be made. Definite if it was the attempt's only copy.
+  home_action AttemptNotSent(const idempotency_key& key,
+                             std::uint32_t attempt,
+                             time_point now);
+
+  // No answer came: the connection broke, or the time for one try is over.
+  home_action AttemptLost(const idempotency_key& key,
+                          std::uint32_t attempt,
+                          time_point now);
+
+  home_action CancelAnswered(const idempotency_key& key,
+                             std::uint32_t attempt,
+                             const answer_envelope& answer,
+                             time_point now);
+
+  // The deadline of the execution has passed: all that wait are told at once.
+  home_action DeadlinePassed(const idempotency_key& key, time_point now);
+
+  // A caller went away. Cancels the execution if nobody waits any more.
+  home_action Leave(const idempotency_key& key, waiter_id waiter);
+
+  // Issues no more keys; those that are out keep working.
+  void StartDraining() { draining_ = true; }
+  // True when no key is left that could still start or that runs. Looks at
+  // every record.
+  [[nodiscard]] bool drained() const;
+
+  // Drops what has expired.
+  void Tick(time_point now);
+
+  [[nodiscard]] std::size_t size() const { return records_.size(); }
+  [[nodiscard]] std::size_t answer_bytes() const { return answer_bytes_; }
+  [[nodiscard]] const key_home_counters& counters() const { return counters_; }
+
+  [[nodiscard]] static std::size_t ShardOf(const idempotency_key& key) {
+    return static_cast<std::size_t>(key.sequence);
+  }
+
+ private:
+  enum class key_state : std::uint8_t {
+    kIssued,    // Nothing has begun.
+    kPlacing,   // The daemon is choosing a target.
+    kSent,      // Bound to an executor; copies of the attempt are out.
+    kGaveUp,    // Callers were told unknown; a late result may still settle it.
+    kFinished,  // `result` is final.
+  };
+
+  // What only a running key needs.
+  struct running_execution {
+    explicit running_execution(std::uint32_t credit) : ledger(credit) {}
+
+    credit_ledger ledger;
+    std::uint32_t attempt = 0;
+    std::uint32_t sends = 0;  // Of this attempt.
+    std::uint32_t lent = 0;   // Credit that went with this attempt.
+    daemon_ref target;        // With kSent and kGaveUp.
+    epoch_id epoch{};
+    std::vector<vm_id> tried;  // Definitely not executed there.
+    std::vector<waiter_id> waiters;
+  };
+
+  // Keys with a record, by the address of the caller they were issued to.
+  using caller_map = std::unordered_map<std::string, std::size_t>;
+
+  struct key_record {
+    key_state state = key_state::kIssued;
+    bool evictable = false;                    // Exactly if settled_ names it.
+    caller_map::value_type* caller = nullptr;  // In callers_.
+    time_point expires;
+    milliseconds lifetime{0};
+    request_fingerprint fingerprint;             // Not with kIssued.
+    std::unique_ptr<running_execution> running;  // With kPlacing to kGaveUp.
+    std::unique_ptr<outcome> result;             // With kGaveUp and kFinished.
+  };
+
+  using record_map = std::unordered_map<std::uint64_t, key_record>;
+  using record_entry = typename record_map::value_type;
+
+  struct expiry {
+    time_point at;
+    std::uint64_t sequence = 0;
+
+    friend bool operator>(const expiry& left, const expiry& right) {
+      return left.at > right.at;
+    }
+  };
+
+  // Number of bits that tell of dropped keys whether they had begun: at 20,000
+  // keys in 30 s it reaches back 26 minutes and takes 128 KiB, over all shards.
+  static constexpr std::size_t kBegunWindow = 1 << 20;
+
+  [[nodiscard]] idempotency_key KeyOf(std::uint64_t sequence) const;
+  [[nodiscard]] std::uint64_t IndexOf(std::uint64_t sequence) const;
+  record_entry* Find(const idempotency_key& key);
+  // The key's record if it is at `attempt` and bound to an executor.
+  record_entry* FindSent(const idempotency_key& key, std::uint32_t attempt);
+
+  // Moves time on; time that runs backwards is taken for standing still.
+  void AdvanceTo(time_point now);
+  bool MakeRoom(std::uint32_t count);
+  void Insert(std::uint64_t sequence,
+              caller_map::value_type& caller,
+              milliseconds lifetime);
+  void Erase(std::uint64_t sequence);
+
+  // What can be said of a key without a record.
+  outcome JudgeMissing(const idempotency_key& key) const;
+  static finish_call Tell(const begin_request& request, const outcome& result);
+  home_action BeginIssued(record_entry& entry, const begin_request& request);
+  home_action Join(record_entry& entry, const begin_request& request);
+  home_action AskAgain(record_entry& entry, const begin_request& request);
+
+  home_action Place(record_entry& entry);
+  home_action MoveOn(record_entry& entry, const outcome& refusal);
+  home_action SendAgain(record_entry& entry, milliseconds delay, reason why);
+  home_action GiveUp(record_entry& entry, reason why, bool cancel);
+  home_action Settle(record_entry& entry, const outcome& result);
+  void KeepResult(record_entry& entry, const outcome& result);
+  void MarkEvictable(record_entry& entry);
+  void DiscardOldAnswers();
+  void Compact();
+  [[nodiscard]] execution_binding BindingOf(const record_entry& entry) const;
+
+  key_home_options options_;
+  bool draining_ = false;
+  time_point now_;  // Never runs backwards.
+  record_map records_;
+  // Counts are never zero, and add up to the size of records_.
+  caller_map callers_;
+  // An entry for each record, at its expiry or earlier, the earliest on top.
+  std::priority_queue<expiry, std::vector<expiry>, std::greater<>> expiries_;
+  // Keys that may be evicted, the longest settled first. May name keys that
+  // have gone.
+  std::deque<std::uint64_t> settled_;
+  // Keys with kept answers, the oldest first. May name keys that have gone.
+  std::deque<std::uint64_t> answered_;
+  // Sum of the sizes of the answers kept in records_.
+  std::size_t answer_bytes_ = 0;
+  // Keys that ever began, by IndexOf().
+  sequence_set begun_;
+  key_home_counters counters_;
+};
+
+using key_home = basic_key_home<once_guards>;
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/once/executor_table.cc
@@ -0,0 +1,10 @@
+// The executor table with all its guards.
+#include "include/once/executor_table.h"
+
+#include "src/once/executor_table_impl.h"
+
+namespace pistachioweir {
+
+template class basic_executor_table<once_guards>;
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/once/executor_table_impl.h
@@ -0,0 +1,310 @@
+// Implementation of basic_executor_table, for executor_table.cc and for tests
+// that instantiate it without one of its guards.
+#pragma once
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "include/once/executor_table.h"
+
+namespace pistachioweir {
+
+template <typename Guards>
+basic_executor_table<Guards>::basic_executor_table(
+    const executor_table_options& options)
+    : options_(options) {}
+
+template <typename Guards>
+std::size_t basic_executor_table<Guards>::record_key_hash::operator()(
+    const record_key& key) const {
+  // Incarnations are random already; the multiplier (2^64 divided by the golden
+  // ratio) spreads neighbouring sequence numbers over all bits.
+  constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15ULL;
+  std::uint64_t hash = static_cast<std::uint64_t>(key.home);
+  hash = (hash ^ key.sequence) * kSpread;
+  hash = (hash ^ (hash >> 32) ^ key.attempt) * kSpread;
+  return hash ^ (hash >> 32);
+}
+
+template <typename Guards>
+auto basic_executor_table<Guards>::KeyOf(const execution_binding& attempt)
+    -> record_key {
+  return {.home = attempt.key.home.incarnation,
+          .sequence = attempt.key.sequence,
+          .attempt = attempt.attempt};
+}
+
+template <typename Guards>
+std::size_t basic_executor_table<Guards>::HashOf(
+    const execution_binding& attempt) {
+  return record_key_hash()(KeyOf(attempt));
+}
+
+template <typename Guards>
+void basic_executor_table<Guards>::AdvanceTo(time_point now) {
+  const auto elapsed = now - options_.started;
+  if (elapsed < duration::zero()) {
+    return;
+  }
+  const auto current = static_cast<epoch_id>(
+      static_cast<std::uint32_t>(1 + elapsed / options_.epoch_length));
+  // A thread that was held up between reading the clock and taking the lock
+  // brings an older time. Going back would accept attempts whose records are
+  // dropped, and they would run a second time.
+  if (current <= epoch_) {
+    return;
+  }
+  epoch_ = current;
+  while (!by_epoch_.empty() && !IsAcceptable(by_epoch_.front().epoch)) {
+    DropOldestEpoch();
+  }
+}
+
+template <typename Guards>
+bool basic_executor_table<Guards>::IsAcceptable(epoch_id epoch) const {
+  const auto named = static_cast<std::uint32_t>(epoch);
+  const auto current = static_cast<std::uint32_t>(epoch_);
+  return named <= current && current - named <= 1;
+}
+
+template <typename Guards>
+void basic_executor_table<Guards>::DropOldestEpoch() {
+  std::vector<record_key> unfinished;
+  for (const record_key& key : by_epoch_.front().keys) {
+    const auto found = records_.find(key);
+    assert(found != records_.end());
+    if (found->second.state != record_state::kFinished) {
+      unfinished.push_back(key);
+      continue;
+    }
+    answer_bytes_ -= found->second.result.reply.body.size();
+    records_.erase(found);
+  }
+  by_epoch_.pop_front();
+  if (unfinished.empty()) {
+    return;
+  }
+  // An attempt that still runs has its waiters in its record, so it moves to
+  // the present epoch's list and goes with that.
+  if (by_epoch_.empty() || by_epoch_.back().epoch != epoch_) {
+    by_epoch_.push_back({.epoch = epoch_, .keys = {}});
+  }
+  auto& keys = by_epoch_.back().keys;
+  keys.insert(keys.end(), unfinished.begin(), unfinished.end());
+}
+
+template <typename Guards>
+std::optional<outcome> basic_executor_table<Guards>::RefuseUnjudgeable(
+    const execution_binding& attempt) {
+  // Guard EXECUTOR_INCARNATION in spec/at_most_once.pml. An attempt that was
+  // sent to an earlier start of this daemon may have run there, where its
+  // record died; a copy that arrives now would run it again.
+  if (Guards::kExecutorIncarnation && attempt.executor != options_.self) {
+    ++counters_.stale;
+    return Unknown(reason::kStale);
+  }
+  // Guard EXECUTOR_EPOCH in spec/at_most_once.pml. A copy that was under way
+  // for longer than records are kept would find none and run again.
+  if (Guards::kExecutorEpoch && !IsAcceptable(attempt.epoch)) {
+    ++counters_.stale;
+    return Unknown(reason::kStale);
+  }
+  return std::nullopt;
+}
+
+template <typename Guards>
+attempt_decision basic_executor_table<Guards>::Accept(
+    const execution_binding& attempt,
+    waiter_id waiter,
+    time_point now) {
+  AdvanceTo(now);
+  const record_key key = KeyOf(attempt);
+  const auto found = records_.find(key);
+  // Guard EXECUTOR_DEDUP in spec/at_most_once.pml. A home that heard nothing
+  // sends again over a new connection, so both copies can arrive.
+  if (Guards::kExecutorDedup && found != records_.end() &&
+      attempt.executor == options_.self) {
+    record& first = found->second;
+    if (first.state == record_state::kFinished) {
+      ++counters_.replayed;
+      return {.step = attempt_step::kAnswer, .result = first.result};
+    }
+    if (first.waiters.size() >= options_.max_waiters) {
+      ++counters_.busy;
+      return {.step = attempt_step::kAnswer,
+              .result = Unknown(reason::kTableFull)};
+    }
+    ++counters_.joined;
+    first.waiters.push_back(waiter);
+    return {.step = attempt_step::kWait, .result = {}};
+  }
+  if (auto refused = RefuseUnjudgeable(attempt)) {
+    return {.step = attempt_step::kAnswer, .result = std::move(*refused)};
+  }
+  // Not definite: a table that is full now may have had room for an earlier
+  // copy, which ran and is answered.
+  if (records_.size() + options_.cancel_reserve >= options_.max_records) {
+    ++counters_.busy;
+    return {.step = attempt_step::kAnswer,
+            .result = Unknown(reason::kTableFull)};
+  }
+  ++counters_.admitted;
+  if (!Guards::kExecutorDedup) {
+    Forget(key);
+  }
+  Insert(key).waiters.push_back(waiter);
+  return {.step = attempt_step::kAdmit, .result = {}};
+}
+
+template <typename Guards>
+bool basic_executor_table<Guards>::Start(const execution_binding& attempt) {
+  const auto found = records_.find(KeyOf(attempt));
+  // Guard START_CHECK in spec/at_most_once.pml. The home was told that a
+  // cancelled attempt never runs and may have moved on, while the request still
+  // stands in this daemon's queue.
+  if (found == records_.end() ||
+      found->second.state == record_state::kFinished) {
+    return !Guards::kStartCheck;
+  }
+  found->second.state = record_state::kRunning;
+  return true;
+}
+
+template <typename Guards>
+finished_attempt basic_executor_table<Guards>::Finish(
+    const execution_binding& attempt,
+    const outcome& result,
+    time_point now) {
+  AdvanceTo(now);
+  const record_key key = KeyOf(attempt);
+  const auto found = records_.find(key);
+  if (found == records_.end() ||
+      found->second.state == record_state::kFinished) {
+    return {};
+  }
+  record& kept = found->second;
+  finished_attempt finished{.waiters = std::move(kept.waiters),
+                            .result = result};
+  kept.waiters.clear();
+  if (!Guards::kRefusalTombstone && result.kind == outcome_kind::kNotExecuted) {
+    Forget(key);
+    return finished;
+  }
+  // Guard REFUSAL_TOMBSTONE in spec/at_most_once.pml: a refusal is kept like
+  // any other result. The home moves on to another executor after it, and a
+  // late copy of this attempt would run here as well.
+  Remember(key, kept, result);
+  return finished;
+}
+
+template <typename Guards>
+auto basic_executor_table<Guards>::Insert(const record_key& key) -> record& {
+  assert(!records_.contains(key));
+  if (by_epoch_.empty() || by_epoch_.back().epoch != epoch_) {
+    by_epoch_.push_back({.epoch = epoch_, .keys = {}});
+  }
+  by_epoch_.back().keys.push_back(key);
+  return records_[key];
+}
+
+// Only for tables without a guard; a real one forgets whole epochs.
+template <typename Guards>
+void basic_executor_table<Guards>::Forget(const record_key& key) {
+  const auto found = records_.find(key);
+  if (found == records_.end()) {
+    return;
+  }
+  answer_bytes_ -= found->second.result.reply.body.size();
+  records_.erase(found);
+  for (epoch_records& each : by_epoch_) {
+    std::erase(each.keys, key);
+  }
+}
+
+template <typename Guards>
+void basic_executor_table<Guards>::Remember(const record_key& key,
+                                            record& kept,
+                                            const outcome& result) {
+  kept.state = record_state::kFinished;
+  kept.result = result;
+  if (result.reply.body.empty()) {
+    return;
+  }
+  answer_bytes_ += result.reply.body.size();
+  answered_.push_back(key);
+  DiscardOldAnswers();
+}
+
+// Answers are the only part of a record without a fixed size. Dropping the
+// oldest keeps the fact that the attempt ran, which is what prevents a second
+// execution; a copy that asks later is told so truthfully.
+template <typename Guards>
+void basic_executor_table<Guards>::DiscardOldAnswers() {
+  while (answer_bytes_ > options_.max_answer_bytes && !answered_.empty()) {
+    const auto found = records_.find(answered_.front());
+    answered_.pop_front();
+    if (found == records_.end() || found->second.result.reply.body.empty()) {
+      continue;
+    }
+    answer_bytes_ -= found->second.result.reply.body.size();
+    found->second.result = Unknown(reason::kAnswerDiscarded);
+    ++counters_.answers_discarded;
+  }
+}
+
+template <typename Guards>
+cancel_decision basic_executor_table<Guards>::Cancel(
+    const execution_binding& attempt,
+    time_point now) {
+  AdvanceTo(now);
+  const record_key key = KeyOf(attempt);
+  const auto found = records_.find(key);
+  if (found != records_.end() && attempt.executor == options_.self) {
+    record& kept = found->second;
+    if (kept.state == record_state::kFinished) {
+      return {.result = kept.result, .running = false, .waiters = {}};
+    }
+    if (kept.state == record_state::kRunning) {
+      return {.result = Unknown(reason::kCancelled),
+              .running = true,
+              .waiters = {}};
+    }
+    ++counters_.cancelled;
+    const outcome cancelled = NotExecuted(reason::kCancelled);
+    cancel_decision decision{.result = cancelled,
+                             .running = false,
+                             .waiters = std::move(kept.waiters)};
+    kept.waiters.clear();
+    Remember(key, kept, cancelled);
+    return decision;
+  }
+  if (auto refused = RefuseUnjudgeable(attempt)) {
+    return {.result = std::move(*refused), .running = false, .waiters = {}};
+  }
+  if (records_.size() >= options_.max_records) {
+    ++counters_.busy;
+    return {
+        .result = Unknown(reason::kTableFull), .running = false, .waiters = {}};
+  }
+  ++counters_.cancelled;
+  // Guard CANCEL_TOMBSTONE in spec/at_most_once.pml. The cancel has overtaken
+  // its attempt, which must find that it was cancelled when it comes.
+  if (Guards::kCancelTombstone) {
+    Remember(key, Insert(key), NotExecuted(reason::kCancelled));
+  }
+  return {.result = NotExecuted(reason::kCancelled),
+          .running = false,
+          .waiters = {}};
+}
+
+template <typename Guards>
+void basic_executor_table<Guards>::Tick(time_point now) {
+  AdvanceTo(now);
+  // Answers whose records have gone leave their keys behind.
+  while (!answered_.empty() && !records_.contains(answered_.front())) {
+    answered_.pop_front();
+  }
+}
+
+}  // namespace pistachioweir
