Specification: five Promela models, and a check that each guard is needed

Ruled out: one process per actor with channels.

Change: spec/at_most_once, outcome_truth, retry_credit, manifest_versions and answer_matching, each with a define for each guard that takes it out, and defines for good ends that must be reachable. spec/check runs them all.

Guards of parts that are not written yet are listed by the check.

--- a/include/retry/credit_ledger.h
+++ b/include/retry/credit_ledger.h
@@ -31,7 +31,8 @@
   // Takes out what a child call may spend: half, rounded up. Half, so that a
   // child whose answer is lost doesn't leave its siblings and this call's own
   // retry without any; rounded up, so that a last retry reaches the depth where
-  // it costs least.
+  // it costs least. What is lent is taken off (guard CREDIT_SPLIT in
+  // spec/retry_credit.pml): a copy for each child would add up with every hop.
   [[nodiscard]] std::uint32_t Lend() {
     const std::uint32_t lent = (available_ + 1) / 2;
     available_ -= lent;
@@ -40,8 +41,8 @@
   }
 
   // An answer came to a call that was lent `lent`, with `unspent` left. A
-  // callee can't hand back more than it got (guard CREDIT_CLAMPED in
-  // spec/retry_credit.pml).
+  // number beyond what was lent is a fault of the callee's and counts as all of
+  // it.
   void Return(std::uint32_t lent, std::uint32_t unspent) {
     assert(lent <= lent_);
     lent_ -= lent;
--- a/src/call/context_table.cc
+++ b/src/call/context_table.cc
@@ -93,6 +93,8 @@
   }
   serving_entry& entry = found->second;
   --entry.open_children;
+  // Guard CHILD_RAN in spec/outcome_truth.pml. A target may refuse by itself
+  // after a call of its own has run one level down.
   entry.child_ran = entry.child_ran || result != outcome_kind::kNotExecuted;
   entry.ledger.Return(child.retry_credit, unspent_credit);
 }
@@ -139,6 +141,9 @@
       // Guard OPEN_CHILD_MAY_RUN in spec/outcome_truth.pml. A child without a
       // result yet may run after this call was answered.
       .child_may_have_run = entry.child_ran || entry.open_children > 0};
+  // Guard ENDED_CONTEXT in spec/retry_credit.pml. The unspent credit goes back
+  // to the caller now; a target that goes on under this token would spend it a
+  // second time.
   calls_.erase(found);
   return ended;
 }
