--- a/include/config/manifest_set.h
+++ b/include/config/manifest_set.h
@@ -55,8 +55,10 @@
   // that may take longer than its caller, one version with two contents.
   [[nodiscard]] config_errors Check() const;
 
-  // What is allowed but likely a mistake: a caller that is less important than
-  // a method it calls, whose calls then inherit the lower priority.
+  // What is allowed but likely a mistake: an at-most-once method called by a
+  // less important one. The call inherits the lower priority, and so is refused
+  // before lookups are. A lookup that several callers share is meant to take
+  // the priority of each.
   [[nodiscard]] config_errors Warnings() const;
 
  private:
--- a/src/config/call_graph.cc
+++ b/src/config/call_graph.cc
@@ -147,10 +147,11 @@
 
 config_errors call_graph::PriorityInversions() const {
   config_errors warnings;
+  const std::vector<bool> at_most_once = ReachesAtMostOnce();
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     const priority level = nodes_[i].method->level;
     for (const std::size_t callee : nodes_[i].callees) {
-      if (nodes_[callee].method->level >= level) {
+      if (!at_most_once[callee] || nodes_[callee].method->level >= level) {
         continue;
       }
       warnings.push_back(
--- a/src/config/call_graph.h
+++ b/src/config/call_graph.h
@@ -21,6 +21,7 @@
   // one for each root of a chain of more than kMaxCallDepth methods.
   [[nodiscard]] config_errors CyclesAndDepth() const;
   [[nodiscard]] config_errors TimeoutInversions() const;
+  // Calls of an at-most-once method by a less important one.
   [[nodiscard]] config_errors PriorityInversions() const;
 
   // For each node whether an at-most-once or unknown method can be reached.
--- a/tests/manifest_set_test.cc
+++ b/tests/manifest_set_test.cc
@@ -114,10 +114,14 @@
               ElementsAre(Error("method s1/m", "300 ms")));
 }
 
+// A protected action is called from a listing. In an overload it is refused
+// together with the listings, before any lookup.
 TEST(ManifestSetTest, PriorityInversionIsAWarning) {
   std::vector<service_manifest> chain = Chain(2);
   chain[0].methods[0].level = priority::kLow;
   chain[1].methods[0].level = priority::kCritical;
+  EXPECT_THAT(manifest_set(chain).Warnings(), IsEmpty());
+  chain[1].methods[0].at_most_once = true;
   const manifest_set set(std::move(chain));
   EXPECT_THAT(set.Check(), IsEmpty());
   EXPECT_THAT(set.Warnings(),
