The daemon: calls go from a caller's daemon to the one beside the target

A caller's HTTP request is placed by the outbound role, sent to the daemon beside the chosen target, admitted there by the inbound role, run on the target and answered. At-most-once calls go through the home of their key; other daemons relay to it. A call stays on the worker thread that accepted it; the shared tables are locked for single operations only, so no lock is held across I/O.

Two modules had each a struct of the same name (request_fingerprint, http_request): linked together, the functions of one replace those of the other. Quarantine now uses the at-most-once module's fingerprint, the fleet's reader has names of its own.

--- a/include/once/key_home.h
+++ b/include/once/key_home.h
@@ -184,6 +184,13 @@
   // A caller went away. Cancels the execution if nobody waits any more.
   home_action Leave(const idempotency_key& key, waiter_id waiter);
 
+  // Whether the key's request is under way and somebody may still be told.
+  [[nodiscard]] bool IsRunning(const idempotency_key& key) {
+    const record_entry* entry = Find(key);
+    return entry != nullptr && (entry->second.state == key_state::kPlacing ||
+                                entry->second.state == key_state::kSent);
+  }
+
   // Issues no more keys; those that are out keep working.
   void StartDraining() { draining_ = true; }
   // True when no key is left that could still start or that runs. Looks at
--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -8,28 +8,14 @@
 
 #include <array>
 #include <cstdint>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "include/base/time.h"
+#include "include/once/fingerprint.h"
 
 namespace pistachioweir {
 
-// Service, method and body, hashed. Two different requests share one with a
-// chance of 2^-128 unless someone looks for it; the harm is a refusal.
-struct request_fingerprint {
-  std::uint64_t high = 0;
-  std::uint64_t low = 0;
-
-  friend auto operator<=>(const request_fingerprint&,
-                          const request_fingerprint&) = default;
-};
-
-[[nodiscard]] request_fingerprint FingerprintOf(std::string_view service,
-                                                std::string_view method,
-                                                std::string_view body);
-
 // Names one death of one target, the same wherever it is told; never zero.
 enum class crash_id : std::uint64_t {};
 
--- /dev/null
+++ b/src/daemon/caller_api.h
@@ -0,0 +1,112 @@
+// caller_api: serves the caller port and the local port. Turns requests into
+// calls, root calls or calls of the target beside the daemon, and answers.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "include/base/ids.h"
+#include "include/config/settings.h"
+#include "include/once/key_codec.h"
+#include "src/daemon/caller_protocol.h"
+#include "src/daemon/outbound_role.h"
+#include "src/net/http_server.h"
+
+namespace pistachioweir {
+
+class home_role;
+class inbound_role;
+class peer_client;
+class peer_directory;
+class serving_calls;
+class view_holder;
+struct context_token;
+struct service_manifest;
+
+// Who speaks on a port.
+enum class caller_port : std::uint8_t {
+  kPublic,  // Callers outside; contexts mean nothing here.
+  kLocal,   // The target beside the daemon.
+};
+
+struct caller_api_options {
+  const daemon_settings& settings;
+  view_holder& view;
+  outbound_role& outbound;
+  inbound_role& inbound;
+  home_role& home;
+  serving_calls& serving;
+  peer_client& peers;
+  peer_directory& directory;
+};
+
+// Owns nothing but the key codec; thread-safe.
+class caller_api {
+ public:
+  explicit caller_api(const caller_api_options& options);
+
+  void Handle(caller_port port, const std::shared_ptr<http_exchange>& exchange);
+
+  // A keyed call that another daemon relays to this one, the key's home.
+  // `call.binding` names the key. `done` hears the result.
+  void ServeRelayed(call_envelope call,
+                    const std::shared_ptr<http_exchange>& exchange,
+                    outbound_role::callback done);
+
+  // No new root calls and keys from now on.
+  void Drain() { draining_ = true; }
+
+ private:
+  struct resolved_method;
+  struct root_call;
+
+  void HandleCall(caller_port port,
+                  const std::shared_ptr<http_exchange>& exchange,
+                  const caller_call& call);
+  void HandleKeys(const std::shared_ptr<http_exchange>& exchange,
+                  const caller_key_request& keys);
+  void HandleRoot(const std::shared_ptr<http_exchange>& exchange,
+                  const caller_call& call,
+                  const resolved_method& method);
+  void HandleKeyed(const std::shared_ptr<http_exchange>& exchange,
+                   const caller_call& call,
+                   outbound_request request,
+                   milliseconds key_lifetime);
+  void HandleChild(const std::shared_ptr<http_exchange>& exchange,
+                   const caller_call& call,
+                   const resolved_method& method);
+  void BeginKeyed(const std::shared_ptr<http_exchange>& exchange,
+                  const idempotency_key& key,
+                  const std::string& label,
+                  outbound_request request,
+                  outbound_role::callback done);
+  void Relay(const std::shared_ptr<http_exchange>& exchange,
+             const idempotency_key& key,
+             const outbound_request& request,
+             bool fresh);
+  [[nodiscard]] std::optional<idempotency_key> DerivedKey(
+      const context_token& token,
+      const caller_call& call,
+      const std::string& body,
+      const resolved_method& method);
+  // Either the method or the refusal to give.
+  [[nodiscard]] outcome Resolve(const std::string& service,
+                                const std::string& method,
+                                resolved_method* resolved) const;
+
+  const daemon_settings& settings_;
+  view_holder& view_;
+  outbound_role& outbound_;
+  inbound_role& inbound_;
+  home_role& home_;
+  serving_calls& serving_;
+  peer_client& peers_;
+  peer_directory& directory_;
+  const key_codec codec_;
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/daemon/inbound_role.cc
@@ -0,0 +1,510 @@
+// Serving calls for the target beside the daemon.
+#include "src/daemon/inbound_role.h"
+
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "include/base/random_bits.h"
+#include "src/daemon/inbound_call.h"
+#include "src/daemon/serving_calls.h"
+#include "src/net/worker_pool.h"
+
+namespace pistachioweir {
+namespace {
+
+constexpr std::size_t kShards = 16;
+
+// Come back times where the admission state has none to offer.
+constexpr milliseconds kDrainRetryAfter{50};
+constexpr milliseconds kNotReadyRetryAfter{500};
+constexpr milliseconds kTargetDownRetryAfter{500};
+
+executor_table_options ExecutorOptions(incarnation_id self) {
+  executor_table_options options{.self = self,
+                                 .started = monotonic_clock::now()};
+  options.max_records /= kShards;
+  options.cancel_reserve /= kShards;
+  options.max_answer_bytes /= kShards;
+  return options;
+}
+
+request_fingerprint FingerprintOf(const call_envelope& request) {
+  return Fingerprint({.service = request.service,
+                      .method = request.method,
+                      .body = request.body,
+                      .label = {}});
+}
+
+}  // namespace
+
+// Wakes the admission state when a queued call's time runs out, even if no call
+// comes or ends. Armed only while calls are queued.
+class inbound_role::wakeup_timer {
+ public:
+  explicit wakeup_timer(boost::asio::io_context& context) : timer_(context) {}
+
+  boost::asio::steady_timer timer_;
+  std::atomic<bool> armed_{false};
+};
+
+inbound_role::inbound_role(const inbound_options& options)
+    : settings_(options.settings),
+      incarnation_(options.incarnation),
+      workers_(options.workers),
+      serving_(options.serving),
+      target_(options.workers, options.settings.target),
+      admission_(admission_options{}),
+      // One start for all shards: they must agree on the epoch.
+      executor_(kShards,
+                [made = ExecutorOptions(options.incarnation)](
+                    std::size_t /*shard*/) { return executor_table(made); }),
+      calls_(kShards, [](std::size_t /*shard*/) { return call_map(); }),
+      wakeup_(std::make_unique<wakeup_timer>(options.workers.context(0))) {}
+
+inbound_role::~inbound_role() = default;
+
+void inbound_role::SetManifest(
+    std::shared_ptr<const service_manifest> manifest) {
+  {
+    const std::lock_guard lock(admission_mutex_);
+    admission_.Reconfigure(
+        std::max<std::uint32_t>(1, manifest->slots),
+        std::max<std::uint32_t>(
+            1, static_cast<std::uint32_t>(manifest->methods.size())));
+  }
+  const std::lock_guard lock(manifest_mutex_);
+  manifest_ = std::move(manifest);
+}
+
+std::shared_ptr<const service_manifest> inbound_role::Manifest() const {
+  const std::lock_guard lock(manifest_mutex_);
+  return manifest_;
+}
+
+void inbound_role::Drain() {
+  draining_ = true;
+}
+
+auto inbound_role::Serve(std::size_t worker,
+                         call_envelope request,
+                         callback done) -> call_ptr {
+  auto served =
+      std::make_shared<call>(worker, std::move(request), std::move(done));
+  served->id = next_id_.fetch_add(1);
+  ++in_progress_;
+  ++counters_.received;
+  calls_.With(served->id,
+              [&](call_map& calls) { calls.emplace(served->id, served); });
+  const auto& binding = served->request.binding;
+  if (binding) {
+    const attempt_decision decision = executor_.With(
+        executor_table::HashOf(*binding), [&](executor_table& table) {
+          return table.Accept(*binding, waiter_id{served->id}, served->arrived);
+        });
+    if (decision.step == attempt_step::kWait) {
+      return served;
+    }
+    if (decision.step == attempt_step::kAnswer) {
+      Deliver(served, decision.result, 0);
+      return served;
+    }
+  }
+  const outcome refusal = Check(*served);
+  if (refusal.kind == outcome_kind::kNotExecuted) {
+    Settle(served, refusal);
+    return served;
+  }
+  Admit(served);
+  return served;
+}
+
+// Refuses what must not reach the target whatever the load; kUnknown means that
+// nothing speaks against the call.
+outcome inbound_role::Check(call& checked) {
+  const auto manifest = Manifest();
+  if (manifest == nullptr) {
+    return NotExecuted(reason::kNotReady, kNotReadyRetryAfter);
+  }
+  if (draining_) {
+    return NotExecuted(reason::kDraining, kDrainRetryAfter);
+  }
+  if (checked.request.service != settings_.service) {
+    return NotExecuted(reason::kUnknownService);
+  }
+  const method_spec* method = manifest->FindMethod(checked.request.method);
+  if (method == nullptr) {
+    return NotExecuted(reason::kUnknownMethod);
+  }
+  checked.method =
+      static_cast<std::uint32_t>(method - manifest->methods.data());
+  if (checked.deadline <= checked.arrived) {
+    return NotExecuted(reason::kDeadlinePassed);
+  }
+  const std::lock_guard lock(quarantine_mutex_);
+  if (quarantine_.empty()) {
+    return Unknown(reason::kNone);
+  }
+  const milliseconds left =
+      quarantine_.Remaining(FingerprintOf(checked.request), checked.arrived);
+  if (left > milliseconds(0)) {
+    return NotExecuted(reason::kQuarantined, left);
+  }
+  return Unknown(reason::kNone);
+}
+
+void inbound_role::Admit(const call_ptr& offered) {
+  const admission_request request{.level = offered->request.level,
+                                  .ticket = offered->request.ticket,
+                                  .method = offered->method,
+                                  .deadline = offered->deadline,
+                                  .cookie = offered->id};
+  admission_decision decision;
+  std::vector<admission_event> events;
+  {
+    const std::lock_guard lock(admission_mutex_);
+    decision = admission_.Offer(request, offered->arrived, RandomBits32());
+    events = TakeEvents(offered->arrived);
+    // Before the lock goes, since another worker may start it right after.
+    offered->handle = decision.handle;
+    offered->state = call::step::kQueued;
+  }
+  if (decision.action == admission_action::kRun) {
+    Start(offered);
+  } else if (decision.action == admission_action::kRefused) {
+    Settle(offered, NotExecuted(decision.why, decision.retry_after));
+  }
+  Carry(events);
+}
+
+void inbound_role::Start(const call_ptr& started) {
+  const auto& binding = started->request.binding;
+  const bool cancelled =
+      binding && !executor_.With(executor_table::HashOf(*binding),
+                                 [&](executor_table& table) {
+                                   return table.Start(*binding);
+                                 });
+  if (cancelled || started->done == nullptr) {
+    // Nobody waits; give the slot back.
+    OnTargetResult(started, {.end = exchange_end::kCancelled});
+    return;
+  }
+  started->state = call::step::kRunning;
+  const call_envelope& request = started->request;
+  started->context = serving_.Open({.service = request.service,
+                                    .method = request.method,
+                                    .deadline = started->deadline,
+                                    .level = request.level,
+                                    .ticket = request.ticket,
+                                    .depth = request.depth,
+                                    .retry_credit = request.retry_credit,
+                                    .binding = binding},
+                                   started->method);
+  if (!started->context) {
+    EndRun(started, NotExecuted(reason::kTableFull, kDrainRetryAfter), {});
+    return;
+  }
+  started->run = target_.Run(started->worker,
+                             {.method = request.method,
+                              .context = ToString(*started->context),
+                              .content_type = request.content_type,
+                              .body = request.body,
+                              .deadline = started->deadline},
+                             [this, started](target_result result) {
+                               OnTargetResult(started, std::move(result));
+                             });
+}
+
+void inbound_role::OnTargetResult(const call_ptr& ended, target_result result) {
+  const serving_summary summary =
+      ended->context ? serving_.Close(*ended->context) : serving_summary{};
+  outcome told = OutcomeOf(*ended, std::move(result));
+  // The target's own refusal speaks for itself only. A call that it made before
+  // may have run elsewhere, and "not executed" would be untrue.
+  if (told.kind == outcome_kind::kNotExecuted && summary.child_may_have_run) {
+    told = Unknown(told.why);
+  }
+  ended->request.retry_credit = summary.unspent_credit;
+  EndRun(ended, told, summary.downstream);
+}
+
+// Gives the slot back and answers.
+void inbound_role::EndRun(const call_ptr& ended,
+                          const outcome& result,
+                          duration downstream) {
+  const time_point now = monotonic_clock::now();
+  std::vector<admission_event> events;
+  {
+    const std::lock_guard lock(admission_mutex_);
+    admission_.Finish(ended->handle,
+                      {.downstream = downstream,
+                       .answered = result.kind == outcome_kind::kCompleted,
+                       .target_refused = result.why == reason::kTargetRefused},
+                      now);
+    events = TakeEvents(now);
+  }
+  Settle(ended, result);
+  Carry(events);
+}
+
+outcome inbound_role::OutcomeOf(call& ended, target_result result) {
+  switch (result.end) {
+    case exchange_end::kAnswered: {
+      target_down_ = false;
+      const auto manifest = Manifest();
+      constexpr int kUnavailable = 503;
+      if (result.reply.status == kUnavailable &&
+          manifest->refusal_is_not_executed) {
+        return NotExecuted(reason::kTargetRefused, kDrainRetryAfter);
+      }
+      return Completed(std::move(result.reply));
+    }
+    case exchange_end::kNotSent:
+      target_down_ = true;
+      return NotExecuted(reason::kNoTarget, kTargetDownRetryAfter);
+    case exchange_end::kLost:
+      NoteCrash(ended);
+      return Unknown(reason::kTargetFailed);
+    case exchange_end::kTimedOut:
+      return Unknown(reason::kTimeout);
+    case exchange_end::kCancelled:
+      break;
+  }
+  return Unknown(reason::kCancelled);
+}
+
+// The target closed the connection without an answer: it died, or this request
+// made it fail. Requests that were in progress at two such deaths are refused
+// for a while, since their callers send them again and each try may take a
+// target down. All requests lost in one death share its crash id.
+void inbound_role::NoteCrash(call& crashed) {
+  if (!target_down_.exchange(true)) {
+    ++crashes_;
+    ++counters_.target_crashes;
+  }
+  const request_fingerprint fingerprint = FingerprintOf(crashed.request);
+  const crash_id id =
+      CrashIdOf(static_cast<std::uint64_t>(incarnation_), crashes_.load());
+  const std::lock_guard lock(quarantine_mutex_);
+  quarantine_.OnCrash(fingerprint, id, monotonic_clock::now());
+}
+
+// Records the result and answers everybody who waits for it.
+void inbound_role::Settle(const call_ptr& settled, const outcome& result) {
+  if (settled->state == call::step::kSettled) {
+    return;
+  }
+  settled->state = call::step::kSettled;
+  settled->run = nullptr;
+  const std::uint32_t unspent = settled->request.retry_credit;
+  const auto& binding = settled->request.binding;
+  if (!binding) {
+    Deliver(settled, result, unspent);
+    return;
+  }
+  const finished_attempt finished = executor_.With(
+      executor_table::HashOf(*binding), [&](executor_table& table) {
+        return table.Finish(*binding, result, monotonic_clock::now());
+      });
+  for (const waiter_id waiter : finished.waiters) {
+    if (const call_ptr waiting = Find(static_cast<std::uint64_t>(waiter))) {
+      Deliver(waiting, finished.result, unspent);
+    }
+  }
+}
+
+// Answers one waiting call, on its own worker.
+void inbound_role::Deliver(const call_ptr& waiter,
+                           const outcome& result,
+                           std::uint32_t unspent) {
+  boost::asio::dispatch(workers_.context(waiter->worker), [this, waiter, result,
+                                                           unspent] {
+    calls_.With(waiter->id, [&](call_map& calls) { calls.erase(waiter->id); });
+    callback done = std::exchange(waiter->done, nullptr);
+    if (done == nullptr) {
+      return;
+    }
+    --in_progress_;
+    answer_envelope answer = Describe(waiter->method);
+    answer.result = result;
+    answer.unspent_credit = unspent;
+    done(std::move(answer));
+  });
+}
+
+answer_envelope inbound_role::Hello() {
+  return Describe(0);
+}
+
+answer_envelope inbound_role::Describe(std::uint32_t method) {
+  answer_envelope answer;
+  {
+    const std::lock_guard lock(admission_mutex_);
+    const load_report load = admission_.Report(method, monotonic_clock::now());
+    answer.admission_level = load.admission_level;
+    answer.in_flight = load.in_flight;
+    answer.queued = load.queued;
+    answer.limit = load.limit;
+  }
+  answer.executor = incarnation_;
+  answer.epoch = Epoch();
+  answer.draining = draining_;
+  return answer;
+}
+
+epoch_id inbound_role::Epoch() {
+  return executor_.With(0, [](executor_table& table) {
+    table.Tick(monotonic_clock::now());
+    return table.epoch();
+  });
+}
+
+void inbound_role::Abandon(const call_ptr& abandoned) {
+  if (abandoned->done == nullptr || abandoned->request.binding) {
+    return;
+  }
+  bool queued = false;
+  std::vector<admission_event> events;
+  if (abandoned->state == call::step::kQueued) {
+    const std::lock_guard lock(admission_mutex_);
+    queued = admission_.Cancel(abandoned->handle);
+    events = TakeEvents(monotonic_clock::now());
+  }
+  if (queued) {
+    Settle(abandoned, NotExecuted(reason::kCancelled));
+  } else if (abandoned->run != nullptr) {
+    http_client::Cancel(abandoned->run);
+  }
+  Carry(events);
+}
+
+answer_envelope inbound_role::CancelAttempt(const execution_binding& attempt) {
+  const cancel_decision decision = executor_.With(
+      executor_table::HashOf(attempt), [&](executor_table& table) {
+        return table.Cancel(attempt, monotonic_clock::now());
+      });
+  for (const waiter_id waiter : decision.waiters) {
+    if (const call_ptr waiting = Find(static_cast<std::uint64_t>(waiter))) {
+      Deliver(waiting, decision.result, waiting->request.retry_credit);
+    }
+  }
+  answer_envelope answer = Hello();
+  answer.result = decision.result;
+  return answer;
+}
+
+void inbound_role::SetDownstreamLevel(std::uint32_t method,
+                                      admission_rank level) {
+  const std::lock_guard lock(admission_mutex_);
+  admission_.SetDownstreamLevel(method, level, monotonic_clock::now());
+}
+
+void inbound_role::Tick() {
+  const time_point now = monotonic_clock::now();
+  executor_.ForEach([now](executor_table& table) { table.Tick(now); });
+  {
+    const std::lock_guard lock(quarantine_mutex_);
+    quarantine_.Expire(now);
+  }
+  std::vector<admission_event> events;
+  {
+    const std::lock_guard lock(admission_mutex_);
+    events = TakeEvents(now);
+  }
+  Carry(events);
+}
+
+std::vector<admission_event> inbound_role::TakeEvents(time_point now) {
+  std::vector<admission_event> events;
+  while (const auto event = admission_.TakeNext(now, RandomBits32())) {
+    events.push_back(*event);
+  }
+  if (admission_.queued() > 0) {
+    ArmWakeup();
+  }
+  return events;
+}
+
+// Starts or refuses calls that were queued, each on its own worker.
+void inbound_role::Carry(const std::vector<admission_event>& events) {
+  for (const admission_event& event : events) {
+    const call_ptr waiting = Find(event.cookie);
+    if (waiting == nullptr) {
+      GiveBack(event.decision);
+      continue;
+    }
+    boost::asio::post(
+        workers_.context(waiting->worker),
+        [this, waiting, decision = event.decision] {
+          if (decision.action == admission_action::kRun) {
+            waiting->handle = decision.handle;
+            Start(waiting);
+          } else {
+            Settle(waiting, NotExecuted(decision.why, decision.retry_after));
+          }
+        });
+  }
+}
+
+// A cancelled attempt is answered at once but leaves the queue only when its
+// turn comes. Its slot must not stay taken then.
+void inbound_role::GiveBack(const admission_decision& decision) {
+  if (decision.action != admission_action::kRun) {
+    return;
+  }
+  std::vector<admission_event> events;
+  {
+    const std::lock_guard lock(admission_mutex_);
+    const time_point now = monotonic_clock::now();
+    admission_.Finish(decision.handle, {.answered = false}, now);
+    events = TakeEvents(now);
+  }
+  Carry(events);
+}
+
+void inbound_role::ArmWakeup() {
+  if (wakeup_->armed_.exchange(true)) {
+    return;
+  }
+  const time_point when = admission_.next_wakeup();
+  boost::asio::post(workers_.context(0), [this, when] {
+    wakeup_->timer_.expires_at(when);
+    wakeup_->timer_.async_wait([this](boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      wakeup_->armed_ = false;
+      std::vector<admission_event> events;
+      {
+        const std::lock_guard lock(admission_mutex_);
+        events = TakeEvents(monotonic_clock::now());
+      }
+      Carry(events);
+    });
+  });
+}
+
+auto inbound_role::Find(std::uint64_t id) -> call_ptr {
+  return calls_.With(id, [id](call_map& calls) {
+    const auto found = calls.find(id);
+    return found == calls.end() ? nullptr : found->second;
+  });
+}
+
+load_report inbound_role::Load() const {
+  const std::lock_guard lock(admission_mutex_);
+  return admission_.Report(0, monotonic_clock::now());
+}
+
+admission_counters inbound_role::AdmissionCounters() const {
+  const std::lock_guard lock(admission_mutex_);
+  return admission_.counters();
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/daemon/inbound_role.h
@@ -0,0 +1,159 @@
+// inbound_role: the daemon beside a target. Admits, queues or refuses each call
+// for the target, runs what is admitted, and answers.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "include/admit/admission_controller.h"
+#include "include/base/ids.h"
+#include "include/base/sharded.h"
+#include "include/base/time.h"
+#include "include/call/envelope.h"
+#include "include/config/manifest.h"
+#include "include/config/settings.h"
+#include "include/once/executor_table.h"
+#include "include/quarantine/quarantine.h"
+#include "src/daemon/target_client.h"
+
+namespace pistachioweir {
+
+class serving_calls;
+class worker_pool;
+
+struct inbound_options {
+  const daemon_settings& settings;
+  incarnation_id incarnation{};
+  worker_pool& workers;
+  serving_calls& serving;
+};
+
+// Counts since the start, for metrics and status.
+struct inbound_counters {
+  std::atomic<std::uint64_t> received{0};
+  std::atomic<std::uint64_t> completed{0};
+  std::atomic<std::uint64_t> not_executed{0};
+  std::atomic<std::uint64_t> unknown{0};
+  std::atomic<std::uint64_t> target_crashes{0};
+};
+
+// Owns the admission state, the executor's records and the target's
+// connections. A call stays on the worker that brought it; the shared tables
+// are locked for single operations only.
+class inbound_role {
+ public:
+  using callback = std::function<void(answer_envelope)>;
+
+  // One call in this daemon, until it is answered.
+  class call;
+
+  explicit inbound_role(const inbound_options& options);
+  ~inbound_role();
+
+  // A newer manifest of the own service is in force.
+  void SetManifest(std::shared_ptr<const service_manifest> manifest);
+
+  // Refuses new calls from now on; those in progress go on.
+  void Drain();
+  [[nodiscard]] bool draining() const { return draining_.load(); }
+  // Calls that came in and are not answered.
+  [[nodiscard]] std::size_t in_progress() const { return in_progress_.load(); }
+
+  // Serves `request` and calls `done` once, later or at once, on `worker`.
+  // Call on that worker's thread.
+  std::shared_ptr<call> Serve(std::size_t worker,
+                              call_envelope request,
+                              callback done);
+
+  // The caller went away: a queued call ends, a running one is cancelled at
+  // the target. On the call's worker. Calls with a binding go on, since others
+  // may join them; their home cancels them.
+  void Abandon(const std::shared_ptr<call>& abandoned);
+
+  // The home gives an attempt up.
+  [[nodiscard]] answer_envelope CancelAttempt(const execution_binding& attempt);
+
+  // What this daemon says of itself, with no result.
+  [[nodiscard]] answer_envelope Hello();
+
+  // Requests of `method` would be refused below `level` further down.
+  void SetDownstreamLevel(std::uint32_t method, admission_rank level);
+
+  // Once a second.
+  void Tick();
+
+  [[nodiscard]] load_report Load() const;
+  [[nodiscard]] admission_counters AdmissionCounters() const;
+  [[nodiscard]] const inbound_counters& counters() const { return counters_; }
+  [[nodiscard]] epoch_id Epoch();
+
+  // Access to the quarantine under its lock.
+  template <typename Work>
+  auto WithQuarantine(Work&& work) {
+    const std::lock_guard lock(quarantine_mutex_);
+    return work(quarantine_);
+  }
+
+ private:
+  using call_ptr = std::shared_ptr<call>;
+  using call_map = std::unordered_map<std::uint64_t, call_ptr>;
+
+  [[nodiscard]] outcome Check(call& checked);
+  void Admit(const call_ptr& offered);
+  void Start(const call_ptr& started);
+  void OnTargetResult(const call_ptr& ended, target_result result);
+  void EndRun(const call_ptr& ended,
+              const outcome& result,
+              duration downstream);
+  [[nodiscard]] outcome OutcomeOf(call& ended, target_result result);
+  void NoteCrash(call& crashed);
+  void Settle(const call_ptr& settled, const outcome& result);
+  void Deliver(const call_ptr& waiter,
+               const outcome& result,
+               std::uint32_t unspent);
+  void Carry(const std::vector<admission_event>& events);
+  void GiveBack(const admission_decision& decision);
+  void ArmWakeup();
+  [[nodiscard]] call_ptr Find(std::uint64_t id);
+  [[nodiscard]] answer_envelope Describe(std::uint32_t method);
+  [[nodiscard]] std::shared_ptr<const service_manifest> Manifest() const;
+
+  // What TakeNext() has to say after the admission state has changed. With
+  // admission_mutex_ held.
+  [[nodiscard]] std::vector<admission_event> TakeEvents(time_point now);
+
+  const daemon_settings& settings_;
+  const incarnation_id incarnation_;
+  worker_pool& workers_;
+  serving_calls& serving_;
+  target_client target_;
+
+  mutable std::mutex manifest_mutex_;
+  std::shared_ptr<const service_manifest> manifest_;
+
+  mutable std::mutex admission_mutex_;
+  admission_controller admission_;  // Guarded by admission_mutex_.
+
+  sharded<executor_table> executor_;
+  sharded<call_map> calls_;  // Every call that is not answered.
+
+  std::mutex quarantine_mutex_;
+  quarantine quarantine_;  // Guarded by quarantine_mutex_.
+
+  class wakeup_timer;
+  std::unique_ptr<wakeup_timer> wakeup_;
+
+  std::atomic<std::uint64_t> next_id_{1};
+  std::atomic<std::size_t> in_progress_{0};
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> target_down_{false};
+  std::atomic<std::uint32_t> crashes_{0};
+  inbound_counters counters_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/daemon/peer_directory.cc
@@ -0,0 +1,62 @@
+// Addresses and starts of other daemons.
+#include "src/daemon/peer_directory.h"
+
+#include <utility>
+
+namespace pistachioweir {
+namespace {
+
+// An executor accepts its present epoch and the one before, each of 30 s. What
+// was heard within less than one epoch is therefore still accepted.
+constexpr duration kStartFreshness = seconds(20);
+
+}  // namespace
+
+void peer_directory::SetView(const fleet_view& view) {
+  const std::lock_guard lock(mutex_);
+  std::unordered_map<vm_id, entry> entries;
+  for (const fleet_service& service : view.services) {
+    for (const fleet_target& target : service.targets) {
+      entry& added = entries[target.vm];
+      const auto known = entries_.find(target.vm);
+      if (known != entries_.end()) {
+        added = known->second;
+      }
+      added.address = target.peer;
+    }
+  }
+  entries_ = std::move(entries);
+}
+
+void peer_directory::NoteStart(const vm_id& vm,
+                               const executor_start& start,
+                               time_point now) {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  if (known != entries_.end()) {
+    known->second.start = start;
+    known->second.heard = now;
+  }
+}
+
+std::optional<endpoint> peer_directory::AddressOf(const vm_id& vm) const {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  if (known == entries_.end()) {
+    return std::nullopt;
+  }
+  return known->second.address;
+}
+
+std::optional<executor_start> peer_directory::StartOf(const vm_id& vm,
+                                                      time_point now) const {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  if (known == entries_.end() || known->second.heard == time_point() ||
+      now - known->second.heard > kStartFreshness) {
+    return std::nullopt;
+  }
+  return known->second.start;
+}
+
+}  // namespace pistachioweir
--- a/src/fleet/http_exchange.cc
+++ b/src/fleet/http_exchange.cc
@@ -22,8 +22,8 @@
 class http_exchange : public std::enable_shared_from_this<http_exchange> {
  public:
   http_exchange(boost::asio::io_context& io,
-                const http_request& request,
-                std::function<void(http_answer)> done)
+                const exchange_request& request,
+                std::function<void(exchange_answer)> done)
       : stream_(boost::asio::make_strand(io)),
         timeout_(request.timeout),
         done_(std::move(done)) {
@@ -93,7 +93,7 @@
             .body = message.body()});
   }
 
-  void Finish(http_answer answer) {
+  void Finish(exchange_answer answer) {
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
@@ -105,14 +105,14 @@
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
   const milliseconds timeout_;
-  std::function<void(http_answer)> done_;
+  std::function<void(exchange_answer)> done_;
 };
 
 }  // namespace
 
 void Exchange(boost::asio::io_context& io,
-              const http_request& request,
-              std::function<void(http_answer)> done) {
+              const exchange_request& request,
+              std::function<void(exchange_answer)> done) {
   std::make_shared<http_exchange>(io, request, std::move(done))
       ->Start(request.server);
 }
--- a/src/fleet/http_exchange.h
+++ b/src/fleet/http_exchange.h
@@ -15,7 +15,7 @@
 
 namespace pistachioweir {
 
-struct http_request {
+struct exchange_request {
   endpoint server;
   bool post = false;
   std::string path;
@@ -24,7 +24,7 @@
   std::size_t max_body = 0;  // Of the answer, in bytes.
 };
 
-struct http_answer {
+struct exchange_answer {
   int status = 0;        // Zero if there was no whole answer.
   std::string revision;  // The Revision header.
   std::string body;
@@ -32,7 +32,7 @@
 
 // Calls `done` exactly once, on a thread of `io`.
 void Exchange(boost::asio::io_context& io,
-              const http_request& request,
-              std::function<void(http_answer)> done);
+              const exchange_request& request,
+              std::function<void(exchange_answer)> done);
 
 }  // namespace pistachioweir
--- a/src/fleet/platform_client.cc
+++ b/src/fleet/platform_client.cc
@@ -11,13 +11,13 @@
 
 // One read, tried at one endpoint after the other.
 struct pending_read {
-  http_request request;
+  exchange_request request;
   std::size_t next = 0;
   std::size_t tries_left = 0;
   read_handler done;
 };
 
-platform_read ToRead(http_answer answer) {
+platform_read ToRead(exchange_answer answer) {
   platform_read read;
   if (answer.status == 200) {
     const char* end = answer.revision.data() + answer.revision.size();
@@ -45,7 +45,7 @@
   --read->tries_left;
   read->request.server = (*platform)[read->next];
   read->next = (read->next + 1) % platform->size();
-  Exchange(io, read->request, [&io, platform, read](http_answer answer) {
+  Exchange(io, read->request, [&io, platform, read](exchange_answer answer) {
     platform_read result = ToRead(std::move(answer));
     if (result.status == read_status::kFailed) {
       TryNext(io, platform, read);
--- /dev/null
+++ b/src/net/http_message.cc
@@ -0,0 +1,54 @@
+// Look-ups in HTTP messages.
+#include "src/net/http_message.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pistachioweir {
+namespace {
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::ranges::equal(
+      a, b, [](char x, char y) { return ToLower(x) == ToLower(y); });
+}
+
+}  // namespace
+
+std::optional<std::string_view> FindHeader(const http_headers& headers,
+                                           std::string_view name) {
+  for (const http_header& header : headers) {
+    if (EqualsIgnoringCase(header.name, name)) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string_view> FindParameter(std::string_view query,
+                                              std::string_view name) {
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    if (pair.size() > name.size() && pair.starts_with(name) &&
+        pair[name.size()] == '=') {
+      return pair.substr(name.size() + 1);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || rest != end || text.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/net/http_message.h
@@ -0,0 +1,51 @@
+// HTTP messages as plain values, so that the daemon's logic doesn't depend on
+// the HTTP library.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pistachioweir {
+
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+struct http_request {
+  std::string verb = "POST";
+  std::string path;   // Without the query.
+  std::string query;  // Behind the question mark.
+  http_headers headers;
+  std::string content_type;
+  std::string body;
+};
+
+struct http_response {
+  int status = 200;
+  http_headers headers;
+  std::string content_type;
+  std::string body;
+  // Ends the connection behind this answer.
+  bool close = false;
+};
+
+// The first header called `name`, in any case of letters, or nothing.
+[[nodiscard]] std::optional<std::string_view> FindHeader(
+    const http_headers& headers,
+    std::string_view name);
+
+// The value of `name` in a query like "a=1&b=2", without decoding; or nothing.
+[[nodiscard]] std::optional<std::string_view> FindParameter(
+    std::string_view query,
+    std::string_view name);
+
+// A whole decimal number without sign, or nothing.
+[[nodiscard]] std::optional<std::uint64_t> ParseNumber(std::string_view text);
+
+}  // namespace pistachioweir
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -16,17 +16,6 @@
 
 }  // namespace
 
-request_fingerprint FingerprintOf(std::string_view service,
-                                  std::string_view method,
-                                  std::string_view body) {
-  const XXH64_hash_t of_service = XXH3_64bits(service.data(), service.size());
-  const XXH64_hash_t of_method =
-      XXH3_64bits_withSeed(method.data(), method.size(), of_service);
-  const XXH128_hash_t hash =
-      XXH3_128bits_withSeed(body.data(), body.size(), of_method);
-  return {.high = hash.high64, .low = hash.low64};
-}
-
 crash_id CrashIdOf(std::uint64_t incarnation, std::uint32_t crashes) {
   const std::array<std::uint64_t, 2> parts{incarnation, crashes};
   return crash_id{XXH3_64bits(parts.data(), sizeof(parts)) | 1};
--- a/tests/quarantine_test.cc
+++ b/tests/quarantine_test.cc
@@ -9,7 +9,8 @@
 namespace {
 
 const time_point kStart{seconds(1000)};
-const request_fingerprint kRequest = FingerprintOf("contracts", "sign", "x");
+const request_fingerprint kRequest = Fingerprint(
+    {.service = "contracts", .method = "sign", .body = "x", .label = {}});
 
 // One request kills each target that runs it, and its caller sends it again
 // and again. Without quarantine all targets of the service die one by one.
@@ -60,8 +61,11 @@
   table.OnCrash(kRequest, crash_id{1}, kStart);
   table.OnCrash(kRequest, crash_id{2}, kStart);
   for (int i = 0; i < 100; ++i) {
-    table.OnCrash(FingerprintOf("s", "m", std::to_string(i)), crash_id{3},
-                  kStart);
+    table.OnCrash(Fingerprint({.service = "s",
+                               .method = "m",
+                               .body = std::to_string(i),
+                               .label = {}}),
+                  crash_id{3}, kStart);
   }
   EXPECT_LE(table.Export(kStart, 1000).size(), 4U);
   EXPECT_GT(table.Remaining(kRequest, kStart), milliseconds(0));
