A request that its caller abandoned no longer counts as open

Cause: the server counted a request as open until its answer was written. Ruled out: keys still held (their lifetime was 5 s).

The connection itself now gives the count back.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -90,7 +90,11 @@
     ++shared_->connections;
   }
 
-  ~session() override { --shared_->connections; }
+  ~session() override {
+    --shared_->connections;
+    // A request whose caller went away is dropped without an answer.
+    EndExchange();
+  }
 
   session(const session&) = delete;
   session& operator=(const session&) = delete;
@@ -150,8 +154,7 @@
     request_ = ToRequest(parser_->release());
     // The time of the answer is the handler's business.
     stream_.expires_never();
-    answered_ = false;
-    ++shared_->exchanges;
+    BeginExchange();
     shared_->options.handler(shared_from_this());
   }
 
@@ -160,9 +163,20 @@
                                  ? shared_->options.refusal(status)
                                  : http_response{.status = status};
     response.close = true;
+    BeginExchange();
+    Write(std::move(response));
+  }
+
+  void BeginExchange() {
     answered_ = false;
+    open_ = true;
     ++shared_->exchanges;
-    Write(std::move(response));
+  }
+
+  void EndExchange() {
+    if (std::exchange(open_, false)) {
+      --shared_->exchanges;
+    }
   }
 
   // A caller that gives up closes its connection. Without this watch its
@@ -223,7 +237,7 @@
   }
 
   void OnWritten(error_code error) {
-    --shared_->exchanges;
+    EndExchange();
     const bool again = !error && message_->keep_alive();
     message_.reset();
     if (again) {
@@ -250,6 +264,7 @@
   std::function<void()> on_disconnect_;
   bool keep_alive_ = false;
   bool answered_ = true;
+  bool open_ = false;  // Counted in `exchanges`.
   bool watching_ = false;
 };
 
@@ -299,6 +314,11 @@
   });
 }
 
+endpoint http_server::address() const {
+  const tcp::endpoint local = state_->acceptor.local_endpoint();
+  return {.ip = local.address().to_string(), .port = local.port()};
+}
+
 std::size_t http_server::connections() const {
   return state_->connections.load();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -62,6 +62,8 @@
   // next answer.
   void StopAccepting();
 
+  // Where it listens; with port 0 in the options, the port that was given.
+  [[nodiscard]] endpoint address() const;
   [[nodiscard]] std::size_t connections() const;
   // Requests whose answers have not been written yet.
   [[nodiscard]] std::size_t open_exchanges() const;
