Metrics, audit trail and refusals are fed by the daemon, and the admin port shows them

Calls are counted where they end, outbound as the caller was told and inbound as the daemon beside the target decided; counters are resolved when a manifest comes into force, not for each call. The fleet's view hears of an answer only if that is news: each answer had posted a task to the thread that keeps the view.

A request with a key, or of a target that may send it again, is no longer called not executed by a daemon that only knows itself (not ready, unknown method, too large): an earlier copy may have run through another daemon. It is told unknown. Bodies larger than the manifest allows are refused.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -13,6 +13,7 @@
 #include "include/config/manifest.h"
 #include "src/daemon/home_role.h"
 #include "src/daemon/inbound_role.h"
+#include "src/daemon/observer.h"
 #include "src/daemon/peer_directory.h"
 #include "src/daemon/peer_paths.h"
 #include "src/daemon/serving_calls.h"
@@ -37,10 +38,6 @@
 // Whom keys of the target's own calls are counted to.
 constexpr char kTargetCaller[] = "target";
 
-outcome Pass() {
-  return Unknown(reason::kNone);
-}
-
 }  // namespace
 
 // A method that may be called right now, as the manifest in force has it.
@@ -48,13 +45,77 @@
   const service_manifest* manifest = nullptr;  // Owned by `view`.
   const method_spec* method = nullptr;         // Likewise.
   std::shared_ptr<const daemon_view> view;
+  method_metrics* counted = nullptr;
   std::uint32_t index = 0;
   bool at_most_once = false;
 };
 
+class caller_api::asked_call {
+ public:
+  asked_call(observer& watch,
+             std::shared_ptr<http_exchange> asked,
+             caller_call parsed)
+      : exchange(std::move(asked)), call(std::move(parsed)), watch_(watch) {}
+
+  [[nodiscard]] const std::string& body() const {
+    return exchange->request().body;
+  }
+  [[nodiscard]] milliseconds timeout() const {
+    return std::min(call.timeout.value_or(method.method->timeout),
+                    method.method->max_timeout);
+  }
+
+  // The request as it goes to a target, without what a root or a serving call
+  // gives it.
+  [[nodiscard]] outbound_request ToRequest() const {
+    return {.request = {.service = call.service,
+                        .method = call.method,
+                        .content_type = exchange->request().content_type,
+                        .body = body()},
+            .method = method.index,
+            .deadline = arrived + timeout()};
+  }
+
+  void Answer(const outcome& result,
+              const std::string& detail = {},
+              const std::string& fresh_key = {}) {
+    watch_.OnCallEnded(method.counted,
+                       {.service = call.service,
+                        .method = call.method,
+                        .level = level,
+                        .result = result,
+                        .latency = monotonic_clock::now() - arrived});
+    exchange->Respond(RenderOutcome(result, detail, fresh_key));
+  }
+
+  // Refuses by what this daemon alone knows. A copy of a request with a key, or
+  // of a call that a target sent before, may have run through another daemon or
+  // an earlier exchange; then "not executed" would be untrue.
+  void Refuse(reason why,
+              milliseconds retry_after = milliseconds(0),
+              const std::string& detail = {}) {
+    outcome result = NotExecuted(why, retry_after);
+    if (may_be_a_copy) {
+      result.kind = outcome_kind::kUnknown;
+    }
+    Answer(result, detail);
+  }
+
+  const std::shared_ptr<http_exchange> exchange;
+  const caller_call call;
+  const time_point arrived = monotonic_clock::now();
+  resolved_method method;
+  priority level = priority::kNormal;
+  bool may_be_a_copy = false;
+
+ private:
+  observer& watch_;
+};
+
 caller_api::caller_api(const caller_api_options& options)
     : settings_(options.settings),
       view_(options.view),
+      watch_(options.watch),
       outbound_(options.outbound),
       inbound_(options.inbound),
       home_(options.home),
@@ -65,44 +126,70 @@
 
 void caller_api::Handle(caller_port port,
                         const std::shared_ptr<http_exchange>& exchange) {
-  const caller_request parsed = ParseCallerRequest(exchange->request());
+  caller_request parsed = ParseCallerRequest(exchange->request());
   if (const auto* error = std::get_if<caller_error>(&parsed)) {
+    watch_.metrics().Add(counter::kBadRequests);
     exchange->Respond(RenderOutcome(error->refusal, error->detail));
-  } else if (const auto* keys = std::get_if<caller_key_request>(&parsed)) {
+    return;
+  }
+  if (const auto* keys = std::get_if<caller_key_request>(&parsed)) {
     HandleKeys(exchange, *keys);
+    return;
+  }
+  auto asked = std::make_shared<asked_call>(
+      watch_, exchange, std::move(std::get<caller_call>(parsed)));
+  // A context is worth something only where the target speaks. An outside
+  // caller that sends one gets no more than any other caller.
+  const bool child = port == caller_port::kLocal && asked->call.context;
+  asked->may_be_a_copy = child || asked->call.key;
+  const reason refusal =
+      Resolve(asked->call.service, asked->call.method, &asked->method);
+  if (refusal != reason::kNone) {
+    asked->Refuse(refusal, refusal == reason::kNotReady ? kNotReadyRetryAfter
+                                                        : milliseconds(0));
+    return;
+  }
+  asked->level = asked->method.method->level;
+  asked->may_be_a_copy = asked->may_be_a_copy && asked->method.at_most_once;
+  if (asked->body().size() > asked->method.manifest->max_body_bytes) {
+    asked->Refuse(reason::kTooLarge);
+  } else if (child) {
+    HandleChild(asked);
   } else {
-    HandleCall(port, exchange, std::get<caller_call>(parsed));
+    HandleRoot(asked);
   }
 }
 
-outcome caller_api::Resolve(const std::string& service,
-                            const std::string& method,
-                            resolved_method* resolved) const {
+reason caller_api::Resolve(const std::string& service,
+                           const std::string& method,
+                           resolved_method* resolved) const {
   resolved->view = view_.Get();
   if (!resolved->view->ready()) {
-    return NotExecuted(reason::kNotReady, kNotReadyRetryAfter);
+    return reason::kNotReady;
   }
   resolved->manifest = resolved->view->manifests.Find(service);
   if (resolved->manifest == nullptr) {
-    return NotExecuted(reason::kUnknownService);
+    return reason::kUnknownService;
   }
   resolved->method = resolved->manifest->FindMethod(method);
   if (resolved->method == nullptr) {
-    return NotExecuted(reason::kUnknownMethod);
+    return reason::kUnknownMethod;
   }
   resolved->index = static_cast<std::uint32_t>(
       resolved->method - resolved->manifest->methods.data());
+  resolved->counted = resolved->view->counters.at(service)[resolved->index];
   resolved->at_most_once =
       resolved->view->manifests.IsAtMostOnce(service, method);
-  return Pass();
+  return reason::kNone;
 }
 
 void caller_api::HandleKeys(const std::shared_ptr<http_exchange>& exchange,
                             const caller_key_request& keys) {
   resolved_method method;
-  const outcome refusal = Resolve(keys.service, keys.method, &method);
-  if (refusal.kind == outcome_kind::kNotExecuted) {
-    exchange->Respond(RenderOutcome(refusal));
+  const reason refusal = Resolve(keys.service, keys.method, &method);
+  if (refusal != reason::kNone || draining_) {
+    const reason why = draining_ ? reason::kDraining : refusal;
+    exchange->Respond(RenderOutcome(NotExecuted(why, kNotReadyRetryAfter)));
     return;
   }
   const milliseconds lifetime = method.manifest->key_lifetime;
@@ -128,96 +215,64 @@
                      .body = Json::writeString(writer, body) + "\n"});
 }
 
-void caller_api::HandleCall(caller_port port,
-                            const std::shared_ptr<http_exchange>& exchange,
-                            const caller_call& call) {
-  resolved_method method;
-  const outcome refusal = Resolve(call.service, call.method, &method);
-  if (refusal.kind == outcome_kind::kNotExecuted) {
-    exchange->Respond(RenderOutcome(refusal));
+void caller_api::HandleRoot(const asked_ptr& asked) {
+  if (draining_ && !asked->call.key) {
+    asked->Refuse(reason::kDraining, kDrainRetryAfter);
     return;
   }
-  // A context is worth something only where the target speaks. An outside
-  // caller that sends one gets no more than any other caller.
-  if (port == caller_port::kLocal && call.context) {
-    HandleChild(exchange, call, method);
-  } else {
-    HandleRoot(exchange, call, method);
-  }
-}
-
-void caller_api::HandleRoot(const std::shared_ptr<http_exchange>& exchange,
-                            const caller_call& call,
-                            const resolved_method& method) {
-  if (draining_ && !call.key) {
-    exchange->Respond(
-        RenderOutcome(NotExecuted(reason::kDraining, kDrainRetryAfter)));
+  const method_spec& method = *asked->method.method;
+  outbound_request request = asked->ToRequest();
+  request.request.level = method.level;
+  request.request.ticket = static_cast<std::uint8_t>(RandomBits32());
+  request.request.retry_credit = method.retry_credit;
+  if (asked->method.at_most_once) {
+    HandleKeyed(asked, std::move(request));
     return;
   }
-  const milliseconds timeout =
-      std::min(call.timeout.value_or(method.method->timeout),
-               method.method->max_timeout);
-  const http_request& http = exchange->request();
-  outbound_request request{.method = method.index,
-                           .deadline = monotonic_clock::now() + timeout};
-  request.request = {.service = call.service,
-                     .method = call.method,
-                     .content_type = http.content_type,
-                     .body = http.body,
-                     .level = method.method->level,
-                     .ticket = static_cast<std::uint8_t>(RandomBits32()),
-                     .retry_credit = method.method->retry_credit};
-  if (method.at_most_once) {
-    HandleKeyed(exchange, call, std::move(request),
-                method.manifest->key_lifetime);
+  if (asked->timeout() <= milliseconds(0)) {
+    asked->Refuse(reason::kDeadlinePassed);
     return;
   }
-  if (timeout <= milliseconds(0)) {
-    exchange->Respond(RenderOutcome(NotExecuted(reason::kDeadlinePassed)));
+  auto placed = outbound_.Call(
+      asked->exchange->worker(), std::move(request),
+      [asked](const outbound_result& result) { asked->Answer(result.result); });
+  asked->exchange->OnDisconnect([this, placed] { outbound_.Abandon(placed); });
+}
+
+void caller_api::RequireKey(const asked_ptr& asked) {
+  const milliseconds lifetime = asked->method.manifest->key_lifetime;
+  const issued_keys issued =
+      home_.Issue(1, asked->exchange->peer_ip(), lifetime);
+  if (issued.keys.empty()) {
+    asked->Refuse(issued.refusal, kDrainRetryAfter);
     return;
   }
-  auto placed =
-      outbound_.Call(exchange->worker(), std::move(request),
-                     [exchange](const outbound_result& result) {
-                       exchange->Respond(RenderOutcome(result.result));
-                     });
-  exchange->OnDisconnect([this, placed] { outbound_.Abandon(placed); });
+  asked->Answer(NotExecuted(reason::kKeyRequired), "send again with this key",
+                codec_.Seal({.key = issued.keys.front(), .lifetime = lifetime},
+                            {.service = asked->call.service,
+                             .method = asked->call.method}));
 }
 
-void caller_api::HandleKeyed(const std::shared_ptr<http_exchange>& exchange,
-                             const caller_call& call,
-                             outbound_request request,
-                             milliseconds key_lifetime) {
-  const key_scope scope{.service = call.service, .method = call.method};
-  if (!call.key) {
-    const issued_keys issued =
-        home_.Issue(1, exchange->peer_ip(), key_lifetime);
-    if (issued.keys.empty()) {
-      exchange->Respond(
-          RenderOutcome(NotExecuted(issued.refusal, kDrainRetryAfter)));
-      return;
-    }
-    exchange->Respond(RenderOutcome(
-        NotExecuted(reason::kKeyRequired), "send again with this key",
-        codec_.Seal({.key = issued.keys.front(), .lifetime = key_lifetime},
-                    scope)));
+void caller_api::HandleKeyed(const asked_ptr& asked, outbound_request request) {
+  if (!asked->call.key) {
+    RequireKey(asked);
     return;
   }
-  const auto opened = codec_.Open(*call.key, scope);
+  const auto opened = codec_.Open(
+      *asked->call.key,
+      {.service = asked->call.service, .method = asked->call.method});
   if (!opened) {
-    exchange->Respond(
-        RenderOutcome(NotExecuted(reason::kBadKey),
-                      "the key was not issued for this service and method"));
+    asked->Answer(NotExecuted(reason::kBadKey),
+                  "the key was not issued for this service and method");
     return;
   }
   if (opened->key.home.vm != settings_.vm) {
-    Relay(exchange, opened->key, request, /*fresh=*/false);
+    Relay(asked, opened->key, request, /*fresh=*/false);
     return;
   }
-  BeginKeyed(exchange, opened->key, /*label=*/{}, std::move(request),
-             [exchange](const outbound_result& result) {
-               exchange->Respond(RenderOutcome(result.result));
-             });
+  BeginKeyed(
+      asked->exchange, opened->key, /*label=*/{}, std::move(request),
+      [asked](const outbound_result& result) { asked->Answer(result.result); });
 }
 
 void caller_api::BeginKeyed(const std::shared_ptr<http_exchange>& exchange,
@@ -239,13 +294,13 @@
 
 // Only the key's home may start its request or call it not executed: an
 // earlier copy may have reached the home already.
-void caller_api::Relay(const std::shared_ptr<http_exchange>& exchange,
+void caller_api::Relay(const asked_ptr& asked,
                        const idempotency_key& key,
                        const outbound_request& request,
                        bool fresh) {
   const auto address = directory_.AddressOf(key.home.vm);
   if (!address) {
-    exchange->Respond(RenderOutcome(Unknown(reason::kHomeUnreachable)));
+    asked->Answer(Unknown(reason::kHomeUnreachable));
     return;
   }
   const time_point now = monotonic_clock::now();
@@ -260,21 +315,21 @@
     until = std::min(until, now + std::max<duration>(share, kLeastRelayTime));
   }
   auto sent = peers_.Send(
-      exchange->worker(), *address,
+      asked->exchange->worker(), *address,
       {.path = kPeerHomePath,
        .body = Encode(envelope),
        .deadline = until,
        .fresh = fresh},
-      [this, exchange, key, request, fresh](const peer_result& result) {
+      [this, asked, key, request, fresh](const peer_result& result) {
         if (result.answer) {
-          exchange->Respond(RenderOutcome(result.answer->result));
+          asked->Answer(result.answer->result);
         } else if (!fresh && result.end != exchange_end::kCancelled) {
-          Relay(exchange, key, request, /*fresh=*/true);
+          Relay(asked, key, request, /*fresh=*/true);
         } else {
-          exchange->Respond(RenderOutcome(Unknown(reason::kHomeUnreachable)));
+          asked->Answer(Unknown(reason::kHomeUnreachable));
         }
       });
-  exchange->OnDisconnect([sent] { http_client::Cancel(sent); });
+  asked->exchange->OnDisconnect([sent] { http_client::Cancel(sent); });
 }
 
 void caller_api::ServeRelayed(call_envelope call,
@@ -283,10 +338,10 @@
   const idempotency_key key = call.binding->key;
   call.binding.reset();
   resolved_method method;
-  const outcome refusal = Resolve(call.service, call.method, &method);
-  if (refusal.kind == outcome_kind::kNotExecuted) {
+  const reason refusal = Resolve(call.service, call.method, &method);
+  if (refusal != reason::kNone) {
     // Not "not executed": the key may have begun under an earlier view.
-    done({.result = Unknown(refusal.why)});
+    done({.result = Unknown(refusal)});
     return;
   }
   outbound_request request{.request = std::move(call), .method = method.index};
@@ -294,66 +349,54 @@
   BeginKeyed(exchange, key, /*label=*/{}, std::move(request), std::move(done));
 }
 
-void caller_api::HandleChild(const std::shared_ptr<http_exchange>& exchange,
-                             const caller_call& call,
-                             const resolved_method& method) {
-  const auto token = ParseContextToken(*call.context);
+void caller_api::HandleChild(const asked_ptr& asked) {
+  const auto token = ParseContextToken(*asked->call.context);
   const auto child = token ? serving_.BeginChild(*token) : std::nullopt;
   if (!child) {
     // The context may belong to a call that has ended, and an at-most-once
     // child of it may have run.
-    const bool definite = !method.at_most_once || !token;
-    exchange->Respond(RenderOutcome(definite
-                                        ? NotExecuted(reason::kUnknownContext)
-                                        : Unknown(reason::kUnknownContext)));
+    asked->Refuse(reason::kUnknownContext);
     return;
   }
-  const time_point now = monotonic_clock::now();
-  const milliseconds timeout =
-      std::min(call.timeout.value_or(method.method->timeout),
-               method.method->max_timeout);
-  const http_request& http = exchange->request();
-  outbound_request request{
-      .method = method.index,
-      .deadline = std::min<time_point>(child->given.deadline, now + timeout)};
-  request.request = {.service = call.service,
-                     .method = call.method,
-                     .content_type = http.content_type,
-                     .body = http.body,
-                     .level = child->given.level,
-                     .ticket = child->given.ticket,
-                     .depth = child->given.depth,
-                     .retry_credit = child->given.retry_credit};
-  auto done = [this, exchange, token = *token, child = *child,
-               now](const outbound_result& result) {
+  asked->level = child->given.level;
+  outbound_request request = asked->ToRequest();
+  request.deadline = std::min(request.deadline, child->given.deadline);
+  request.request.level = child->given.level;
+  request.request.ticket = child->given.ticket;
+  request.request.depth = child->given.depth;
+  request.request.retry_credit = child->given.retry_credit;
+  auto done = [this, asked, token = *token,
+               child = *child](const outbound_result& result) {
     serving_.EndChild(token, child, result.result.kind, result.unspent_credit,
-                      monotonic_clock::now() - now);
+                      monotonic_clock::now() - asked->arrived);
     inbound_.SetDownstreamLevel(child.parent_method, result.level);
-    exchange->Respond(RenderOutcome(result.result));
+    asked->Answer(result.result);
+  };
+  const auto refuse = [&](reason why) {
+    done({.result = asked->may_be_a_copy ? Unknown(why) : NotExecuted(why),
+          .unspent_credit = child->given.retry_credit});
   };
-  const bool deep = request.request.depth > kMaxDepth;
-  // The home judges the deadline of an at-most-once call: an earlier copy of it
-  // may have run.
-  const bool late = request.deadline <= now && !method.at_most_once;
-  if (deep || late) {
-    done({.result =
-              NotExecuted(deep ? reason::kBadRequest : reason::kDeadlinePassed),
-          .unspent_credit = request.request.retry_credit});
+  if (request.request.depth > kMaxDepth) {
+    refuse(reason::kBadRequest);
     return;
   }
-  if (!method.at_most_once) {
-    auto placed =
-        outbound_.Call(exchange->worker(), std::move(request), std::move(done));
-    exchange->OnDisconnect([this, placed] { outbound_.Abandon(placed); });
+  if (asked->method.at_most_once) {
+    const auto key = DerivedKey(*token, *asked);
+    if (!key) {
+      refuse(reason::kTableFull);
+      return;
+    }
+    BeginKeyed(asked->exchange, *key, asked->call.label, std::move(request),
+               std::move(done));
     return;
   }
-  const auto key = DerivedKey(*token, call, http.body, method);
-  if (!key) {
-    done({.result = NotExecuted(reason::kTableFull, kDrainRetryAfter),
-          .unspent_credit = request.request.retry_credit});
+  if (request.deadline <= asked->arrived) {
+    refuse(reason::kDeadlinePassed);
     return;
   }
-  BeginKeyed(exchange, *key, call.label, std::move(request), std::move(done));
+  auto placed = outbound_.Call(asked->exchange->worker(), std::move(request),
+                               std::move(done));
+  asked->exchange->OnDisconnect([this, placed] { outbound_.Abandon(placed); });
 }
 
 // A target that sends its call again, after a lost answer, must meet the first
@@ -361,18 +404,17 @@
 // sender.
 std::optional<idempotency_key> caller_api::DerivedKey(
     const context_token& token,
-    const caller_call& call,
-    const std::string& body,
-    const resolved_method& method) {
-  const request_fingerprint fingerprint = Fingerprint({.service = call.service,
-                                                       .method = call.method,
-                                                       .body = body,
-                                                       .label = call.label});
+    const asked_call& asked) {
+  const request_fingerprint fingerprint =
+      Fingerprint({.service = asked.call.service,
+                   .method = asked.call.method,
+                   .body = asked.body(),
+                   .label = asked.call.label});
   if (auto known = serving_.FindDerivedKey(token, fingerprint)) {
     return known;
   }
   const issued_keys issued =
-      home_.Issue(1, kTargetCaller, method.manifest->key_lifetime);
+      home_.Issue(1, kTargetCaller, asked.method.manifest->key_lifetime);
   if (issued.keys.empty()) {
     return std::nullopt;
   }
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -19,12 +19,13 @@
 
 class home_role;
 class inbound_role;
+class method_metrics;
+class observer;
 class peer_client;
 class peer_directory;
 class serving_calls;
 class view_holder;
 struct context_token;
-struct service_manifest;
 
 // Who speaks on a port.
 enum class caller_port : std::uint8_t {
@@ -35,6 +36,7 @@
 struct caller_api_options {
   const daemon_settings& settings;
   view_holder& view;
+  observer& watch;
   outbound_role& outbound;
   inbound_role& inbound;
   home_role& home;
@@ -61,44 +63,37 @@
 
  private:
   struct resolved_method;
-  struct root_call;
+  // One request on its way to its answer.
+  class asked_call;
+  using asked_ptr = std::shared_ptr<asked_call>;
 
-  void HandleCall(caller_port port,
-                  const std::shared_ptr<http_exchange>& exchange,
-                  const caller_call& call);
   void HandleKeys(const std::shared_ptr<http_exchange>& exchange,
                   const caller_key_request& keys);
-  void HandleRoot(const std::shared_ptr<http_exchange>& exchange,
-                  const caller_call& call,
-                  const resolved_method& method);
-  void HandleKeyed(const std::shared_ptr<http_exchange>& exchange,
-                   const caller_call& call,
-                   outbound_request request,
-                   milliseconds key_lifetime);
-  void HandleChild(const std::shared_ptr<http_exchange>& exchange,
-                   const caller_call& call,
-                   const resolved_method& method);
+  void HandleRoot(const asked_ptr& asked);
+  void HandleKeyed(const asked_ptr& asked, outbound_request request);
+  void RequireKey(const asked_ptr& asked);
+  void HandleChild(const asked_ptr& asked);
   void BeginKeyed(const std::shared_ptr<http_exchange>& exchange,
                   const idempotency_key& key,
                   const std::string& label,
                   outbound_request request,
                   outbound_role::callback done);
-  void Relay(const std::shared_ptr<http_exchange>& exchange,
+  void Relay(const asked_ptr& asked,
              const idempotency_key& key,
              const outbound_request& request,
              bool fresh);
   [[nodiscard]] std::optional<idempotency_key> DerivedKey(
       const context_token& token,
-      const caller_call& call,
-      const std::string& body,
-      const resolved_method& method);
-  // Either the method or the refusal to give.
-  [[nodiscard]] outcome Resolve(const std::string& service,
-                                const std::string& method,
-                                resolved_method* resolved) const;
+      const asked_call& asked);
+  // What the manifest in force says of the method, or why it can't be called:
+  // kNone if it can.
+  [[nodiscard]] reason Resolve(const std::string& service,
+                               const std::string& method,
+                               resolved_method* resolved) const;
 
   const daemon_settings& settings_;
   view_holder& view_;
+  observer& watch_;
   outbound_role& outbound_;
   inbound_role& inbound_;
   home_role& home_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -36,7 +36,7 @@
     Tick();
     context_.run();
     parts_.Stop();
-    LogEvent("stop", {{.name = "vm", .value = settings_.vm}});
+    parts_.AuditStopped();
   }
 
  private:
--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -26,6 +26,7 @@
       incarnation_(NewIncarnation()),
       workers_(settings.threads),
       control_(1),
+      view_(watch_.metrics()),
       peers_(workers_, PeerToken(settings.fleet_keys.front())),
       fleet_(control_.context(0),
              {.settings = settings,
@@ -35,15 +36,12 @@
                     OnView(view);
                   },
               .on_event =
-                  [](const fleet_event& event) {
-                    LogEvent(event.name,
-                             {{.name = "subject", .value = event.subject},
-                              {.name = "detail", .value = event.detail}});
-                  }}),
+                  [this](const fleet_event& event) { OnFleetEvent(event); }}),
       inbound_({.settings = settings_,
                 .incarnation = incarnation_,
                 .workers = workers_,
-                .serving = serving_}),
+                .serving = serving_,
+                .watch = watch_}),
       outbound_({.settings = settings_,
                  .workers = workers_,
                  .peers = peers_,
@@ -59,6 +57,7 @@
              .inbound = inbound_}),
       callers_({.settings = settings_,
                 .view = view_,
+                .watch = watch_,
                 .outbound = outbound_,
                 .inbound = inbound_,
                 .home = home_,
@@ -68,7 +67,15 @@
       peer_api_({.fleet_keys = settings_.fleet_keys,
                  .inbound = inbound_,
                  .callers = callers_,
-                 .fleet = fleet_}) {
+                 .fleet = fleet_}),
+      status_({.settings = settings_,
+               .incarnation = incarnation_,
+               .view = view_,
+               .fleet = fleet_,
+               .inbound = inbound_,
+               .outbound = outbound_,
+               .watch = watch_}),
+      admin_(status_.Sources()) {
   Listen();
 }
 
@@ -100,18 +107,23 @@
   peer_server_ = std::make_unique<http_server>(workers_, options);
   options.address = settings_.admin;
   options.handler = [this](const exchange_ptr& exchange) {
-    const bool ready = fleet_.View()->ready;
-    exchange->Respond({.status = ready ? 200 : 503,
-                       .content_type = "text/plain",
-                       .body = ready ? "ready\n" : "not ready\n"});
+    const http_request& request = exchange->request();
+    const std::string target = request.query.empty()
+                                   ? request.path
+                                   : request.path + "?" + request.query;
+    admin_response page = admin_.Handle(request.verb, target);
+    exchange->Respond({.status = page.status,
+                       .content_type = std::move(page.content_type),
+                       .body = std::move(page.body)});
   };
   admin_server_ = std::make_unique<http_server>(control_, options);
 }
 
 void daemon_parts::Start() {
-  LogEvent("start", {{.name = "vm", .value = settings_.vm},
-                     {.name = "service", .value = settings_.service},
-                     {.name = "caller", .value = ToString(settings_.caller)}});
+  watch_.audit().Add({.kind = audit_kind::kStarted,
+                      .subject = settings_.vm,
+                      .after = PW_VERSION,
+                      .cause = "service=" + settings_.service});
   workers_.Start();
   control_.Start();
   fleet_.Start();
@@ -130,11 +142,39 @@
   }
 }
 
+void daemon_parts::OnFleetEvent(const fleet_event& event) {
+  const auto kind = kAuditKindNames.Find(event.name);
+  if (kind) {
+    watch_.audit().Add(
+        {.kind = *kind, .subject = event.subject, .after = event.detail});
+    return;
+  }
+  LogEvent(event.name, {{.name = "subject", .value = event.subject},
+                        {.name = "detail", .value = event.detail}});
+}
+
+// A level moves many times a second under load; what people need is which
+// priority it cuts.
+void daemon_parts::AuditLevel() {
+  const std::uint32_t level = inbound_.Load().admission_level;
+  if (level / kRanksPerPriority != last_level_ / kRanksPerPriority) {
+    watch_.audit().Add({.kind = audit_kind::kLevelChanged,
+                        .subject = settings_.service,
+                        .before = std::to_string(last_level_),
+                        .after = std::to_string(level),
+                        .cause = "load"});
+  }
+  last_level_ = level;
+}
+
 void daemon_parts::Drain() {
   if (draining_.exchange(true)) {
     return;
   }
-  LogEvent("draining", {{.name = "vm", .value = settings_.vm}});
+  watch_.audit().Add({.kind = audit_kind::kStopping,
+                      .subject = settings_.vm,
+                      .before = "serving",
+                      .after = "draining"});
   fleet_.Leave();
   callers_.Drain();
   inbound_.Drain();
@@ -157,6 +197,14 @@
 void daemon_parts::Tick() {
   inbound_.Tick();
   home_.Tick();
+  AuditLevel();
+}
+
+void daemon_parts::AuditStopped() {
+  watch_.audit().Add({.kind = audit_kind::kStopped,
+                      .subject = settings_.vm,
+                      .before = "draining",
+                      .after = "stopped"});
 }
 
 void daemon_parts::Stop() {
--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -5,17 +5,20 @@
 #include <atomic>
 #include <memory>
 
+#include "include/admin/admin_api.h"
 #include "include/base/ids.h"
 #include "include/config/settings.h"
 #include "include/fleet/fleet_agent.h"
 #include "src/daemon/caller_api.h"
 #include "src/daemon/home_role.h"
 #include "src/daemon/inbound_role.h"
+#include "src/daemon/observer.h"
 #include "src/daemon/outbound_role.h"
 #include "src/daemon/peer_api.h"
 #include "src/daemon/peer_client.h"
 #include "src/daemon/peer_directory.h"
 #include "src/daemon/serving_calls.h"
+#include "src/daemon/status_report.h"
 #include "src/daemon/view_holder.h"
 #include "src/net/http_server.h"
 #include "src/net/worker_pool.h"
@@ -40,6 +43,7 @@
   // Whether keys are out that only this daemon can judge.
   [[nodiscard]] bool HoldsKeys();
   void Stop();
+  void AuditStopped();
   // Once a second.
   void Tick();
 
@@ -48,6 +52,8 @@
   }
 
  private:
+  void OnFleetEvent(const fleet_event& event);
+  void AuditLevel();
   void OnView(const std::shared_ptr<const fleet_view>& view);
   void Listen();
 
@@ -55,6 +61,7 @@
   const incarnation_id incarnation_;
   worker_pool workers_;
   worker_pool control_;
+  observer watch_;
   view_holder view_;
   peer_directory directory_;
   peer_client peers_;
@@ -65,6 +72,9 @@
   home_role home_;
   caller_api callers_;
   peer_api peer_api_;
+  status_report status_;
+  admin_api admin_;
+  std::uint32_t last_level_ = 0;  // Of Tick() only.
   std::unique_ptr<http_server> caller_server_;
   std::unique_ptr<http_server> local_server_;
   std::unique_ptr<http_server> peer_server_;
--- a/src/daemon/inbound_call.h
+++ b/src/daemon/inbound_call.h
@@ -33,7 +33,8 @@
   callback done;  // Empty exactly when the call is answered.
 
   step state = step::kNew;
-  std::uint32_t method = 0;              // Index in the manifest in force.
+  bool resolved = false;
+  std::uint32_t method = 0;              // Index in the manifest, if resolved.
   admission_handle handle;               // From kQueued on.
   std::optional<context_token> context;  // From kRunning on.
   std::shared_ptr<http_client::exchange> run;  // Likewise.
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -13,6 +13,7 @@
 
 #include "include/base/random_bits.h"
 #include "src/daemon/inbound_call.h"
+#include "src/daemon/observer.h"
 #include "src/daemon/serving_calls.h"
 #include "src/net/worker_pool.h"
 
@@ -59,6 +60,7 @@
       incarnation_(options.incarnation),
       workers_(options.workers),
       serving_(options.serving),
+      watch_(options.watch),
       target_(options.workers, options.settings.target),
       admission_(admission_options{}),
       // One start for all shards: they must agree on the epoch.
@@ -79,8 +81,35 @@
         std::max<std::uint32_t>(
             1, static_cast<std::uint32_t>(manifest->methods.size())));
   }
+  std::vector<method_metrics*> counted;
+  for (const method_spec& method : manifest->methods) {
+    counted.push_back(watch_.metrics().ForMethod(
+        call_role::kInbound, manifest->service, method.name));
+  }
   const std::lock_guard lock(manifest_mutex_);
   manifest_ = std::move(manifest);
+  counted_ = std::move(counted);
+}
+
+method_metrics* inbound_role::CountersOf(const call& counted) const {
+  if (!counted.resolved) {
+    return nullptr;
+  }
+  const std::lock_guard lock(manifest_mutex_);
+  return counted.method < counted_.size() ? counted_[counted.method] : nullptr;
+}
+
+void inbound_role::Report(const call& ended, const answer_envelope& answer) {
+  watch_.OnCallEnded(CountersOf(ended),
+                     {.service = ended.request.service,
+                      .method = ended.request.method,
+                      .level = ended.request.level,
+                      .result = answer.result,
+                      .latency = monotonic_clock::now() - ended.arrived,
+                      .vm = settings_.vm,
+                      .admission_level = answer.admission_level,
+                      .queued = answer.queued,
+                      .limit = answer.limit});
 }
 
 std::shared_ptr<const service_manifest> inbound_role::Manifest() const {
@@ -144,6 +173,7 @@
   }
   checked.method =
       static_cast<std::uint32_t>(method - manifest->methods.data());
+  checked.resolved = true;
   if (checked.deadline <= checked.arrived) {
     return NotExecuted(reason::kDeadlinePassed);
   }
@@ -292,7 +322,15 @@
   const crash_id id =
       CrashIdOf(static_cast<std::uint64_t>(incarnation_), crashes_.load());
   const std::lock_guard lock(quarantine_mutex_);
-  quarantine_.OnCrash(fingerprint, id, monotonic_clock::now());
+  const time_point now = monotonic_clock::now();
+  const bool before = quarantine_.Remaining(fingerprint, now).count() > 0;
+  quarantine_.OnCrash(fingerprint, id, now);
+  if (!before && quarantine_.Remaining(fingerprint, now).count() > 0) {
+    watch_.audit().Add(
+        {.kind = audit_kind::kQuarantined,
+         .subject = crashed.request.service + "/" + crashed.request.method,
+         .cause = "in progress at two target crashes"});
+  }
 }
 
 // Records the result and answers everybody who waits for it.
@@ -334,6 +372,7 @@
     answer_envelope answer = Describe(waiter->method);
     answer.result = result;
     answer.unspent_credit = unspent;
+    Report(*waiter, answer);
     done(std::move(answer));
   });
 }
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -23,6 +23,8 @@
 
 namespace pistachioweir {
 
+class method_metrics;
+class observer;
 class serving_calls;
 class worker_pool;
 
@@ -31,6 +33,7 @@
   incarnation_id incarnation{};
   worker_pool& workers;
   serving_calls& serving;
+  observer& watch;
 };
 
 // Counts since the start, for metrics and status.
@@ -122,6 +125,8 @@
   [[nodiscard]] call_ptr Find(std::uint64_t id);
   [[nodiscard]] answer_envelope Describe(std::uint32_t method);
   [[nodiscard]] std::shared_ptr<const service_manifest> Manifest() const;
+  [[nodiscard]] method_metrics* CountersOf(const call& counted) const;
+  void Report(const call& ended, const answer_envelope& answer);
 
   // What TakeNext() has to say after the admission state has changed. With
   // admission_mutex_ held.
@@ -133,8 +138,11 @@
   serving_calls& serving_;
   target_client target_;
 
+  observer& watch_;
+
   mutable std::mutex manifest_mutex_;
   std::shared_ptr<const service_manifest> manifest_;
+  std::vector<method_metrics*> counted_;  // By method index.
 
   mutable std::mutex admission_mutex_;
   admission_controller admission_;  // Guarded by admission_mutex_.
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -231,15 +231,19 @@
     }
   }
   if (answer == nullptr) {
-    fleet_.NoteCallFailed(chosen.vm, incarnation_id{});
+    // A call that this side gave up says nothing of the other.
+    if (result != call_result::kCancelled) {
+      directory_.NoteFailure(chosen.vm);
+      fleet_.NoteCallFailed(chosen.vm, incarnation_id{});
+    }
     return;
   }
-  directory_.NoteStart(
+  const bool news = directory_.NoteStart(
       chosen.vm, {.incarnation = answer->executor, .epoch = answer->epoch},
       now);
   if (answer->draining) {
     fleet_.NoteLeaving(chosen.vm, answer->executor);
-  } else {
+  } else if (news) {
     fleet_.NoteCallAnswered(chosen.vm, answer->executor);
   }
 }
--- a/src/daemon/peer_directory.cc
+++ b/src/daemon/peer_directory.cc
@@ -10,6 +10,8 @@
 // was heard within less than one epoch is therefore still accepted.
 constexpr duration kStartFreshness = seconds(20);
 
+constexpr duration kTellInterval = seconds(1);
+
 }  // namespace
 
 void peer_directory::SetView(const fleet_view& view) {
@@ -28,14 +30,32 @@
   entries_ = std::move(entries);
 }
 
-void peer_directory::NoteStart(const vm_id& vm,
+bool peer_directory::NoteStart(const vm_id& vm,
                                const executor_start& start,
                                time_point now) {
   const std::lock_guard lock(mutex_);
   const auto known = entries_.find(vm);
+  if (known == entries_.end()) {
+    return false;
+  }
+  entry& heard = known->second;
+  const bool restarted = heard.start.incarnation != start.incarnation;
+  const bool news =
+      restarted || heard.failing || now - heard.told >= kTellInterval;
+  heard.start = start;
+  heard.heard = now;
+  heard.failing = false;
+  if (news) {
+    heard.told = now;
+  }
+  return news;
+}
+
+void peer_directory::NoteFailure(const vm_id& vm) {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
   if (known != entries_.end()) {
-    known->second.start = start;
-    known->second.heard = now;
+    known->second.failing = true;
   }
 }
 
--- a/src/daemon/peer_directory.h
+++ b/src/daemon/peer_directory.h
@@ -26,8 +26,12 @@
   // Replaces the addresses; what is known of starts is kept for VMs that stay.
   void SetView(const fleet_view& view);
 
-  // An answer came from `vm`.
-  void NoteStart(const vm_id& vm, const executor_start& start, time_point now);
+  // An answer came from `vm`. True if that is news for the fleet: another start
+  // than before, the first answer behind a failure, or the first in a second.
+  // Answers come thousands of times a second; the fleet's view needs few.
+  bool NoteStart(const vm_id& vm, const executor_start& start, time_point now);
+  // A call to `vm` got no answer.
+  void NoteFailure(const vm_id& vm);
 
   [[nodiscard]] std::optional<endpoint> AddressOf(const vm_id& vm) const;
 
@@ -41,6 +45,8 @@
     endpoint address;
     executor_start start;
     time_point heard;  // Of `start`; zero time if never.
+    time_point told;   // When NoteStart() was last true.
+    bool failing = false;
   };
 
   mutable std::mutex mutex_;
--- /dev/null
+++ b/src/daemon/status_report.h
@@ -0,0 +1,60 @@
+// status_report: gathers what the admin port shows from the parts of a daemon.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/admin/admin_api.h"
+#include "include/admin/daemon_status.h"
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/config/settings.h"
+
+namespace pistachioweir {
+
+class fleet_agent;
+class inbound_role;
+class observer;
+class outbound_role;
+class view_holder;
+
+struct status_options {
+  const daemon_settings& settings;
+  incarnation_id incarnation{};
+  view_holder& view;
+  fleet_agent& fleet;
+  inbound_role& inbound;
+  outbound_role& outbound;
+  observer& watch;
+};
+
+// Reads only; thread-safe.
+class status_report {
+ public:
+  explicit status_report(const status_options& options);
+
+  [[nodiscard]] daemon_status Status();
+  [[nodiscard]] method_explanation Explain(std::string_view service,
+                                           std::string_view method);
+  // Prometheus's text, with gauges and counters brought up to date.
+  [[nodiscard]] std::string Metrics();
+
+  // The pages' data; must not outlive this.
+  [[nodiscard]] admin_sources Sources();
+
+ private:
+  [[nodiscard]] daemon_state State();
+  void UpdateCounters();
+
+  const daemon_settings& settings_;
+  const incarnation_id incarnation_;
+  const time_point started_ = monotonic_clock::now();
+  view_holder& view_;
+  fleet_agent& fleet_;
+  inbound_role& inbound_;
+  outbound_role& outbound_;
+  observer& watch_;
+};
+
+}  // namespace pistachioweir
--- a/src/daemon/view_holder.cc
+++ b/src/daemon/view_holder.cc
@@ -2,7 +2,8 @@
 #include "src/daemon/view_holder.h"
 
 #include <utility>
-#include <vector>
+
+#include "include/metrics/metrics.h"
 
 namespace pistachioweir {
 
@@ -16,6 +17,13 @@
   auto made = std::make_shared<daemon_view>();
   made->fleet = std::move(view);
   made->manifests = manifest_set(std::move(manifests));
+  for (const service_manifest& manifest : made->manifests.manifests()) {
+    auto& counters = made->counters[manifest.service];
+    for (const method_spec& method : manifest.methods) {
+      counters.push_back(metrics_.ForMethod(call_role::kOutbound,
+                                            manifest.service, method.name));
+    }
+  }
   const std::lock_guard lock(mutex_);
   view_ = std::move(made);
 }
--- a/src/daemon/view_holder.h
+++ b/src/daemon/view_holder.h
@@ -2,19 +2,30 @@
 // follows from its manifests.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
 
 #include "include/config/manifest_set.h"
 #include "include/fleet/fleet_view.h"
 
 namespace pistachioweir {
 
+class daemon_metrics;
+class method_metrics;
+
 // Immutable once set; shared between threads without a lock.
 struct daemon_view {
   std::shared_ptr<const fleet_view> fleet;
   // The manifests in force, of the own service and all that it reaches.
   manifest_set manifests;
+  // Counters of outbound calls, by service and method index; valid as long as
+  // the daemon's metrics. Kept here so that no call looks them up by name.
+  std::unordered_map<std::string, std::vector<method_metrics*>> counters;
 
   // Whether calls may be judged by it.
   [[nodiscard]] bool ready() const {
@@ -25,7 +36,8 @@
 // Thread-safe; the lock is held for copying a pointer.
 class view_holder {
  public:
-  view_holder() : view_(std::make_shared<const daemon_view>()) {}
+  explicit view_holder(daemon_metrics& metrics)
+      : metrics_(metrics), view_(std::make_shared<const daemon_view>()) {}
 
   void Set(std::shared_ptr<const fleet_view> view);
 
@@ -36,6 +48,7 @@
   }
 
  private:
+  daemon_metrics& metrics_;
   mutable std::mutex mutex_;
   std::shared_ptr<const daemon_view> view_;
 };
