A copy that couldn't be sent is definite only if it was the only one

Cause: the new property test found a request that ran and was told "not executed". Its deadline passed while it ran, its caller asked again, and the second copy met a VM that refused connections. The home counted copies since the caller last asked, so it took the second copy for the only one and called the attempt definitely not sent.

Ruled out: the model, which lets every attempt have a copy under way and so never takes an unsent copy for definite; only the code had the shortcut. It is kept, since a dead VM that refuses connections is the common failure.

Change: the home remembers whether any other copy of the attempt was ever sent. The rule has a name, ONLY_COPY, in the code and in the model. The table's two ways of not judging an attempt stand apart, since a table without the first must still find its record.

--- a/include/once/executor_table.h
+++ b/include/once/executor_table.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -147,8 +146,9 @@
 
   // Moves the epoch on; time that runs backwards is taken for standing still.
   void AdvanceTo(time_point now);
-  // What to answer to an attempt that this table can't judge, or nothing.
-  std::optional<outcome> RefuseUnjudgeable(const execution_binding& attempt);
+  // Whether this table can't judge the attempt; counted.
+  bool IsForOther(const execution_binding& attempt);
+  bool IsOutdated(const execution_binding& attempt);
   [[nodiscard]] bool IsAcceptable(epoch_id epoch) const;
   record& Insert(const record_key& key);
   void Remember(const record_key& key, record& kept, const outcome& result);
--- a/include/once/guards.h
+++ b/include/once/guards.h
@@ -25,6 +25,8 @@
   static constexpr bool kBusyNotDefinite = true;
   // The home moves on only after a definite not-executed, never after silence.
   static constexpr bool kMoveOnDefinite = true;
+  // A copy that couldn't be sent is definite only if it was the only one.
+  static constexpr bool kOnlyCopy = true;
   // The home believes a refusal only from the incarnation that it bound to.
   static constexpr bool kAnswerIncarnation = true;
   // The home starts one execution for a key; copies join it.
--- a/include/once/key_home.h
+++ b/include/once/key_home.h
@@ -223,7 +223,8 @@
 
     credit_ledger ledger;
     std::uint32_t attempt = 0;
-    std::uint32_t sends = 0;  // Of this attempt.
+    std::uint32_t sends = 0;  // Of this attempt, since a caller last asked.
+    bool only_copy = true;    // No other copy of this attempt was ever sent.
     std::uint32_t lent = 0;   // Credit that went with this attempt.
     daemon_ref target;        // With kSent and kGaveUp.
     epoch_id epoch{};
--- a/spec/at_most_once.pml
+++ b/spec/at_most_once.pml
@@ -149,6 +149,11 @@
   /* Silence. */
   :: home == SENT -> home = GAVE_UP; at_cancel[current] = 1
   :: home == SENT && !at_cancel[current] -> at_cancel[current] = 1
+  /* No connection can be made for a copy. Each attempt here has a copy under
+     way already, so that says nothing; one that has none is like no attempt. */
+#ifdef NO_ONLY_COPY
+  :: home == SENT -> definite()
+#endif
 #ifdef NO_MOVE_ON_DEFINITE
   :: home == SENT && attempts < MAX_ATTEMPTS -> new_attempt(1)
 #endif
--- a/src/once/executor_table_impl.h
+++ b/src/once/executor_table_impl.h
@@ -95,22 +95,28 @@
 }
 
 template <typename Guards>
-std::optional<outcome> basic_executor_table<Guards>::RefuseUnjudgeable(
+bool basic_executor_table<Guards>::IsForOther(
     const execution_binding& attempt) {
   // Guard EXECUTOR_INCARNATION in spec/at_most_once.pml. An attempt that was
   // sent to an earlier start of this daemon may have run there, where its
   // record died; a copy that arrives now would run it again.
-  if (Guards::kExecutorIncarnation && attempt.executor != options_.self) {
-    ++counters_.stale;
-    return Unknown(reason::kStale);
+  if (!Guards::kExecutorIncarnation || attempt.executor == options_.self) {
+    return false;
   }
+  ++counters_.stale;
+  return true;
+}
+
+template <typename Guards>
+bool basic_executor_table<Guards>::IsOutdated(
+    const execution_binding& attempt) {
   // Guard EXECUTOR_EPOCH in spec/at_most_once.pml. A copy that was under way
   // for longer than records are kept would find none and run again.
-  if (Guards::kExecutorEpoch && !IsAcceptable(attempt.epoch)) {
-    ++counters_.stale;
-    return Unknown(reason::kStale);
+  if (!Guards::kExecutorEpoch || IsAcceptable(attempt.epoch)) {
+    return false;
   }
-  return std::nullopt;
+  ++counters_.stale;
+  return true;
 }
 
 template <typename Guards>
@@ -119,12 +125,14 @@
     waiter_id waiter,
     time_point now) {
   AdvanceTo(now);
+  if (IsForOther(attempt)) {
+    return {.step = attempt_step::kAnswer, .result = Unknown(reason::kStale)};
+  }
   const record_key key = KeyOf(attempt);
   const auto found = records_.find(key);
   // Guard EXECUTOR_DEDUP in spec/at_most_once.pml. A home that heard nothing
   // sends again over a new connection, so both copies can arrive.
-  if (Guards::kExecutorDedup && found != records_.end() &&
-      attempt.executor == options_.self) {
+  if (Guards::kExecutorDedup && found != records_.end()) {
     record& first = found->second;
     if (first.state == record_state::kFinished) {
       ++counters_.replayed;
@@ -139,8 +147,8 @@
     first.waiters.push_back(waiter);
     return {.step = attempt_step::kWait, .result = {}};
   }
-  if (auto refused = RefuseUnjudgeable(attempt)) {
-    return {.step = attempt_step::kAnswer, .result = std::move(*refused)};
+  if (IsOutdated(attempt)) {
+    return {.step = attempt_step::kAnswer, .result = Unknown(reason::kStale)};
   }
   // Not definite: a table that is full now may have had room for an earlier
   // copy, which ran and is answered.
@@ -258,9 +266,12 @@
     const execution_binding& attempt,
     time_point now) {
   AdvanceTo(now);
+  if (IsForOther(attempt)) {
+    return {.result = Unknown(reason::kStale), .running = false, .waiters = {}};
+  }
   const record_key key = KeyOf(attempt);
   const auto found = records_.find(key);
-  if (found != records_.end() && attempt.executor == options_.self) {
+  if (found != records_.end()) {
     record& kept = found->second;
     if (kept.state == record_state::kFinished) {
       return {.result = kept.result, .running = false, .waiters = {}};
@@ -279,8 +290,8 @@
     Remember(key, kept, cancelled);
     return decision;
   }
-  if (auto refused = RefuseUnjudgeable(attempt)) {
-    return {.result = std::move(*refused), .running = false, .waiters = {}};
+  if (IsOutdated(attempt)) {
+    return {.result = Unknown(reason::kStale), .running = false, .waiters = {}};
   }
   if (records_.size() >= options_.max_records) {
     ++counters_.busy;
--- a/src/once/key_home_impl.h
+++ b/src/once/key_home_impl.h
@@ -276,6 +276,7 @@
   record.state = key_state::kSent;
   record.result.reset();
   running.sends = 1;
+  running.only_copy = false;
   running.waiters.push_back(request.waiter);
   return send_attempt{.binding = BindingOf(entry),
                       .target = running.target.vm,
@@ -328,6 +329,7 @@
   running.target = target;
   running.epoch = epoch;
   running.sends = 1;
+  running.only_copy = true;
   running.lent = running.ledger.Lend();
   return send_attempt{.binding = BindingOf(*entry),
                       .target = target.vm,
@@ -408,7 +410,10 @@
     return no_action{};
   }
   running_execution& running = *entry->second.running;
-  if (running.sends > 1 || entry->second.state == key_state::kGaveUp) {
+  // Guard ONLY_COPY in spec/at_most_once.pml. That this copy wasn't sent says
+  // nothing of one that was sent before it.
+  const bool definite = running.only_copy || !Guards::kOnlyCopy;
+  if (!definite || entry->second.state == key_state::kGaveUp) {
     return AttemptLost(key, attempt, now);
   }
   running.ledger.Return(running.lent, running.lent);
@@ -447,6 +452,7 @@
     return GiveUp(entry, why, true);
   }
   ++running.sends;
+  running.only_copy = false;
   ++counters_.resent;
   return send_attempt{.binding = BindingOf(entry),
                       .target = running.target.vm,
--- a/tests/key_home_test.cc
+++ b/tests/key_home_test.cc
@@ -153,6 +153,18 @@
   EXPECT_EQ(told.result.kind, outcome_kind::kUnknown);
 }
 
+// The deadline passes while the request may run, and the caller asks again. By
+// now the VM refuses connections; that the second copy wasn't sent says nothing
+// of the first. Found by a random schedule.
+TEST_F(key_home_test, UnsentCopyAfterAskingAgainIsNotDefinite) {
+  const auto key = IssueOne();
+  BeginAt(key);
+  home_.DeadlinePassed(key, kStart);
+  home_.Begin(Request(key, 2), kStart);
+  const auto next = home_.AttemptNotSent(key, 1, kStart);
+  EXPECT_FALSE(std::holds_alternative<place_attempt>(next));
+}
+
 // The executor dies while it runs the request, and a new start of it on the
 // same address refuses the copy.
 TEST_F(key_home_test, RefusalOfAnotherIncarnationIsNotBelieved) {
