--- a/include/fleet/fleet_agent.h
+++ b/include/fleet/fleet_agent.h
@@ -20,6 +20,8 @@
 
 namespace pistachioweir {
 
+class agent_core;
+
 // A change for the audit trail.
 struct fleet_event {
   // As "manifest_accepted", "member_state", "ready", "paused".
@@ -53,6 +55,11 @@
 struct fleet_agent_options {
   daemon_settings settings;
   incarnation_id incarnation{};
+  // Shown to other daemons' peer ports.
+  std::string peer_token;
+  // Expected number of daemons, until lists tell: spreads the first reads of
+  // daemons that start together.
+  std::uint64_t fleet_size_hint = 300;
   // Called on one thread of the io_context at a time, after each change.
   std::function<void(const std::shared_ptr<const fleet_view>&)> on_change;
   std::function<void(const fleet_event&)> on_event;
@@ -76,6 +83,10 @@
   // The newest view; never null.
   [[nodiscard]] std::shared_ptr<const fleet_view> View() const;
   [[nodiscard]] fleet_counters Counters() const;
+  // False just after this process was paused, until its view was refreshed.
+  // Ask before acting on the view: it also shows a pause that the agent's own
+  // thread has not yet noticed.
+  [[nodiscard]] bool IsFresh(time_point now) const;
 
   // What a call showed of a target's daemon. Pass incarnation_id{} if unknown.
   void NoteCallAnswered(const vm_id& vm, incarnation_id incarnation);
@@ -97,8 +108,7 @@
   [[nodiscard]] std::string HandleRpc(std::string_view json);
 
  private:
-  class impl;
-  std::shared_ptr<impl> impl_;
+  std::shared_ptr<agent_core> core_;
 };
 
 }  // namespace pistachioweir
--- a/include/fleet/fleet_view.h
+++ b/include/fleet/fleet_view.h
@@ -12,6 +12,7 @@
 #include "include/base/enum_table.h"
 #include "include/base/ids.h"
 #include "include/config/manifest.h"
+#include "include/config/manifest_set.h"
 #include "include/config/settings.h"
 
 namespace pistachioweir {
@@ -49,6 +50,8 @@
   std::shared_ptr<const service_manifest> manifest;
   // Empty for services that are only reached through others.
   std::vector<fleet_target> targets;
+
+  friend bool operator==(const fleet_service&, const fleet_service&) = default;
 };
 
 // Opaque bytes that a daemon spreads over the fleet for a bounded time, as an
@@ -69,6 +72,10 @@
   // kLive or kLeaving.
   member_state own_state = member_state::kLive;
   std::vector<fleet_service> services;  // Sorted by name.
+  // The manifests of all services, and what follows from all of them
+  // together; never null.
+  std::shared_ptr<const manifest_set> manifests =
+      std::make_shared<const manifest_set>();
   std::vector<fleet_blob> blobs;
 
   // The entry of `service`, or nullptr. Owned by this view.
--- a/include/fleet/manifest_store.h
+++ b/include/fleet/manifest_store.h
@@ -89,7 +89,9 @@
   }
   // Wanted services with a newer version known than in force, or none at all.
   [[nodiscard]] std::vector<manifest_version> Missing() const;
-  [[nodiscard]] std::vector<manifest_version> AllVersions() const;
+  // Some service that is neither served nor called here, chosen by `draw`, a
+  // random number; empty if none is known.
+  [[nodiscard]] std::string PickUnrelated(std::uint64_t draw) const;
 
  private:
   void FindWanted();
--- a/include/fleet/reader_schedule.h
+++ b/include/fleet/reader_schedule.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "include/base/time.h"
+#include "include/fleet/manifest_store.h"
 
 namespace pistachioweir {
 
@@ -23,7 +24,8 @@
 // What the schedule depends on; the caller's current knowledge.
 struct reader_situation {
   std::string own_service;
-  // Services whose live lists are needed here, the own one included.
+  // Services whose live lists are needed here, the own one included, and one
+  // more that this daemon has nothing to do with (AddStranger).
   std::vector<std::string> lists;
   // Estimates; at least one.
   std::uint64_t fleet_size = 1;
@@ -55,9 +57,12 @@
   // small still keeps the sum below the limit.
   static constexpr double kRefreshPerSecond = 400;
   static constexpr double kRetryPerSecond = 200;
-  // Daemons that start together, as after the loss of a region, spread their
-  // first reads so that they stay below this.
-  static constexpr double kFirstReadsPerSecond = 1000;
+  // A third of the fleet may start together, as after the loss of two regions;
+  // its first reads are spread so that they stay below this. A daemon first
+  // reads its own service's list; what it then gets from peers it need not
+  // read, so all else waits longer.
+  static constexpr double kFirstReadsPerSecond = 1500;
+  static constexpr double kStartTogether = 1.0 / 3;
   static constexpr milliseconds kMinRefresh{15000};
   static constexpr milliseconds kMinRetry{500};
   static constexpr milliseconds kMinCeiling{2000};
@@ -80,6 +85,11 @@
             const reader_situation& situation,
             time_point now,
             std::mt19937_64& random);
+  // A peer has given `key`; the platform's copy can wait for its refresh.
+  void NoteHave(const std::string& key,
+                const reader_situation& situation,
+                time_point now,
+                std::mt19937_64& random);
   // Reads `key` again soon, as after a pause of the process.
   void Hasten(const std::string& key, time_point now);
 
@@ -104,7 +114,9 @@
             const reader_situation& situation,
             time_point now,
             std::mt19937_64& random);
-  void Prepare(const std::vector<std::string>& keys, time_point now);
+  void Prepare(const reader_situation& situation,
+               time_point now,
+               std::mt19937_64& random);
   void BackOff(const reader_situation& situation,
                time_point now,
                std::mt19937_64& random);
@@ -119,6 +131,15 @@
   std::map<std::string, document, std::less<>> documents_;
 };
 
+// Appends `stranger`, drawing it first if it is empty. Daemons know each other
+// through the lists of the services that they call. A service that calls none
+// and is called by none would be an island: no rumour would ever reach it. A
+// list of a service drawn at random by each daemon ties all of them together.
+void AddStranger(const manifest_store& manifests,
+                 std::mt19937_64& random,
+                 std::string* stranger,
+                 std::vector<std::string>* lists);
+
 // How long after hearing of a new version a daemon turns to the platform for
 // the document, if no peer could give it: uniform over a span that grows with
 // the number of daemons that want it, so that the first few read and the
--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -31,6 +31,7 @@
       fleet_(control_.context(0),
              {.settings = settings,
               .incarnation = incarnation_,
+              .peer_token = PeerToken(settings.fleet_keys.front()),
               .on_change =
                   [this](const std::shared_ptr<const fleet_view>& view) {
                     OnView(view);
--- a/src/fleet/http_exchange.cc
+++ b/src/fleet/http_exchange.cc
@@ -11,6 +11,8 @@
 #include <memory>
 #include <optional>
 
+#include "src/daemon/peer_paths.h"
+
 namespace pistachioweir {
 namespace {
 
@@ -32,6 +34,10 @@
     request_.version(11);
     request_.set(http::field::host, ToString(request.server));
     request_.set(http::field::connection, "close");
+    if (!request.token.empty()) {
+      request_.set({kPeerTokenHeader.data(), kPeerTokenHeader.size()},
+                   request.token);
+    }
     if (request.post) {
       request_.set(http::field::content_type, "application/json");
     }
--- a/src/fleet/http_exchange.h
+++ b/src/fleet/http_exchange.h
@@ -19,6 +19,7 @@
   endpoint server;
   bool post = false;
   std::string path;
+  std::string token;  // Of the fleet, for requests to its daemons.
   std::string body;
   milliseconds timeout{1000};
   std::size_t max_body = 0;  // Of the answer, in bytes.
--- a/src/fleet/manifest_store.cc
+++ b/src/fleet/manifest_store.cc
@@ -134,13 +134,15 @@
   return missing;
 }
 
-std::vector<manifest_version> manifest_store::AllVersions() const {
-  std::vector<manifest_version> versions;
-  versions.reserve(known_.size());
+std::string manifest_store::PickUnrelated(std::uint64_t draw) const {
+  std::vector<std::string_view> unrelated;
   for (const auto& [service, version] : known_) {
-    versions.push_back({.service = service, .version = version});
+    if (!std::ranges::binary_search(direct_, service)) {
+      unrelated.push_back(service);
+    }
   }
-  return versions;
+  return unrelated.empty() ? std::string()
+                           : std::string(unrelated[draw % unrelated.size()]);
 }
 
 void manifest_store::FindWanted() {
--- a/src/fleet/reader_schedule.cc
+++ b/src/fleet/reader_schedule.cc
@@ -22,14 +22,30 @@
   return milliseconds(static_cast<std::int64_t>(reads / per_second * 1000));
 }
 
+// A random part of the time that this many reads take at this rate.
+milliseconds Spread(double reads, double per_second, std::mt19937_64& random) {
+  return milliseconds(
+      static_cast<std::int64_t>(Uniform(random) * reads / per_second * 1000));
+}
+
 }  // namespace
 
 reader_schedule::reader_schedule(std::uint64_t fleet_size,
                                  time_point now,
                                  std::mt19937_64& random)
-    : first_read_(now + milliseconds(static_cast<std::int64_t>(
-                            Uniform(random) * static_cast<double>(fleet_size) /
-                            kFirstReadsPerSecond * 1000))) {}
+    : first_read_(now + Spread(static_cast<double>(fleet_size) * kStartTogether,
+                               kFirstReadsPerSecond,
+                               random)) {}
+
+void reader_schedule::NoteHave(const std::string& key,
+                               const reader_situation& situation,
+                               time_point now,
+                               std::mt19937_64& random) {
+  const auto found = documents_.find(key);
+  if (found != documents_.end() && !found->second.under_way) {
+    found->second.next = now + Jittered(RefreshSpan(situation), random);
+  }
+}
 
 std::vector<std::string> reader_schedule::Keys(
     const reader_situation& situation) {
@@ -40,8 +56,13 @@
   return keys;
 }
 
-void reader_schedule::Prepare(const std::vector<std::string>& keys,
-                              time_point now) {
+void reader_schedule::Prepare(const reader_situation& situation,
+                              time_point now,
+                              std::mt19937_64& random) {
+  const std::vector<std::string> keys = Keys(situation);
+  const std::string own = "live/" + situation.own_service;
+  const double others = static_cast<double>(situation.fleet_size) *
+                        static_cast<double>(keys.size());
   std::erase_if(documents_, [&](const auto& item) {
     return !item.second.under_way &&
            std::ranges::find(keys, item.first) == keys.end();
@@ -49,7 +70,8 @@
   for (const std::string& key : keys) {
     const auto [found, added] = documents_.try_emplace(key);
     if (added) {
-      found->second.next = std::max(now, first_read_);
+      found->second.next =
+          key == own ? now : now + Spread(others, kFirstReadsPerSecond, random);
     }
   }
 }
@@ -91,7 +113,7 @@
   if (now < first_read_) {
     return due;
   }
-  Prepare(Keys(situation), now);
+  Prepare(situation, now, random);
   for (auto& [key, entry] : documents_) {
     // While the platform is down one document stands for all.
     if (entry.under_way || (platform_down_ && key != kIndex)) {
@@ -167,6 +189,19 @@
   }
 }
 
+void AddStranger(const manifest_store& manifests,
+                 std::mt19937_64& random,
+                 std::string* stranger,
+                 std::vector<std::string>* lists) {
+  if (stranger->empty()) {
+    *stranger = manifests.PickUnrelated(random());
+  }
+  if (!stranger->empty() &&
+      std::ranges::find(*lists, *stranger) == lists->end()) {
+    lists->push_back(*stranger);
+  }
+}
+
 milliseconds DocumentReadDelay(std::uint64_t wanting, std::mt19937_64& random) {
   constexpr double kMillisecondsEach = 50;
   constexpr double kMax = 2000;
