A call without an answer for a third of its time is tried elsewhere

Cause: a daemon that is paused, or connections that have gone silent, tell a caller nothing, and its call waited out the whole deadline.

Now the call is given up on that connection, which is closed with the kept ones beside it, and tried elsewhere over a new one. It takes credit and a token of the retry ratio like any other retry, and isn't done towards a daemon that reported a queue or a level, where silence is load.

The last unit of credit was lent to the callee, which calls nothing and could not spend it; methods that call no others are lent nothing now.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -73,6 +73,7 @@
                         .content_type = exchange->request().content_type,
                         .body = body()},
             .method = method.index,
+            .leaf = method.method->calls.empty(),
             .deadline = arrived + timeout()};
   }
 
--- a/src/daemon/outbound_call.h
+++ b/src/daemon/outbound_call.h
@@ -2,9 +2,13 @@
 // target.
 #pragma once
 
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstddef>
 #include <memory>
-#include <utility>
+#include <optional>
 
 #include "include/retry/credit_ledger.h"
 #include "src/daemon/outbound_role.h"
@@ -31,6 +35,11 @@
   admission_rank level = 0;
   // Of the attempt that is out; reset when it ends.
   std::shared_ptr<void> attempt;
+  vm_id target;  // Of that attempt.
+  // Set while that attempt is given up for another try.
+  bool suspected = false;
+  // Runs while an attempt is out that may be given up early.
+  std::optional<boost::asio::steady_timer> suspicion;
 };
 
 }  // namespace pistachioweir
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -24,6 +24,12 @@
 
 constexpr milliseconds kNoTargetRetryAfter{500};
 
+// A call without an answer for this part of its time is tried elsewhere: early
+// enough for a whole second try, and late enough that few calls to a target
+// that is well are given up.
+constexpr int kSuspicionShare = 3;
+constexpr milliseconds kLeastSuspicionTime{20};
+
 milliseconds TimeLeft(time_point deadline, time_point now) {
   const auto left = std::chrono::duration_cast<milliseconds>(deadline - now);
   return std::max(left, milliseconds(0));
@@ -156,24 +162,69 @@
 
 void outbound_role::Try(const call_ptr& placed) {
   chosen_target chosen;
-  const placement where = Choose(placed->request, placed->tried, &chosen);
+  placement where = Choose(placed->request, placed->tried, &chosen);
+  if (!where.placed && placed->suspected) {
+    // Only the connection may be at fault, and there is no other target.
+    placed->tried.clear();
+    where = Choose(placed->request, placed->tried, &chosen);
+  }
   if (!where.placed) {
     ++counters_.refused_at_entrance;
     Finish(placed, NotExecuted(where.why, where.retry_after));
     return;
   }
   ++counters_.attempts;
-  const std::uint32_t lent = placed->credit.Lend();
+  const std::uint32_t lent = placed->request.leaf ? 0 : placed->credit.Lend();
   call_envelope envelope = placed->request.request;
   envelope.retry_credit = lent;
   SendTo(
       placed->worker, chosen.vm, std::move(envelope), placed->request.deadline,
-      /*fresh=*/false,
+      /*fresh=*/std::exchange(placed->suspected, false),
       [this, placed, chosen, lent,
        sent = monotonic_clock::now()](peer_result result) {
         OnResult(placed, chosen, sent, lent, std::move(result));
       },
       &placed->attempt);
+  placed->target = chosen.vm;
+  ArmSuspicion(placed);
+}
+
+// Made for connections that go silent for good and VMs that stop without a
+// word: nothing tells the caller, whose call would wait out its deadline. Under
+// overload the same silence is a queue, and a second try would only add to it;
+// so calls to a daemon that reports a queue or a level are left alone, and each
+// early try takes credit and a token like any other.
+void outbound_role::ArmSuspicion(const call_ptr& placed) {
+  const bool remote = placed->target != settings_.vm;
+  if (!remote || placed->credit.available() == 0 ||
+      directory_.IsLoaded(placed->target)) {
+    return;
+  }
+  const time_point now = monotonic_clock::now();
+  const duration share = (placed->request.deadline - now) / kSuspicionShare;
+  placed->suspicion.emplace(workers_.context(placed->worker),
+                            std::max<duration>(share, kLeastSuspicionTime));
+  placed->suspicion->async_wait(
+      [this, placed](boost::system::error_code error) {
+        if (!error) {
+          OnSuspicion(placed);
+        }
+      });
+}
+
+void outbound_role::OnSuspicion(const call_ptr& placed) {
+  const auto attempt =
+      std::static_pointer_cast<attempt_handle>(placed->attempt);
+  if (attempt == nullptr || placed->done == nullptr ||
+      !MayRetry(*placed, Unknown(reason::kTimeout))) {
+    return;
+  }
+  ++counters_.suspected_silent;
+  placed->suspected = true;
+  if (const auto address = directory_.AddressOf(placed->target)) {
+    peers_.DropIdle(placed->worker, *address);
+  }
+  attempt->cancel();
 }
 
 placement outbound_role::Choose(const outbound_request& request,
@@ -238,6 +289,8 @@
     }
     return;
   }
+  directory_.NoteLoad(chosen.vm,
+                      answer->queued > 0 || answer->admission_level > 0);
   const bool news = directory_.NoteStart(
       chosen.vm, {.incarnation = answer->executor, .epoch = answer->epoch},
       now);
@@ -299,6 +352,10 @@
                              std::uint32_t lent,
                              peer_result result) {
   placed->attempt = nullptr;
+  placed->suspicion.reset();
+  if (placed->suspected && result.end == exchange_end::kCancelled) {
+    result.end = exchange_end::kTimedOut;
+  }
   const answer_envelope* answer = result.answer ? &*result.answer : nullptr;
   Release(placed->request, chosen, ResultOf(result),
           monotonic_clock::now() - sent, answer);
@@ -314,7 +371,9 @@
     placed->unknown_reason = told.why;
   }
   placed->tried.push_back(chosen.vm);
-  if (placed->done != nullptr && MayRetry(*placed, told)) {
+  const bool again =
+      placed->done != nullptr && (placed->suspected || MayRetry(*placed, told));
+  if (again) {
     ++counters_.retries;
     Try(placed);
     return;
--- a/src/daemon/outbound_role.h
+++ b/src/daemon/outbound_role.h
@@ -42,6 +42,9 @@
 struct outbound_request {
   call_envelope request;
   std::uint32_t method = 0;  // Index in the called service's manifest.
+  // Whether the method calls no others. It could not spend credit that is lent
+  // to it, while this call could.
+  bool leaf = false;
   time_point deadline;
 };
 
@@ -58,6 +61,7 @@
   std::atomic<std::uint64_t> retries{0};
   std::atomic<std::uint64_t> refused_at_entrance{0};
   std::atomic<std::uint64_t> retries_without_credit{0};
+  std::atomic<std::uint64_t> suspected_silent{0};
 };
 
 // What one target is chosen by, for a call that is bound to it.
@@ -131,6 +135,8 @@
                 time_point sent,
                 std::uint32_t lent,
                 peer_result result);
+  void ArmSuspicion(const call_ptr& placed);
+  void OnSuspicion(const call_ptr& placed);
   [[nodiscard]] bool MayRetry(call& failed, const outcome& result);
   void Finish(const call_ptr& finished, const outcome& result);
   [[nodiscard]] std::shared_ptr<route> RouteTo(const std::string& service);
--- a/src/daemon/peer_client.cc
+++ b/src/daemon/peer_client.cc
@@ -16,6 +16,10 @@
   }
 }
 
+void peer_client::DropIdle(std::size_t worker, const endpoint& peer) {
+  clients_[worker]->DropIdle(peer);
+}
+
 std::shared_ptr<http_client::exchange> peer_client::Send(std::size_t worker,
                                                          const endpoint& peer,
                                                          peer_request request,
--- a/src/daemon/peer_client.h
+++ b/src/daemon/peer_client.h
@@ -38,6 +38,10 @@
 
   peer_client(worker_pool& workers, std::string token);
 
+  // Closes the worker's kept connections to `peer`, which may have gone silent.
+  // On that worker's thread.
+  void DropIdle(std::size_t worker, const endpoint& peer);
+
   // Call on `worker`'s thread; `done` runs there, once, later.
   std::shared_ptr<http_client::exchange> Send(std::size_t worker,
                                               const endpoint& peer,
--- a/src/daemon/peer_directory.cc
+++ b/src/daemon/peer_directory.cc
@@ -51,6 +51,20 @@
   return news;
 }
 
+void peer_directory::NoteLoad(const vm_id& vm, bool loaded) {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  if (known != entries_.end()) {
+    known->second.loaded = loaded;
+  }
+}
+
+bool peer_directory::IsLoaded(const vm_id& vm) const {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  return known != entries_.end() && known->second.loaded;
+}
+
 void peer_directory::NoteFailure(const vm_id& vm) {
   const std::lock_guard lock(mutex_);
   const auto known = entries_.find(vm);
--- a/src/daemon/peer_directory.h
+++ b/src/daemon/peer_directory.h
@@ -30,6 +30,11 @@
   // than before, the first answer behind a failure, or the first in a second.
   // Answers come thousands of times a second; the fleet's view needs few.
   bool NoteStart(const vm_id& vm, const executor_start& start, time_point now);
+  // Whether the daemon of `vm` reported a queue or a level with its last
+  // answer.
+  void NoteLoad(const vm_id& vm, bool loaded);
+  [[nodiscard]] bool IsLoaded(const vm_id& vm) const;
+
   // A call to `vm` got no answer.
   void NoteFailure(const vm_id& vm);
 
@@ -47,6 +52,7 @@
     time_point heard;  // Of `start`; zero time if never.
     time_point told;   // When NoteStart() was last true.
     bool failing = false;
+    bool loaded = false;
   };
 
   mutable std::mutex mutex_;
