Requests that crash targets are refused by the whole fleet

Suspects of a crash went no further than the daemon beside the target, so a request that its caller sent again could take down each target once before any daemon had seen two crashes. Each daemon now reports the newest requests in progress at a crash by gossip, bounded to one small report a crash; a report is taken in once. A request that completes in between is no longer suspected, which keeps requests that many callers send from being refused for being in progress by chance.

--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -28,6 +28,14 @@
       control_(1),
       view_(watch_.metrics()),
       peers_(workers_, PeerToken(settings.fleet_keys.front())),
+      crashes_({.incarnation = incarnation_,
+                .workers = workers_,
+                .watch = watch_,
+                .publish =
+                    [this](const suspect_report& report) {
+                      fleet_.PublishBlob(report.id, report.bytes,
+                                         report.lifetime);
+                    }}),
       fleet_(control_.context(0),
              {.settings = settings,
               .incarnation = incarnation_,
@@ -42,13 +50,15 @@
                 .incarnation = incarnation_,
                 .workers = workers_,
                 .serving = serving_,
+                .crashes = crashes_,
                 .watch = watch_}),
       outbound_({.settings = settings_,
                  .workers = workers_,
                  .peers = peers_,
                  .directory = directory_,
                  .inbound = inbound_,
-                 .fleet = fleet_}),
+                 .fleet = fleet_,
+                 .watch = watch_}),
       home_({.settings = settings_,
              .incarnation = incarnation_,
              .workers = workers_,
@@ -138,6 +148,7 @@
   if (own != nullptr && own->manifest != nullptr) {
     inbound_.SetManifest(own->manifest);
   }
+  ImportSuspects(*view);
   if (view->own_state == member_state::kLeaving) {
     Drain();
   }
@@ -168,6 +179,19 @@
   last_level_ = level;
 }
 
+// Each report once: a suspect that has completed since must not be suspected
+// again because the view still carries the report.
+void daemon_parts::ImportSuspects(const fleet_view& view) {
+  std::unordered_set<std::string> seen;
+  for (const fleet_blob& blob : view.blobs) {
+    if (!imported_.contains(blob.id)) {
+      crashes_.Import(blob.bytes, blob.remaining);
+    }
+    seen.insert(blob.id);
+  }
+  imported_ = std::move(seen);
+}
+
 void daemon_parts::Drain() {
   if (draining_.exchange(true)) {
     return;
--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -4,12 +4,15 @@
 
 #include <atomic>
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 #include "include/admin/admin_api.h"
 #include "include/base/ids.h"
 #include "include/config/settings.h"
 #include "include/fleet/fleet_agent.h"
 #include "src/daemon/caller_api.h"
+#include "src/daemon/crash_guard.h"
 #include "src/daemon/home_role.h"
 #include "src/daemon/inbound_role.h"
 #include "src/daemon/observer.h"
@@ -54,6 +57,7 @@
  private:
   void OnFleetEvent(const fleet_event& event);
   void AuditLevel();
+  void ImportSuspects(const fleet_view& view);
   void OnView(const std::shared_ptr<const fleet_view>& view);
   void Listen();
 
@@ -66,6 +70,7 @@
   peer_directory directory_;
   peer_client peers_;
   serving_calls serving_;
+  crash_guard crashes_;
   fleet_agent fleet_;
   inbound_role inbound_;
   outbound_role outbound_;
@@ -80,6 +85,8 @@
   std::unique_ptr<http_server> peer_server_;
   std::unique_ptr<http_server> admin_server_;
   std::atomic<bool> draining_{false};
+  // Ids of the reports in the last view; of OnView() only.
+  std::unordered_set<std::string> imported_;
 };
 
 }  // namespace pistachioweir
--- a/src/daemon/inbound_call.h
+++ b/src/daemon/inbound_call.h
@@ -37,6 +37,7 @@
   std::uint32_t method = 0;              // Index in the manifest, if resolved.
   admission_handle handle;               // From kQueued on.
   std::optional<context_token> context;  // From kRunning on.
+  time_point started;                    // Likewise.
   std::shared_ptr<http_client::exchange> run;  // Likewise.
 };
 
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "include/base/random_bits.h"
+#include "src/daemon/crash_guard.h"
 #include "src/daemon/inbound_call.h"
 #include "src/daemon/observer.h"
 #include "src/daemon/serving_calls.h"
@@ -36,13 +37,6 @@
   return options;
 }
 
-request_fingerprint FingerprintOf(const call_envelope& request) {
-  return Fingerprint({.service = request.service,
-                      .method = request.method,
-                      .body = request.body,
-                      .label = {}});
-}
-
 }  // namespace
 
 // Wakes the admission state when a queued call's time runs out, even if no call
@@ -60,8 +54,9 @@
       incarnation_(options.incarnation),
       workers_(options.workers),
       serving_(options.serving),
-      watch_(options.watch),
+      crashes_(options.crashes),
       target_(options.workers, options.settings.target),
+      watch_(options.watch),
       admission_(admission_options{}),
       // One start for all shards: they must agree on the epoch.
       executor_(kShards,
@@ -128,7 +123,6 @@
       std::make_shared<call>(worker, std::move(request), std::move(done));
   served->id = next_id_.fetch_add(1);
   ++in_progress_;
-  ++counters_.received;
   calls_.With(served->id,
               [&](call_map& calls) { calls.emplace(served->id, served); });
   const auto& binding = served->request.binding;
@@ -177,12 +171,7 @@
   if (checked.deadline <= checked.arrived) {
     return NotExecuted(reason::kDeadlinePassed);
   }
-  const std::lock_guard lock(quarantine_mutex_);
-  if (quarantine_.empty()) {
-    return Unknown(reason::kNone);
-  }
-  const milliseconds left =
-      quarantine_.Remaining(FingerprintOf(checked.request), checked.arrived);
+  const milliseconds left = crashes_.Refused(checked.request, checked.arrived);
   if (left > milliseconds(0)) {
     return NotExecuted(reason::kQuarantined, left);
   }
@@ -226,6 +215,7 @@
     return;
   }
   started->state = call::step::kRunning;
+  started->started = monotonic_clock::now();
   const call_envelope& request = started->request;
   started->context = serving_.Open({.service = request.service,
                                     .method = request.method,
@@ -286,7 +276,7 @@
 outcome inbound_role::OutcomeOf(call& ended, target_result result) {
   switch (result.end) {
     case exchange_end::kAnswered: {
-      target_down_ = false;
+      crashes_.OnCompleted(ended.request);
       const auto manifest = Manifest();
       constexpr int kUnavailable = 503;
       if (result.reply.status == kUnavailable &&
@@ -296,10 +286,9 @@
       return Completed(std::move(result.reply));
     }
     case exchange_end::kNotSent:
-      target_down_ = true;
       return NotExecuted(reason::kNoTarget, kTargetDownRetryAfter);
     case exchange_end::kLost:
-      NoteCrash(ended);
+      crashes_.OnLost(ended.request, ended.started);
       return Unknown(reason::kTargetFailed);
     case exchange_end::kTimedOut:
       return Unknown(reason::kTimeout);
@@ -309,30 +298,6 @@
   return Unknown(reason::kCancelled);
 }
 
-// The target closed the connection without an answer: it died, or this request
-// made it fail. Requests that were in progress at two such deaths are refused
-// for a while, since their callers send them again and each try may take a
-// target down. All requests lost in one death share its crash id.
-void inbound_role::NoteCrash(call& crashed) {
-  if (!target_down_.exchange(true)) {
-    ++crashes_;
-    ++counters_.target_crashes;
-  }
-  const request_fingerprint fingerprint = FingerprintOf(crashed.request);
-  const crash_id id =
-      CrashIdOf(static_cast<std::uint64_t>(incarnation_), crashes_.load());
-  const std::lock_guard lock(quarantine_mutex_);
-  const time_point now = monotonic_clock::now();
-  const bool before = quarantine_.Remaining(fingerprint, now).count() > 0;
-  quarantine_.OnCrash(fingerprint, id, now);
-  if (!before && quarantine_.Remaining(fingerprint, now).count() > 0) {
-    watch_.audit().Add(
-        {.kind = audit_kind::kQuarantined,
-         .subject = crashed.request.service + "/" + crashed.request.method,
-         .cause = "in progress at two target crashes"});
-  }
-}
-
 // Records the result and answers everybody who waits for it.
 void inbound_role::Settle(const call_ptr& settled, const outcome& result) {
   if (settled->state == call::step::kSettled) {
@@ -447,10 +412,7 @@
 void inbound_role::Tick() {
   const time_point now = monotonic_clock::now();
   executor_.ForEach([now](executor_table& table) { table.Tick(now); });
-  {
-    const std::lock_guard lock(quarantine_mutex_);
-    quarantine_.Expire(now);
-  }
+  crashes_.Expire(now);
   std::vector<admission_event> events;
   {
     const std::lock_guard lock(admission_mutex_);
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -18,11 +18,11 @@
 #include "include/config/manifest.h"
 #include "include/config/settings.h"
 #include "include/once/executor_table.h"
-#include "include/quarantine/quarantine.h"
 #include "src/daemon/target_client.h"
 
 namespace pistachioweir {
 
+class crash_guard;
 class method_metrics;
 class observer;
 class serving_calls;
@@ -33,18 +33,10 @@
   incarnation_id incarnation{};
   worker_pool& workers;
   serving_calls& serving;
+  crash_guard& crashes;
   observer& watch;
 };
 
-// Counts since the start, for metrics and status.
-struct inbound_counters {
-  std::atomic<std::uint64_t> received{0};
-  std::atomic<std::uint64_t> completed{0};
-  std::atomic<std::uint64_t> not_executed{0};
-  std::atomic<std::uint64_t> unknown{0};
-  std::atomic<std::uint64_t> target_crashes{0};
-};
-
 // Owns the admission state, the executor's records and the target's
 // connections. A call stays on the worker that brought it; the shared tables
 // are locked for single operations only.
@@ -92,16 +84,8 @@
 
   [[nodiscard]] load_report Load() const;
   [[nodiscard]] admission_counters AdmissionCounters() const;
-  [[nodiscard]] const inbound_counters& counters() const { return counters_; }
   [[nodiscard]] epoch_id Epoch();
 
-  // Access to the quarantine under its lock.
-  template <typename Work>
-  auto WithQuarantine(Work&& work) {
-    const std::lock_guard lock(quarantine_mutex_);
-    return work(quarantine_);
-  }
-
  private:
   using call_ptr = std::shared_ptr<call>;
   using call_map = std::unordered_map<std::uint64_t, call_ptr>;
@@ -114,7 +98,6 @@
               const outcome& result,
               duration downstream);
   [[nodiscard]] outcome OutcomeOf(call& ended, target_result result);
-  void NoteCrash(call& crashed);
   void Settle(const call_ptr& settled, const outcome& result);
   void Deliver(const call_ptr& waiter,
                const outcome& result,
@@ -136,6 +119,7 @@
   const incarnation_id incarnation_;
   worker_pool& workers_;
   serving_calls& serving_;
+  crash_guard& crashes_;
   target_client target_;
 
   observer& watch_;
@@ -150,18 +134,12 @@
   sharded<executor_table> executor_;
   sharded<call_map> calls_;  // Every call that is not answered.
 
-  std::mutex quarantine_mutex_;
-  quarantine quarantine_;  // Guarded by quarantine_mutex_.
-
   class wakeup_timer;
   std::unique_ptr<wakeup_timer> wakeup_;
 
   std::atomic<std::uint64_t> next_id_{1};
   std::atomic<std::size_t> in_progress_{0};
   std::atomic<bool> draining_{false};
-  std::atomic<bool> target_down_{false};
-  std::atomic<std::uint32_t> crashes_{0};
-  inbound_counters counters_;
 };
 
 }  // namespace pistachioweir
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -10,6 +10,7 @@
 #include "include/base/random_bits.h"
 #include "include/fleet/fleet_agent.h"
 #include "src/daemon/inbound_role.h"
+#include "src/daemon/observer.h"
 #include "src/daemon/outbound_call.h"
 #include "src/daemon/peer_directory.h"
 #include "src/daemon/peer_paths.h"
@@ -112,7 +113,8 @@
       peers_(options.peers),
       directory_(options.directory),
       inbound_(options.inbound),
-      fleet_(options.fleet) {}
+      fleet_(options.fleet),
+      watch_(options.watch) {}
 
 outbound_role::~outbound_role() = default;
 
@@ -150,7 +152,6 @@
                          callback done) -> call_ptr {
   auto placed =
       std::make_shared<call>(worker, std::move(request), std::move(done));
-  ++counters_.calls;
   const auto route = RouteTo(placed->request.request.service);
   {
     const std::lock_guard lock(route->mutex);
@@ -169,11 +170,9 @@
     where = Choose(placed->request, placed->tried, &chosen);
   }
   if (!where.placed) {
-    ++counters_.refused_at_entrance;
     Finish(placed, NotExecuted(where.why, where.retry_after));
     return;
   }
-  ++counters_.attempts;
   const std::uint32_t lent = placed->request.leaf ? 0 : placed->credit.Lend();
   call_envelope envelope = placed->request.request;
   envelope.retry_credit = lent;
@@ -219,7 +218,6 @@
       !MayRetry(*placed, Unknown(reason::kTimeout))) {
     return;
   }
-  ++counters_.suspected_silent;
   placed->suspected = true;
   if (const auto address = directory_.AddressOf(placed->target)) {
     peers_.DropIdle(placed->worker, *address);
@@ -374,7 +372,6 @@
   const bool again =
       placed->done != nullptr && (placed->suspected || MayRetry(*placed, told));
   if (again) {
-    ++counters_.retries;
     Try(placed);
     return;
   }
@@ -408,10 +405,11 @@
     if (failed.credit.available() == 0 ||
         !route->targets.MayTryElsewhere(wanted, now) ||
         !route->retries.TrySpend()) {
-      ++counters_.retries_without_credit;
+      watch_.metrics().Add(counter::kRetriesDenied);
       return false;
     }
   }
+  watch_.metrics().Add(counter::kRetries);
   return failed.credit.Spend();
 }
 
--- a/src/daemon/outbound_role.h
+++ b/src/daemon/outbound_role.h
@@ -3,7 +3,6 @@
 // allowed and can help.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,6 +24,7 @@
 
 class fleet_agent;
 class inbound_role;
+class observer;
 class peer_directory;
 class worker_pool;
 
@@ -35,6 +35,7 @@
   peer_directory& directory;
   inbound_role& inbound;
   fleet_agent& fleet;
+  observer& watch;
 };
 
 // A call to place. `request.retry_credit` is what may be spent in all;
@@ -55,15 +56,6 @@
   admission_rank level = 0;
 };
 
-struct outbound_counters {
-  std::atomic<std::uint64_t> calls{0};
-  std::atomic<std::uint64_t> attempts{0};
-  std::atomic<std::uint64_t> retries{0};
-  std::atomic<std::uint64_t> refused_at_entrance{0};
-  std::atomic<std::uint64_t> retries_without_credit{0};
-  std::atomic<std::uint64_t> suspected_silent{0};
-};
-
 // What one target is chosen by, for a call that is bound to it.
 struct chosen_target {
   target_ref ref;
@@ -116,8 +108,6 @@
               std::function<void(peer_result)> done,
               std::shared_ptr<void>* cancel_handle = nullptr);
 
-  [[nodiscard]] const outbound_counters& counters() const { return counters_; }
-
  private:
   struct route {
     explicit route(const balancer_options& options) : targets(options) {}
@@ -147,11 +137,11 @@
   peer_directory& directory_;
   inbound_role& inbound_;
   fleet_agent& fleet_;
+  observer& watch_;
 
   std::mutex routes_mutex_;
   // Guarded by routes_mutex_; a route lives as long as somebody uses it.
   std::unordered_map<std::string, std::shared_ptr<route>> routes_;
-  outbound_counters counters_;
 };
 
 // What one exchange says of its target.
--- a/src/daemon/status_report.cc
+++ b/src/daemon/status_report.cc
@@ -113,6 +113,16 @@
   metrics.Set(gauge::kAdmissionLevel, load.admission_level);
   const fleet_counters fleet = fleet_.Counters();
   metrics.Set(gauge::kPeersKnown, static_cast<double>(fleet.known_peers));
+  const std::lock_guard lock(counted_mutex_);
+  const auto add = [&](counter which, std::uint64_t fleet_counters::*member) {
+    metrics.Add(which, fleet.*member - counted_.*member);
+  };
+  add(counter::kPlatformReads, &fleet_counters::platform_reads);
+  add(counter::kPlatformErrors, &fleet_counters::platform_failures);
+  add(counter::kGossipSent, &fleet_counters::datagrams_sent);
+  add(counter::kGossipReceived, &fleet_counters::datagrams_received);
+  add(counter::kGossipRefused, &fleet_counters::datagrams_forged);
+  counted_ = fleet;
 }
 
 std::string status_report::Metrics() {
--- a/src/daemon/status_report.h
+++ b/src/daemon/status_report.h
@@ -1,6 +1,7 @@
 // status_report: gathers what the admin port shows from the parts of a daemon.
 #pragma once
 
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,10 +11,10 @@
 #include "include/base/ids.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
+#include "include/fleet/fleet_agent.h"
 
 namespace pistachioweir {
 
-class fleet_agent;
 class inbound_role;
 class observer;
 class outbound_role;
@@ -55,6 +56,8 @@
   inbound_role& inbound_;
   outbound_role& outbound_;
   observer& watch_;
+  std::mutex counted_mutex_;
+  fleet_counters counted_;  // Already in the metrics; under counted_mutex_.
 };
 
 }  // namespace pistachioweir
