--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -137,6 +137,11 @@
                           admission_rank level,
                           time_point now);
 
+  // Whether the target beside the daemon is up. While it isn't, everything is
+  // refused as kNotReady and the level told to callers refuses all, so that
+  // they don't spend tries here.
+  void SetAvailable(bool available) { available_ = available; }
+
   // A newer manifest is in force. Methods are named by its indices from now
   // on. Requests in progress are kept.
   void Reconfigure(std::uint32_t slots, std::uint32_t methods);
@@ -214,6 +219,7 @@
   std::uint32_t queued_ = 0;   // Items in `queues_`; at most max_queue.
   std::uint32_t running_ = 0;  // At most the limit that held when started.
   time_point next_sweep_;
+  bool available_ = true;
   std::vector<service_time> service_times_;   // By method.
   std::vector<downstream_level> downstream_;  // By method.
   service_time any_service_time_;
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -78,6 +78,9 @@
   if (request.deadline <= now) {
     return Refuse(request, reason::kDeadlinePassed, now, random);
   }
+  if (!available_) {
+    return Refuse(request, reason::kNotReady, now, random);
+  }
   if (rank < LevelFor(request.method, now)) {
     return Refuse(request, reason::kOverload, now, random);
   }
@@ -226,7 +229,7 @@
 
 load_report admission_controller::Report(std::uint32_t method,
                                          time_point now) const {
-  return {.admission_level = LevelFor(method, now),
+  return {.admission_level = available_ ? LevelFor(method, now) : kRankCount,
           .in_flight = running_,
           .queued = queued_,
           .limit = limit()};
@@ -254,7 +257,7 @@
     time_point now,
     std::uint32_t random) {
   ++counters_.refused[static_cast<std::size_t>(request.level)];
-  if (why != reason::kOverload && why != reason::kDeadlinePassed) {
+  if (why == reason::kDeadlineInfeasible || why == reason::kQueueFull) {
     level_.OnLoadRefusal(now);
     // From here on everything less important is refused first.
     if (options_.use_level) {
