Place in the caller's own data centre as long as nothing waits there

A cost that grew with load from the first call on was ruled out: it spreads calls evenly before anything waits.

Now the better of two near targets is compared with the better of two far ones by expected time, in which load counts above three quarters of the limit only. An average that isn't renewed is halved each second, so that a target that was slow once is asked again.

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -122,6 +122,8 @@
   [[nodiscard]] std::uint32_t usable(time_point now) const;
 
  private:
+  static constexpr std::uint32_t kNone = UINT32_MAX;
+
   struct learnt_level {
     admission_rank level = 0;
     time_point heard;
@@ -138,6 +140,7 @@
     double others = 0;
     double limit = 1;
     double latency = 0;  // Nanoseconds; recent average.
+    time_point heard;    // When `latency` was last measured.
     time_point warm_from;
     std::uint32_t failures = 0;  // In a row.
     std::uint32_t ejections = 0;
@@ -146,13 +149,24 @@
     std::vector<learnt_level> levels;  // By method.
   };
 
+  struct candidate {
+    std::uint32_t index = kNone;
+    double latency = 0;
+    double load = 0;
+  };
+
   [[nodiscard]] bool Usable(const target& candidate, time_point now) const;
   [[nodiscard]] bool WasTried(const placement_request& request,
                               std::uint32_t index) const;
   [[nodiscard]] admission_rank LevelOf(const target& candidate,
                                        std::uint32_t method,
                                        time_point now) const;
-  [[nodiscard]] double Cost(const target& candidate, time_point now) const;
+  [[nodiscard]] double LatencyOf(const target& of, time_point now) const;
+  [[nodiscard]] double LoadOf(const target& of, time_point now) const;
+  [[nodiscard]] candidate Best(const std::vector<std::uint32_t>& group,
+                               const placement_request& request,
+                               time_point now,
+                               std::uint64_t random) const;
   [[nodiscard]] std::uint32_t Choose(const placement_request& request,
                                      time_point now,
                                      std::uint64_t random) const;
@@ -161,11 +175,13 @@
   [[nodiscard]] target* Find(target_ref ref);
   [[nodiscard]] const target* Find(target_ref ref) const;
 
-  static constexpr std::uint32_t kNone = UINT32_MAX;
-
   balancer_options options_;
   std::vector<target> targets_;  // Places are reused, never erased.
   std::uint32_t listed_ = 0;
+  // Places in `targets_` that are listed; all, and by data centre.
+  std::vector<std::uint32_t> all_;
+  std::vector<std::uint32_t> local_;
+  std::vector<std::uint32_t> remote_;
 };
 
 }  // namespace pistachioweir
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -3,7 +3,7 @@
 #include "include/route/balancer.h"
 
 #include <algorithm>
-#include <numeric>
+#include <cmath>
 #include <utility>
 
 namespace pistachioweir {
@@ -29,9 +29,14 @@
 // A refusing target is asked once in this while, so that a level that has
 // fallen is noticed while everything is refused at the entrance.
 constexpr milliseconds kProbePeriod{50};
-// Cost of another data centre: a call there takes a round trip more, and
-// traffic between data centres is kept for when it helps.
-constexpr double kRemoteCost = 1.3;
+// Nanoseconds; keeps a target without answers comparable by its load.
+constexpr double kLeastLatency = 1e6;
+// Share of its limit up to which a target takes a call without making it wait.
+constexpr double kKnee = 0.75;
+// Another data centre is chosen if a call is expected to take less than this
+// part of the time there, its round trip included. Traffic between data centres
+// is kept for when it clearly helps.
+constexpr double kOverflow = 0.9;
 // Targets compared when there are many: two for the power of two choices, the
 // rest only if those refuse.
 constexpr std::uint32_t kMostLooks = 6;
@@ -90,6 +95,15 @@
     place->leaving = place->leaving || info.leaving;
     place->local = info.data_centre == options_.data_centre;
   }
+  all_.clear();
+  local_.clear();
+  remote_.clear();
+  for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i].listed) {
+      all_.push_back(i);
+      (targets_[i].local ? local_ : remote_).push_back(i);
+    }
+  }
 }
 
 void balancer::MarkLeaving(target_ref ref) {
@@ -128,58 +142,83 @@
   return known.level > fallen ? known.level - fallen : 0;
 }
 
-// The time that a new call would take there, up to a common factor: how slow
-// the target has been, and how full it is.
-double balancer::Cost(const target& candidate, time_point now) const {
-  double capacity = std::max(1.0, candidate.limit);
-  if (options_.use_ejection && now < candidate.warm_from) {
-    const double left =
-        std::chrono::duration<double>(candidate.warm_from - now) /
-        std::chrono::duration<double>(kSlowStart);
+// A target that isn't used has no new answers: the old ones are doubted more
+// and more, or a target that was slow once would never be asked again.
+double balancer::LatencyOf(const target& of, time_point now) const {
+  const double age = std::chrono::duration<double>(now - of.heard).count();
+  return kLeastLatency + of.latency * std::exp2(-std::max(0.0, age));
+}
+
+// How full the target would be with one more call, against what it can run.
+double balancer::LoadOf(const target& of, time_point now) const {
+  double capacity = std::max(1.0, of.limit);
+  if (options_.use_ejection && now < of.warm_from) {
+    const double left = std::chrono::duration<double>(of.warm_from - now) /
+                        std::chrono::duration<double>(kSlowStart);
     capacity *= std::max(kColdShare, 1.0 - left);
   }
-  const double load = (candidate.in_flight + candidate.others + 1) / capacity;
-  const double distance = candidate.local ? 1.0 : kRemoteCost;
-  return (candidate.latency + 1e6) * load * distance;
+  return (of.in_flight + of.others + 1) / capacity;
 }
 
-std::uint32_t balancer::Choose(const placement_request& request,
-                               time_point now,
-                               std::uint64_t random) const {
-  const auto size = static_cast<std::uint32_t>(targets_.size());
+balancer::candidate balancer::Best(const std::vector<std::uint32_t>& group,
+                                   const placement_request& request,
+                                   time_point now,
+                                   std::uint64_t random) const {
+  const auto size = static_cast<std::uint32_t>(group.size());
+  candidate best;
   if (size == 0) {
-    return kNone;
+    return best;
   }
   const admission_rank rank = RankOf(request.level, request.ticket);
-  const std::uint32_t looks = std::min(size, kMostLooks);
   const std::uint32_t enough =
       options_.policy == placement_policy::kRandom ? 1 : 2;
-  // A stride that shares no factor with the size visits each place once.
-  const auto start = static_cast<std::uint32_t>(random % size);
-  auto stride = static_cast<std::uint32_t>((random >> 32) % size);
-  while (size > 1 && (stride == 0 || std::gcd(stride, size) != 1)) {
-    stride = (stride + 1) % size;
-  }
-  std::uint32_t best = kNone;
-  double best_cost = 0;
+  const auto start = static_cast<std::uint32_t>((random & UINT32_MAX) % size);
+  // Two different places are looked at, the ones after them only if those
+  // refuse.
+  const auto second =
+      size < 2 ? 0
+               : 1 + static_cast<std::uint32_t>((random >> 32) % (size - 1));
+  const std::uint32_t looks = std::min(size, kMostLooks);
   std::uint32_t found = 0;
   for (std::uint32_t i = 0; i < looks && found < enough; ++i) {
-    const std::uint32_t index = (start + i * stride) % size;
-    const target& candidate = targets_[index];
-    if (!Usable(candidate, now) || WasTried(request, index) ||
-        LevelOf(candidate, request.method, now) > rank) {
+    const std::uint32_t index = group[(start + i * second) % size];
+    const target& looked_at = targets_[index];
+    if (!Usable(looked_at, now) || WasTried(request, index) ||
+        LevelOf(looked_at, request.method, now) > rank) {
       continue;
     }
     ++found;
-    const double cost = Cost(candidate, now);
-    if (best == kNone || cost < best_cost) {
-      best = index;
-      best_cost = cost;
+    const candidate other{.index = index,
+                          .latency = LatencyOf(looked_at, now),
+                          .load = LoadOf(looked_at, now)};
+    if (best.index == kNone ||
+        other.latency * other.load < best.latency * best.load) {
+      best = other;
     }
   }
   return best;
 }
 
+std::uint32_t balancer::Choose(const placement_request& request,
+                               time_point now,
+                               std::uint64_t random) const {
+  if (options_.policy == placement_policy::kRandom) {
+    return Best(all_, request, now, random).index;
+  }
+  const candidate near = Best(local_, request, now, random);
+  const candidate far = Best(remote_, request, now, random);
+  if (near.index == kNone || far.index == kNone) {
+    return near.index == kNone ? far.index : near.index;
+  }
+  // Below the knee nothing waits, so that load says nothing of the time that a
+  // call takes.
+  const auto expected = [](const candidate& of) {
+    return of.latency * std::max(of.load, kKnee);
+  };
+  const bool overflows = expected(far) < kOverflow * expected(near);
+  return overflows ? far.index : near.index;
+}
+
 placement balancer::Place(const placement_request& request,
                           time_point now,
                           std::uint64_t random) {
