Let a queue stand for a while before the admission level rises

Refusing less of the queue was ruled out as the cause: the queue was empty by then.

Now a queue must have stood for 100 ms, a judgement refuses at most a fifth, and each lowering lets in a share of the capacity by the density of demand just above the level. Critical requests are no longer refused at the entrance by a level learnt a moment ago.

--- a/include/admit/admission_level.h
+++ b/include/admit/admission_level.h
@@ -41,11 +41,11 @@
   static constexpr std::size_t kBins = kRankCount / kRanksPerBin;
 
   void Advance(time_point now);
-  void Raise();
+  void Raise(std::uint32_t excess);
   void Lower();
 
   admission_rank level_ = 0;
-  admission_rank step_ = 0;  // Of the next lowering.
+  double step_ = 0;  // Of the last lowering, as a part of the capacity.
   std::array<std::uint32_t, kBins> arrivals_{};
   std::uint32_t arrived_ = 0;
   std::uint32_t started_ = 0;
@@ -53,6 +53,7 @@
   std::uint32_t load_refusals_ = 0;
   bool idle_ = false;
   duration least_delay_ = duration::max();
+  time_point standing_since_ = time_point::max();
   time_point window_end_;
 };
 
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -161,6 +161,9 @@
   [[nodiscard]] admission_rank LevelOf(const target& candidate,
                                        std::uint32_t method,
                                        time_point now) const;
+  [[nodiscard]] bool Refuses(const target& candidate,
+                             const placement_request& request,
+                             time_point now) const;
   [[nodiscard]] double LatencyOf(const target& of, time_point now) const;
   [[nodiscard]] double LoadOf(const target& of, time_point now) const;
   [[nodiscard]] candidate Best(const std::vector<std::uint32_t>& group,
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -260,7 +260,7 @@
   if (why == reason::kDeadlineInfeasible || why == reason::kQueueFull) {
     level_.OnLoadRefusal(now);
     // From here on everything less important is refused first.
-    if (options_.use_level) {
+    if (options_.use_level && request.level == priority::kCritical) {
       level_.RaiseTo(LowestRank(request.level));
     }
   }
--- a/src/admit/admission_level.cc
+++ b/src/admit/admission_level.cc
@@ -11,15 +11,23 @@
 // not one that a burst left behind. Small beside a 200 ms deadline, so that a
 // chain eleven deep can bear it at each hop.
 constexpr milliseconds kStandingDelay{5};
-// Largest part of the arrivals that one window's judgement may refuse: a
-// window of a burst says little.
-constexpr double kLargestCut = 0.5;
-constexpr double kSmallestCut = 0.02;
-// Lowering starts gently, since nothing is known of the demand below the
-// level, and doubles while slots stay free: from refusing everything to
-// nothing in half a second.
-constexpr admission_rank kFirstStep = 2;
-constexpr admission_rank kLargestStep = 64;
+// A queue must have stood for this long: a burst shorter than a deadline is
+// better queued than refused, all of it can still be served.
+constexpr milliseconds kStandingTime{100};
+// A window is judged once this many requests have ended in it, or when it has
+// lasted this long: fewer say nothing about capacity.
+constexpr std::uint32_t kLeastFinished = 16;
+constexpr milliseconds kLongestWindow{100};
+// Part of the arrivals that one judgement may refuse: a window says little.
+constexpr double kLargestCut = 0.2;
+constexpr double kSmallestCut = 0.01;
+// A lowering lets in this part of the capacity more, by the density of demand
+// just above the level; while slots are free each lets in twice what the one
+// before did. So it takes long steps when demand has gone and short ones when
+// it is still many times the capacity.
+constexpr double kFirstStep = 0.02;
+constexpr double kLargestStep = 0.5;
+constexpr admission_rank kMostRanksPerStep = 64;
 // The last rank is never refused by level.
 constexpr admission_rank kHighestLevel = kRankCount - 1;
 
@@ -58,13 +66,21 @@
 }
 
 void admission_level::Advance(time_point now) {
-  if (now < window_end_) {
+  if (now < window_end_ || (finished_ < kLeastFinished &&
+                            now < window_end_ + kLongestWindow - kWindow)) {
     return;
   }
   const bool standing = started_ > 0 && least_delay_ > kStandingDelay;
-  if (standing || load_refusals_ > 0) {
-    Raise();
-  } else {
+  if (!standing) {
+    standing_since_ = time_point::max();
+  } else if (standing_since_ == time_point::max()) {
+    standing_since_ = now;
+  }
+  if (load_refusals_ > 0) {
+    Raise(load_refusals_);
+  } else if (standing && now - standing_since_ >= kStandingTime) {
+    Raise(arrived_ > finished_ ? arrived_ - finished_ : 0);
+  } else if (!standing) {
     Lower();
   }
   arrivals_.fill(0);
@@ -77,13 +93,14 @@
   window_end_ = now + kWindow;
 }
 
-void admission_level::Raise() {
+// Refuses about `excess` of the requests that arrived in this window.
+void admission_level::Raise(std::uint32_t excess) {
   step_ = 0;
   if (arrived_ == 0) {
     return;
   }
-  const double excess = 1.0 - static_cast<double>(finished_) / arrived_;
-  const double cut = std::clamp(excess, kSmallestCut, kLargestCut);
+  const double share = static_cast<double>(excess) / arrived_;
+  const double cut = std::clamp(share, kSmallestCut, kLargestCut);
   auto left = static_cast<std::uint32_t>(cut * arrived_) + 1;
   for (std::size_t bin = 0; bin < kBins; ++bin) {
     if (arrivals_[bin] >= left) {
@@ -101,7 +118,11 @@
     return;
   }
   step_ = idle_ ? std::clamp(step_ * 2, kFirstStep, kLargestStep) : kFirstStep;
-  level_ -= std::min(level_, step_);
+  const double density = static_cast<double>(arrived_) / (kRankCount - level_);
+  const double ranks =
+      density > 0 ? step_ * finished_ / density : kMostRanksPerStep;
+  level_ -= std::min(level_, std::clamp(static_cast<admission_rank>(ranks), 1U,
+                                        kMostRanksPerStep));
 }
 
 }  // namespace pistachioweir
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -142,6 +142,19 @@
   return known.level > fallen ? known.level - fallen : 0;
 }
 
+// Critical requests are not refused by hearsay: a level learnt a moment ago may
+// have fallen, and then this one would be refused while a target takes less
+// important ones. They ask each target, within the bound on tries.
+bool balancer::Refuses(const target& candidate,
+                       const placement_request& request,
+                       time_point now) const {
+  const admission_rank level = LevelOf(candidate, request.method, now);
+  if (request.level == priority::kCritical) {
+    return level >= kRankCount;
+  }
+  return level > RankOf(request.level, request.ticket);
+}
+
 // A target that isn't used has no new answers: the old ones are doubted more
 // and more, or a target that was slow once would never be asked again.
 double balancer::LatencyOf(const target& of, time_point now) const {
@@ -169,7 +182,6 @@
   if (size == 0) {
     return best;
   }
-  const admission_rank rank = RankOf(request.level, request.ticket);
   const std::uint32_t enough =
       options_.policy == placement_policy::kRandom ? 1 : 2;
   const auto start = static_cast<std::uint32_t>((random & UINT32_MAX) % size);
@@ -184,7 +196,7 @@
     const std::uint32_t index = group[(start + i * second) % size];
     const target& looked_at = targets_[index];
     if (!Usable(looked_at, now) || WasTried(request, index) ||
-        LevelOf(looked_at, request.method, now) > rank) {
+        Refuses(looked_at, request, now)) {
       continue;
     }
     ++found;
@@ -255,10 +267,9 @@
       request.tried.count >= tried_targets::kMax) {
     return false;
   }
-  const admission_rank rank = RankOf(request.level, request.ticket);
   for (std::uint32_t i = 0; i < targets_.size(); ++i) {
     if (Usable(targets_[i], now) && !WasTried(request, i) &&
-        LevelOf(targets_[i], request.method, now) <= rank) {
+        !Refuses(targets_[i], request, now)) {
       return true;
     }
   }
