Measure the queue that stands, not the wait of whoever starts; export all suspects

Two causes found in the time series. An important request passes the queue, so the least wait of a window was near zero while a queue stood, and the level only rose by refusals: the work that still waits is measured instead. And when the first of two targets crashed, 140 requests in progress were suspects but 64 were told to others, so the second daemon often didn't know of the one that mattered and the third target crashed as well (goodput zero for 0.8 s): exports now put quarantined requests first and callers must leave room for all in progress.

--- a/include/admit/admission_level.h
+++ b/include/admit/admission_level.h
@@ -19,7 +19,8 @@
  public:
   // A request with `rank` came and was not below the level.
   void OnArrival(admission_rank rank, time_point now);
-  // A request was started after it had waited for `delay`.
+  // A request was started; the work that still waits takes `delay`. Not what
+  // this request has waited: an important one passes a queue that stands.
   void OnStart(duration delay, time_point now);
   void OnFinish(time_point now);
   // A request was refused because it couldn't have finished in time, or had to
--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -60,7 +60,10 @@
   // Whether no request is suspected, so that callers need not hash bodies.
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
-  // Up to `max` entries that are in force, the newest first.
+  // Up to `max` entries: quarantined requests first, then suspects, the newest
+  // first. All that were in progress at a crash are equally suspect, so `max`
+  // must have room for as many: where the second crash happens, the first must
+  // be known of each.
   [[nodiscard]] std::vector<quarantine_entry> Export(time_point now,
                                                      std::size_t max) const;
   void Import(const quarantine_entry& entry, time_point now);
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -360,7 +360,7 @@
   entry.started = now;
   ++running_;
   ++counters_.started;
-  level_.OnStart(now - entry.arrived, now);
+  level_.OnStart(WaitAhead(kPriorityCount - 1), now);
 }
 
 void admission_controller::Append(item_list& list, std::uint32_t index) {
--- a/src/admit/admission_level.cc
+++ b/src/admit/admission_level.cc
@@ -7,10 +7,11 @@
 
 namespace {
 
-// Waiting that even the luckiest request of a window had: a queue that stands,
-// not one that a burst left behind. Small beside a 200 ms deadline, so that a
-// chain eleven deep can bear it at each hop.
-constexpr milliseconds kStandingDelay{5};
+// Least waiting of a window above which a queue stands, and below which it has
+// gone. A tenth of a short deadline: a queue that short keeps slots busy through
+// the scatter of arrivals, and a longer one only adds to every latency.
+constexpr milliseconds kStandingDelay{20};
+constexpr milliseconds kGoneDelay{10};
 // A queue must have stood for this long: a burst shorter than a deadline is
 // better queued than refused, all of it can still be served.
 constexpr milliseconds kStandingTime{100};
@@ -80,7 +81,7 @@
     Raise(load_refusals_);
   } else if (standing && now - standing_since_ >= kStandingTime) {
     Raise(arrived_ > finished_ ? arrived_ - finished_ : 0);
-  } else if (!standing) {
+  } else if (started_ == 0 || least_delay_ < kGoneDelay) {
     Lower();
   }
   arrivals_.fill(0);
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -79,8 +79,12 @@
            .remaining = std::chrono::ceil<milliseconds>(entry.until - now)});
     }
   }
-  std::ranges::sort(exported, [](const auto& a, const auto& b) {
-    return a.remaining > b.remaining;
+  const auto is_whole = [](const quarantine_entry& entry) {
+    return entry.crashes.back() != crash_id{};
+  };
+  std::ranges::sort(exported, [&](const auto& a, const auto& b) {
+    return is_whole(a) != is_whole(b) ? is_whole(a)
+                                      : a.remaining > b.remaining;
   });
   exported.resize(std::min(max, exported.size()));
   return exported;
--- a/tools/load_model/model.cc
+++ b/tools/load_model/model.cc
@@ -188,7 +188,7 @@
   if (!Has(mechanism::kQuarantine)) {
     return;
   }
-  constexpr std::size_t kMostEntries = 64;
+  constexpr std::size_t kMostEntries = 512;
   for (node& from : nodes_) {
     from.suspects.Expire(now_);
     for (const quarantine_entry& entry :
