Lower the admission level while the queue drains by itself

After a burst the queue held 150 ms of work and drained, but the level kept rising until it had gone, and slots were idle afterwards (series of the burst: 1800 answers a second at 4500 possible, 0.2 s after the burst's end). The length of the queue alone can't tell; what is added against what ends can.

--- a/src/admit/admission_level.cc
+++ b/src/admit/admission_level.cc
@@ -12,6 +12,9 @@
 // the scatter of arrivals, and a longer one only adds to every latency.
 constexpr milliseconds kStandingDelay{20};
 constexpr milliseconds kGoneDelay{10};
+// A queue to which this part of what ends is added drains by itself, and soon:
+// refusing more would leave slots idle after it.
+constexpr double kShrinking = 0.9;
 // A queue must have stood for this long: a burst shorter than a deadline is
 // better queued than refused, all of it can still be served.
 constexpr milliseconds kStandingTime{100};
@@ -71,17 +74,20 @@
                             now < window_end_ + kLongestWindow - kWindow)) {
     return;
   }
-  const bool standing = started_ > 0 && least_delay_ > kStandingDelay;
+  const bool standing = load_refusals_ > 0 ||
+                        (started_ > 0 && least_delay_ > kStandingDelay);
   if (!standing) {
     standing_since_ = time_point::max();
   } else if (standing_since_ == time_point::max()) {
     standing_since_ = now;
   }
-  if (load_refusals_ > 0) {
-    Raise(load_refusals_);
-  } else if (standing && now - standing_since_ >= kStandingTime) {
-    Raise(arrived_ > finished_ ? arrived_ - finished_ : 0);
-  } else if (started_ == 0 || least_delay_ < kGoneDelay) {
+  const bool shrinking = arrived_ < kShrinking * finished_;
+  const bool gone = started_ == 0 || least_delay_ < kGoneDelay;
+  if (standing && !shrinking) {
+    if (now - standing_since_ >= kStandingTime) {
+      Raise(arrived_ > finished_ ? arrived_ - finished_ : 0);
+    }
+  } else if (shrinking || gone) {
     Lower();
   }
   arrivals_.fill(0);
