Try: let the level fall by the density that the last raise met

Supposed cause: demand just below the level is many times denser than above it, where only critical requests are, so that a lowering lets in far too much. Also: a standing queue that drains no longer lowers the level.

--- a/src/admit/admission_level.cc
+++ b/src/admit/admission_level.cc
@@ -8,15 +8,15 @@
 namespace {
 
 // Least waiting of a window above which a queue stands, and below which it has
-// gone. A tenth of a short deadline: a queue that short keeps slots busy through
-// the scatter of arrivals, and a longer one only adds to every latency.
+// gone. A tenth of a short deadline: a queue that short keeps slots busy
+// through the scatter of arrivals, and a longer one only adds to every latency.
 constexpr milliseconds kStandingDelay{20};
 constexpr milliseconds kGoneDelay{10};
 // A queue to which this part of what ends is added drains by itself, and soon:
 // refusing more would leave slots idle after it.
 constexpr double kShrinking = 0.9;
-// A queue must have stood for this long: a burst shorter than a deadline is
-// better queued than refused, all of it can still be served.
+// A queue must have stood for this long before the first raise: a burst shorter
+// than a deadline is better queued than refused, all of it can still be served.
 constexpr milliseconds kStandingTime{100};
 // A window is judged once this many requests have ended in it, or when it has
 // lasted this long: fewer say nothing about capacity.
@@ -26,12 +26,14 @@
 constexpr double kLargestCut = 0.2;
 constexpr double kSmallestCut = 0.01;
 // A lowering lets in this part of the capacity more, by the density of demand
-// just above the level; while slots are free each lets in twice what the one
-// before did. So it takes long steps when demand has gone and short ones when
-// it is still many times the capacity.
+// that the last raise met: what is below the level isn't seen, since callers'
+// daemons refuse it. It is doubted while slots are free; while slots are free
+// each lets in twice what the one before did. So it takes long steps when
+// demand has gone and short ones when it is still many times the capacity.
 constexpr double kFirstStep = 0.02;
 constexpr double kLargestStep = 0.5;
 constexpr admission_rank kMostRanksPerStep = 64;
+constexpr double kForgetting = 0.8;
 // The last rank is never refused by level.
 constexpr admission_rank kHighestLevel = kRankCount - 1;
 
@@ -74,8 +76,8 @@
                             now < window_end_ + kLongestWindow - kWindow)) {
     return;
   }
-  const bool standing = load_refusals_ > 0 ||
-                        (started_ > 0 && least_delay_ > kStandingDelay);
+  const bool standing =
+      load_refusals_ > 0 || (started_ > 0 && least_delay_ > kStandingDelay);
   if (!standing) {
     standing_since_ = time_point::max();
   } else if (standing_since_ == time_point::max()) {
@@ -83,8 +85,9 @@
   }
   const bool shrinking = arrived_ < kShrinking * finished_;
   const bool gone = started_ == 0 || least_delay_ < kGoneDelay;
-  if (standing && !shrinking) {
-    if (now - standing_since_ >= kStandingTime) {
+  if (standing) {
+    const bool lasts = level_ > 0 || now - standing_since_ >= kStandingTime;
+    if (lasts && !shrinking) {
       Raise(arrived_ > finished_ ? arrived_ - finished_ : 0);
     }
   } else if (shrinking || gone) {
@@ -106,6 +109,7 @@
   if (arrived_ == 0) {
     return;
   }
+  const admission_rank before = level_;
   const double share = static_cast<double>(excess) / arrived_;
   const double cut = std::clamp(share, kSmallestCut, kLargestCut);
   auto left = static_cast<std::uint32_t>(cut * arrived_) + 1;
@@ -118,6 +122,9 @@
     left -= arrivals_[bin];
   }
   level_ = std::min(level_, kHighestLevel);
+  if (level_ > before) {
+    density_ = cut * arrived_ / (level_ - before) / std::max(1U, finished_);
+  }
 }
 
 void admission_level::Lower() {
@@ -125,11 +132,15 @@
     return;
   }
   step_ = idle_ ? std::clamp(step_ * 2, kFirstStep, kLargestStep) : kFirstStep;
-  const double density = static_cast<double>(arrived_) / (kRankCount - level_);
-  const double ranks =
-      density > 0 ? step_ * finished_ / density : kMostRanksPerStep;
-  level_ -= std::min(level_, std::clamp(static_cast<admission_rank>(ranks), 1U,
-                                        kMostRanksPerStep));
+  const double above = static_cast<double>(arrived_) / (kRankCount - level_) /
+                       std::max(1U, finished_);
+  const double density = std::max(above, density_);
+  if (idle_) {
+    density_ *= kForgetting;
+  }
+  const double ranks = density > 0 ? step_ / density : kMostRanksPerStep;
+  level_ -= std::min(level_, static_cast<admission_rank>(std::clamp<double>(
+                                 ranks, 1, kMostRanksPerStep)));
 }
 
 }  // namespace pistachioweir
