Don't refuse by a level that rose behind the request

Most of the work wasted in the surge was done upstream for calls that the deep service then refused with 160 of 200 ms left: its level had risen while they were on their way.

A call that other targets have worked for is now refused by level only where critical calls are about to be; the entrance refuses by the same level, which rides on answers.

--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -54,6 +54,9 @@
   priority level = priority::kNormal;
   std::uint8_t ticket = 0;
   std::uint32_t method = 0;
+  // Other targets have worked for the root request already: its depth is not
+  // zero.
+  bool invested = false;
   time_point deadline;
   // The owner's name for the request, handed back with events.
   std::uint64_t cookie = 0;
--- a/include/admit/admission_level.h
+++ b/include/admit/admission_level.h
@@ -47,8 +47,6 @@
 
   admission_rank level_ = 0;
   double step_ = 0;  // Of the last lowering, as a part of the capacity.
-  // Requests a rank that the last raise refused, as a part of the capacity.
-  double density_ = 0;
   std::array<std::uint32_t, kBins> arrivals_{};
   std::uint32_t arrived_ = 0;
   std::uint32_t started_ = 0;
--- a/include/admit/admission_rank.h
+++ b/include/admit/admission_rank.h
@@ -28,4 +28,18 @@
   return LowestRank(level) + ticket;
 }
 
+// Whether `level` refuses a request. One that other targets have already worked
+// for is refused only where critical ones are about to be: the entrance refuses
+// by the same level, and a level that has just risen would waste all that is on
+// its way down the chain.
+[[nodiscard]] constexpr bool IsRefusedBy(admission_rank level,
+                                         priority importance,
+                                         std::uint8_t ticket,
+                                         bool invested) {
+  if (invested && level <= LowestRank(priority::kCritical)) {
+    return false;
+  }
+  return RankOf(importance, ticket) < level;
+}
+
 }  // namespace pistachioweir
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -63,6 +63,8 @@
   std::uint32_t method = 0;  // Index in the called service's manifest.
   priority level = priority::kNormal;
   std::uint8_t ticket = 0;
+  // Made by a target while it serves another call: see IsRefusedBy().
+  bool invested = false;
   tried_targets tried;
 };
 
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -81,7 +81,8 @@
   if (!available_) {
     return Refuse(request, reason::kNotReady, now, random);
   }
-  if (rank < LevelFor(request.method, now)) {
+  if (IsRefusedBy(LevelFor(request.method, now), request.level, request.ticket,
+                  request.invested)) {
     return Refuse(request, reason::kOverload, now, random);
   }
   level_.OnArrival(rank, now);
--- a/src/admit/admission_level.cc
+++ b/src/admit/admission_level.cc
@@ -26,14 +26,12 @@
 constexpr double kLargestCut = 0.2;
 constexpr double kSmallestCut = 0.01;
 // A lowering lets in this part of the capacity more, by the density of demand
-// that the last raise met: what is below the level isn't seen, since callers'
-// daemons refuse it. It is doubted while slots are free; while slots are free
-// each lets in twice what the one before did. So it takes long steps when
-// demand has gone and short ones when it is still many times the capacity.
+// just above the level; while slots are free each lets in twice what the one
+// before did. So it takes long steps when demand has gone and short ones when
+// it is still many times the capacity.
 constexpr double kFirstStep = 0.02;
 constexpr double kLargestStep = 0.5;
 constexpr admission_rank kMostRanksPerStep = 64;
-constexpr double kForgetting = 0.8;
 // The last rank is never refused by level.
 constexpr admission_rank kHighestLevel = kRankCount - 1;
 
@@ -109,7 +107,6 @@
   if (arrived_ == 0) {
     return;
   }
-  const admission_rank before = level_;
   const double share = static_cast<double>(excess) / arrived_;
   const double cut = std::clamp(share, kSmallestCut, kLargestCut);
   auto left = static_cast<std::uint32_t>(cut * arrived_) + 1;
@@ -122,9 +119,6 @@
     left -= arrivals_[bin];
   }
   level_ = std::min(level_, kHighestLevel);
-  if (level_ > before) {
-    density_ = cut * arrived_ / (level_ - before) / std::max(1U, finished_);
-  }
 }
 
 void admission_level::Lower() {
@@ -132,15 +126,11 @@
     return;
   }
   step_ = idle_ ? std::clamp(step_ * 2, kFirstStep, kLargestStep) : kFirstStep;
-  const double above = static_cast<double>(arrived_) / (kRankCount - level_) /
-                       std::max(1U, finished_);
-  const double density = std::max(above, density_);
-  if (idle_) {
-    density_ *= kForgetting;
-  }
-  const double ranks = density > 0 ? step_ / density : kMostRanksPerStep;
-  level_ -= std::min(level_, static_cast<admission_rank>(std::clamp<double>(
-                                 ranks, 1, kMostRanksPerStep)));
+  const double density = static_cast<double>(arrived_) / (kRankCount - level_);
+  const double ranks =
+      density > 0 ? step_ * finished_ / density : kMostRanksPerStep;
+  level_ -= std::min(level_, std::clamp(static_cast<admission_rank>(ranks), 1U,
+                                        kMostRanksPerStep));
 }
 
 }  // namespace pistachioweir
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -83,8 +83,7 @@
     return entry.crashes.back() != crash_id{};
   };
   std::ranges::sort(exported, [&](const auto& a, const auto& b) {
-    return is_whole(a) != is_whole(b) ? is_whole(a)
-                                      : a.remaining > b.remaining;
+    return is_whole(a) != is_whole(b) ? is_whole(a) : a.remaining > b.remaining;
   });
   exported.resize(std::min(max, exported.size()));
   return exported;
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -152,7 +152,7 @@
   if (request.level == priority::kCritical) {
     return level >= kRankCount;
   }
-  return level > RankOf(request.level, request.ticket);
+  return IsRefusedBy(level, request.level, request.ticket, request.invested);
 }
 
 // A target that isn't used has no new answers: the old ones are doubted more
--- a/tools/load_model/calls.cc
+++ b/tools/load_model/calls.cc
@@ -40,7 +40,8 @@
   added.from = from;
   added.where = {.method = of.method,
                  .level = where_.methods[of.method].level,
-                 .ticket = of.ticket};
+                 .ticket = of.ticket,
+                 .invested = service > 0};
   added.credit = credit;
   added.deadline = deadline;
   added.began = now_;
