A restarted target gets calls again

Cause: a target that had said it was leaving stayed so until its name left the list, and a VM whose daemon restarts keeps its name. Ruled out: the fleet's view, which tells the new start apart by its incarnation; the balancer was not told of it. It now is, and takes another start for a new target. The new test failed before the change.

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -38,6 +38,9 @@
 struct target_info {
   vm_id vm;
   std::string data_centre;
+  // Its daemon's present start, if known. Another one makes it a new target:
+  // what was known of the earlier start, also that it was leaving, is over.
+  incarnation_id incarnation{};
   bool leaving = false;
   // Has just started: gets its share step by step.
   bool cold = false;
@@ -157,6 +160,8 @@
     double load = 0;
   };
 
+  [[nodiscard]] static bool IsSameStart(const target_info& known,
+                                        const target_info& told);
   [[nodiscard]] bool Usable(const target& candidate, time_point now) const;
   [[nodiscard]] bool WasTried(const placement_request& request,
                               std::uint32_t index) const;
--- a/src/daemon/home_role.cc
+++ b/src/daemon/home_role.cc
@@ -280,19 +280,17 @@
   envelope.remaining =
       std::max(milliseconds(0),
                std::chrono::duration_cast<milliseconds>(deadline - now));
-  outbound_.SendTo(
-      sending->worker, action.target, std::move(envelope), until,
-      /*fresh=*/!first_copy,
-      [this, sending, action, first_copy, now](peer_result result) {
-        OnAttempt(sending, action, first_copy, now, std::move(result));
-      });
+  outbound_.SendTo(sending->worker, action.target, std::move(envelope), until,
+                   /*fresh=*/!first_copy,
+                   [this, sending, action, now](const peer_result& result) {
+                     OnAttempt(sending, action, now, result);
+                   });
 }
 
 void home_role::OnAttempt(const execution_ptr& sent,
                           const send_attempt& action,
-                          bool /*first_copy*/,
                           time_point at,
-                          peer_result result) {
+                          const peer_result& result) {
   const idempotency_key& key = action.binding.key;
   const std::uint32_t attempt = action.binding.attempt;
   const time_point now = monotonic_clock::now();
--- a/src/daemon/home_role.h
+++ b/src/daemon/home_role.h
@@ -101,9 +101,8 @@
   void SendNow(const execution_ptr& sending, const send_attempt& action);
   void OnAttempt(const execution_ptr& sent,
                  const send_attempt& action,
-                 bool first_copy,
                  time_point at,
-                 peer_result result);
+                 const peer_result& result);
   void Cancel(const send_cancel& action);
   void Finish(const finish_call& action);
   void Answer(waiter_id id, const outbound_result& result);
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -126,9 +126,11 @@
       if (target.state == member_state::kDead) {
         continue;
       }
-      targets.push_back({.vm = target.vm,
-                         .data_centre = target.data_centre,
-                         .leaving = target.state == member_state::kLeaving});
+      targets.push_back(
+          {.vm = target.vm,
+           .data_centre = target.data_centre,
+           .incarnation = target.incarnation.value_or(incarnation_id{}),
+           .leaving = target.state == member_state::kLeaving});
     }
     const auto found = RouteTo(service.service);
     const std::lock_guard lock(found->mutex);
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -59,12 +59,22 @@
   return &targets_[ref.index];
 }
 
+// A VM that comes back under its old name is not the target that was leaving or
+// failing. Without this it would get no calls until its name left the list.
+bool balancer::IsSameStart(const target_info& known, const target_info& told) {
+  const bool restarted = known.incarnation != incarnation_id{} &&
+                         told.incarnation != incarnation_id{} &&
+                         known.incarnation != told.incarnation;
+  return known.vm == told.vm && !restarted;
+}
+
 void balancer::SetTargets(const std::vector<target_info>& targets,
                           time_point now) {
   const bool first_list = listed_ == 0;
   for (target& known : targets_) {
     const bool kept = std::ranges::any_of(
-        targets, [&](const target_info& t) { return t.vm == known.info.vm; });
+        targets,
+        [&](const target_info& told) { return IsSameStart(known.info, told); });
     if (known.listed && !kept) {
       known.listed = false;
       ++known.generation;
@@ -91,7 +101,11 @@
       const bool cold = info.cold || !first_list;
       place->warm_from = cold ? now + kSlowStart : now;
     }
+    const incarnation_id known = place->info.incarnation;
     place->info = info;
+    if (info.incarnation == incarnation_id{}) {
+      place->info.incarnation = known;
+    }
     place->leaving = place->leaving || info.leaving;
     place->local = info.data_centre == options_.data_centre;
   }
--- a/tests/balancer_test.cc
+++ b/tests/balancer_test.cc
@@ -36,6 +36,23 @@
   }
 }
 
+// A VM's daemon says that it is leaving, stops, and starts again under the same
+// name. It gets calls again; before, callers that had heard of its leaving
+// never sent it another one, and the service had one target less for them.
+TEST(BalancerTest, RestartedTargetGetsCallsAgain) {
+  balancer chooser({.data_centre = "waw-1"});
+  std::vector<target_info> targets = {
+      {.vm = "a", .data_centre = "waw-1", .incarnation = incarnation_id{1}}};
+  chooser.SetTargets(targets, kStart);
+  const auto before = chooser.Place({}, kStart, 7);
+  ASSERT_TRUE(before.placed);
+  chooser.MarkLeaving(before.target);
+  EXPECT_FALSE(chooser.Place({}, kStart, 7).placed);
+  targets[0].incarnation = incarnation_id{2};
+  chooser.SetTargets(targets, kStart);
+  EXPECT_TRUE(chooser.Place({}, kStart + seconds(5), 7).placed);
+}
+
 // All three targets stop answering, as seen from a caller whose own network is
 // broken. If it ejected them all, it would refuse everything by itself for as
 // long as the ejection lasts, also when its network is back.
