A relayed request that is merely slow is no longer cancelled

Cause: the daemon that relays a keyed request closed its first connection to the home after a third of the time and sent a second copy. The home cancels what nobody waits for, so a signature that still stood in its target's queue was cancelled although there was time to run it.

Now the first copy stays while the second goes out over a new connection, and whichever is answered first counts.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -13,9 +13,9 @@
 #include "include/config/manifest.h"
 #include "src/daemon/home_role.h"
 #include "src/daemon/inbound_role.h"
+#include "src/daemon/key_relay.h"
 #include "src/daemon/observer.h"
 #include "src/daemon/peer_directory.h"
-#include "src/daemon/peer_paths.h"
 #include "src/daemon/serving_calls.h"
 #include "src/daemon/view_holder.h"
 
@@ -25,12 +25,6 @@
 constexpr milliseconds kNotReadyRetryAfter{500};
 constexpr milliseconds kDrainRetryAfter{50};
 
-// The first copy of a relayed call waits this part of its time for an answer;
-// then a second one goes out over a new connection, in case the first has gone
-// silent. The home joins them.
-constexpr int kRelayShare = 3;
-constexpr milliseconds kLeastRelayTime{50};
-
 // Deepest call chain that is served. A manifest's call graph is no deeper, so
 // a deeper call comes from a loop that the graph doesn't tell of.
 constexpr std::uint32_t kMaxDepth = 16;
@@ -115,6 +109,7 @@
 
 caller_api::caller_api(const caller_api_options& options)
     : settings_(options.settings),
+      workers_(options.workers),
       view_(options.view),
       watch_(options.watch),
       outbound_(options.outbound),
@@ -268,7 +263,7 @@
     return;
   }
   if (opened->key.home.vm != settings_.vm) {
-    Relay(asked, opened->key, request, /*fresh=*/false);
+    Relay(asked, opened->key, std::move(request));
     return;
   }
   BeginKeyed(
@@ -293,44 +288,20 @@
   exchange->OnDisconnect([this, waiting] { home_.Leave(waiting); });
 }
 
-// Only the key's home may start its request or call it not executed: an
-// earlier copy may have reached the home already.
 void caller_api::Relay(const asked_ptr& asked,
                        const idempotency_key& key,
-                       const outbound_request& request,
-                       bool fresh) {
+                       outbound_request request) {
   const auto address = directory_.AddressOf(key.home.vm);
   if (!address) {
     asked->Answer(Unknown(reason::kHomeUnreachable));
     return;
   }
-  const time_point now = monotonic_clock::now();
-  call_envelope envelope = request.request;
-  envelope.remaining = std::max(
-      milliseconds(0),
-      std::chrono::duration_cast<milliseconds>(request.deadline - now));
-  envelope.binding = execution_binding{.key = key};
-  time_point until = request.deadline;
-  if (!fresh) {
-    const duration share = (request.deadline - now) / kRelayShare;
-    until = std::min(until, now + std::max<duration>(share, kLeastRelayTime));
-  }
-  auto sent = peers_.Send(
-      asked->exchange->worker(), *address,
-      {.path = kPeerHomePath,
-       .body = Encode(envelope),
-       .deadline = until,
-       .fresh = fresh},
-      [this, asked, key, request, fresh](const peer_result& result) {
-        if (result.answer) {
-          asked->Answer(result.answer->result);
-        } else if (!fresh && result.end != exchange_end::kCancelled) {
-          Relay(asked, key, request, /*fresh=*/true);
-        } else {
-          asked->Answer(Unknown(reason::kHomeUnreachable));
-        }
-      });
-  asked->exchange->OnDisconnect([sent] { http_client::Cancel(sent); });
+  request.request.binding = execution_binding{.key = key};
+  auto relay = std::make_shared<key_relay>(workers_, asked->exchange->worker(),
+                                           peers_, *address);
+  relay->Start(request,
+               [asked](const outcome& result) { asked->Answer(result); });
+  asked->exchange->OnDisconnect([relay] { relay->Cancel(); });
 }
 
 void caller_api::ServeRelayed(call_envelope call,
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -25,6 +25,7 @@
 class peer_directory;
 class serving_calls;
 class view_holder;
+class worker_pool;
 struct context_token;
 
 // Who speaks on a port.
@@ -35,6 +36,7 @@
 
 struct caller_api_options {
   const daemon_settings& settings;
+  worker_pool& workers;
   view_holder& view;
   observer& watch;
   outbound_role& outbound;
@@ -80,8 +82,7 @@
                   outbound_role::callback done);
   void Relay(const asked_ptr& asked,
              const idempotency_key& key,
-             const outbound_request& request,
-             bool fresh);
+             outbound_request request);
   [[nodiscard]] std::optional<idempotency_key> DerivedKey(
       const context_token& token,
       const asked_call& asked);
@@ -92,6 +93,7 @@
                                resolved_method* resolved) const;
 
   const daemon_settings& settings_;
+  worker_pool& workers_;
   view_holder& view_;
   observer& watch_;
   outbound_role& outbound_;
--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -67,6 +67,7 @@
              .outbound = outbound_,
              .inbound = inbound_}),
       callers_({.settings = settings_,
+                .workers = workers_,
                 .view = view_,
                 .watch = watch_,
                 .outbound = outbound_,
