A daemon that was paused judges no call by its old view

The view's freshness is asked for at each call, by the outbound and the inbound role: a call that waited in a socket while the process was stopped is read before any timer runs, and was judged by a view from before the pause. It is refused as not ready until the view is refreshed. The manifests' derived facts now come with the view instead of being built twice.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -11,6 +11,7 @@
 #include "include/base/random_bits.h"
 #include "include/call/context_table.h"
 #include "include/config/manifest.h"
+#include "include/fleet/fleet_agent.h"
 #include "src/daemon/home_role.h"
 #include "src/daemon/inbound_role.h"
 #include "src/daemon/key_relay.h"
@@ -110,6 +111,7 @@
 caller_api::caller_api(const caller_api_options& options)
     : settings_(options.settings),
       workers_(options.workers),
+      fleet_(options.fleet),
       view_(options.view),
       watch_(options.watch),
       outbound_(options.outbound),
@@ -160,10 +162,12 @@
                            const std::string& method,
                            resolved_method* resolved) const {
   resolved->view = view_.Get();
-  if (!resolved->view->ready()) {
+  // A daemon that was paused wakes up with calls that came meanwhile and a view
+  // from before: the target it would choose may have left.
+  if (!resolved->view->ready() || !fleet_.IsFresh(monotonic_clock::now())) {
     return reason::kNotReady;
   }
-  resolved->manifest = resolved->view->manifests.Find(service);
+  resolved->manifest = resolved->view->manifests->Find(service);
   if (resolved->manifest == nullptr) {
     return reason::kUnknownService;
   }
@@ -175,7 +179,7 @@
       resolved->method - resolved->manifest->methods.data());
   resolved->counted = resolved->view->counters.at(service)[resolved->index];
   resolved->at_most_once =
-      resolved->view->manifests.IsAtMostOnce(service, method);
+      resolved->view->manifests->IsAtMostOnce(service, method);
   return reason::kNone;
 }
 
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -17,6 +17,7 @@
 
 namespace pistachioweir {
 
+class fleet_agent;
 class home_role;
 class inbound_role;
 class method_metrics;
@@ -37,6 +38,7 @@
 struct caller_api_options {
   const daemon_settings& settings;
   worker_pool& workers;
+  const fleet_agent& fleet;
   view_holder& view;
   observer& watch;
   outbound_role& outbound;
@@ -94,6 +96,7 @@
 
   const daemon_settings& settings_;
   worker_pool& workers_;
+  const fleet_agent& fleet_;
   view_holder& view_;
   observer& watch_;
   outbound_role& outbound_;
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "include/base/random_bits.h"
+#include "include/fleet/fleet_agent.h"
 #include "src/daemon/crash_guard.h"
 #include "src/daemon/inbound_call.h"
 #include "src/daemon/observer.h"
@@ -53,6 +54,7 @@
     : settings_(options.settings),
       incarnation_(options.incarnation),
       workers_(options.workers),
+      fleet_(options.fleet),
       serving_(options.serving),
       crashes_(options.crashes),
       target_(options.workers, options.settings.target),
@@ -152,7 +154,9 @@
 // nothing speaks against the call.
 outcome inbound_role::Check(call& checked) {
   const auto manifest = Manifest();
-  if (manifest == nullptr) {
+  // A daemon that was paused doesn't know yet whether its target is leaving, or
+  // which manifest is in force by now.
+  if (manifest == nullptr || !fleet_.IsFresh(checked.arrived)) {
     return NotExecuted(reason::kNotReady, kNotReadyRetryAfter);
   }
   if (draining_) {
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -23,6 +23,7 @@
 namespace pistachioweir {
 
 class crash_guard;
+class fleet_agent;
 class method_metrics;
 class observer;
 class serving_calls;
@@ -32,6 +33,7 @@
   const daemon_settings& settings;
   incarnation_id incarnation{};
   worker_pool& workers;
+  const fleet_agent& fleet;
   serving_calls& serving;
   crash_guard& crashes;
   observer& watch;
@@ -118,6 +120,7 @@
   const daemon_settings& settings_;
   const incarnation_id incarnation_;
   worker_pool& workers_;
+  const fleet_agent& fleet_;
   serving_calls& serving_;
   crash_guard& crashes_;
   target_client target_;
--- a/src/daemon/status_report.cc
+++ b/src/daemon/status_report.cc
@@ -86,13 +86,16 @@
   const auto view = view_.Get();
   method_explanation told;
   told.refusals = watch_.refusals().Find(service, method);
-  const method_spec* found = view->manifests.FindMethod(service, method);
+  if (view->fleet == nullptr) {
+    return told;
+  }
+  const method_spec* found = view->manifests->FindMethod(service, method);
   if (found == nullptr) {
     return told;
   }
   told.known = true;
   told.level = found->level;
-  told.at_most_once = view->manifests.IsAtMostOnce(service, method);
+  told.at_most_once = view->manifests->IsAtMostOnce(service, method);
   told.timeout = found->timeout;
   if (!told.refusals.last.empty()) {
     // What the last caller was told, less the time that has passed since.
--- a/src/daemon/view_holder.cc
+++ b/src/daemon/view_holder.cc
@@ -8,16 +8,10 @@
 namespace pistachioweir {
 
 void view_holder::Set(std::shared_ptr<const fleet_view> view) {
-  std::vector<service_manifest> manifests;
-  for (const fleet_service& service : view->services) {
-    if (service.manifest != nullptr) {
-      manifests.push_back(*service.manifest);
-    }
-  }
   auto made = std::make_shared<daemon_view>();
+  made->manifests = view->manifests.get();
   made->fleet = std::move(view);
-  made->manifests = manifest_set(std::move(manifests));
-  for (const service_manifest& manifest : made->manifests.manifests()) {
+  for (const service_manifest& manifest : made->manifests->manifests()) {
     auto& counters = made->counters[manifest.service];
     for (const method_spec& method : manifest.methods) {
       counters.push_back(metrics_.ForMethod(call_role::kOutbound,
--- a/src/daemon/view_holder.h
+++ b/src/daemon/view_holder.h
@@ -21,16 +21,16 @@
 // Immutable once set; shared between threads without a lock.
 struct daemon_view {
   std::shared_ptr<const fleet_view> fleet;
-  // The manifests in force, of the own service and all that it reaches.
-  manifest_set manifests;
+  // The manifests in force, of the own service and all that it reaches; never
+  // null. Owned by `fleet`.
+  const manifest_set* manifests = nullptr;
   // Counters of outbound calls, by service and method index; valid as long as
   // the daemon's metrics. Kept here so that no call looks them up by name.
   std::unordered_map<std::string, std::vector<method_metrics*>> counters;
 
-  // Whether calls may be judged by it.
-  [[nodiscard]] bool ready() const {
-    return fleet != nullptr && fleet->ready && fleet->fresh;
-  }
+  // Whether calls may be judged by it. A daemon that was paused must be asked
+  // for at each call: see fleet_agent::IsFresh().
+  [[nodiscard]] bool ready() const { return fleet != nullptr && fleet->ready; }
 };
 
 // Thread-safe; the lock is held for copying a pointer.
