Settled keys no longer count against their caller's address

Cause: a gateway sends many users' requests from one address. Keys that were done with counted against it until they expired, so it got no more than 4,000 keys in 30 s although its settled keys could have given way.

Ruled out: a larger bound for each caller; it would let one caller hold the whole table with keys that it never uses.

Change: the bound counts keys that are issued or running.

--- a/include/once/key_home.h
+++ b/include/once/key_home.h
@@ -34,7 +34,7 @@
   std::uint32_t shards = 1;
   // Keys with a record: issued, running or remembered.
   std::size_t max_keys = 20000;
-  // Of these, by one caller's address.
+  // Of these, issued to one caller's address and not settled yet.
   std::size_t max_keys_per_caller = 4000;
   // Bytes of answers kept for callers that ask again.
   std::size_t max_answer_bytes = 8 << 20;
@@ -232,13 +232,14 @@
     std::vector<waiter_id> waiters;
   };
 
-  // Keys with a record, by the address of the caller they were issued to.
+  // Keys that aren't settled, by the address of the caller they were issued to.
   using caller_map = std::unordered_map<std::string, std::size_t>;
 
   struct key_record {
     key_state state = key_state::kIssued;
-    bool evictable = false;                    // Exactly if settled_ names it.
-    caller_map::value_type* caller = nullptr;  // In callers_.
+    bool evictable = false;  // Exactly if settled_ names it.
+    // In callers_; null exactly if the key was ever settled.
+    caller_map::value_type* caller = nullptr;
     time_point expires;
     milliseconds lifetime{0};
     request_fingerprint fingerprint;             // Not with kIssued.
@@ -289,7 +290,8 @@
   home_action GiveUp(record_entry& entry, reason why, bool cancel);
   home_action Settle(record_entry& entry, const outcome& result);
   void KeepResult(record_entry& entry, const outcome& result);
-  void MarkEvictable(record_entry& entry);
+  void MarkSettled(record_entry& entry);
+  void ReleaseCaller(key_record& record);
   void DiscardOldAnswers();
   void Compact();
   [[nodiscard]] execution_binding BindingOf(const record_entry& entry) const;
@@ -298,7 +300,7 @@
   bool draining_ = false;
   time_point now_;  // Never runs backwards.
   record_map records_;
-  // Counts are never zero, and add up to the size of records_.
+  // Counts are never zero, and add up to the records that name a caller.
   caller_map callers_;
   // An entry for each record, at its expiry or earlier, the earliest on top.
   std::priority_queue<expiry, std::vector<expiry>, std::greater<>> expiries_;
--- a/src/once/key_home_impl.h
+++ b/src/once/key_home_impl.h
@@ -146,13 +146,11 @@
   if (found == records_.end()) {
     return;
   }
-  const key_record& gone = found->second;
+  key_record& gone = found->second;
   if (gone.result != nullptr) {
     answer_bytes_ -= gone.result->reply.body.size();
   }
-  if (--gone.caller->second == 0) {
-    callers_.erase(callers_.find(gone.caller->first));
-  }
+  ReleaseCaller(gone);
   records_.erase(found);
 }
 
@@ -556,7 +554,7 @@
   }
   entry.second.state = key_state::kGaveUp;
   entry.second.result = std::make_unique<outcome>(told.result);
-  MarkEvictable(entry);
+  MarkSettled(entry);
   return told;
 }
 
@@ -580,7 +578,7 @@
   record.result = std::make_unique<outcome>(result);
   // A caller whose answer was lost has a whole lifetime to ask again.
   record.expires = std::max(record.expires, now_ + record.lifetime);
-  MarkEvictable(entry);
+  MarkSettled(entry);
   if (result.reply.body.empty()) {
     return;
   }
@@ -590,13 +588,22 @@
 }
 
 template <typename Guards>
-void basic_key_home<Guards>::MarkEvictable(record_entry& entry) {
+void basic_key_home<Guards>::MarkSettled(record_entry& entry) {
+  ReleaseCaller(entry.second);
   if (!entry.second.evictable) {
     entry.second.evictable = true;
     settled_.push_back(entry.first);
   }
 }
 
+template <typename Guards>
+void basic_key_home<Guards>::ReleaseCaller(key_record& record) {
+  auto* const holder = std::exchange(record.caller, nullptr);
+  if (holder != nullptr && --holder->second == 0) {
+    callers_.erase(callers_.find(holder->first));
+  }
+}
+
 template <typename Guards>
 void basic_key_home<Guards>::DiscardOldAnswers() {
   while (answer_bytes_ > options_.max_answer_bytes && !answered_.empty()) {
--- a/tests/key_home_test.cc
+++ b/tests/key_home_test.cc
@@ -283,6 +283,16 @@
       1U);
 }
 
+// A gateway sends all its users' requests from one address. Keys that are done
+// with must not count against it.
+TEST_F(key_home_test, SettledKeysDoNotCountAgainstTheCaller) {
+  for (int i = 0; i < 50; ++i) {
+    const auto key = IssueOne();
+    home_.Refuse(Request(key), NotExecuted(reason::kOverload), kStart);
+  }
+  EXPECT_EQ(home_.Issue(1000, "10.0.0.1", kLifetime, kStart).keys.size(), 10U);
+}
+
 TEST_F(key_home_test, FullTableEvictsSettledKeysOnly) {
   home_ = MakeHome(2);
   const auto running = IssueOne();
