--- a/src/once/key_codec.cc
+++ b/src/once/key_codec.cc
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <cstddef>
-#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -27,27 +26,27 @@
 using tag = std::array<unsigned char, kTagBytes>;
 
 std::string Payload(const sealed_key& key) {
-  std::ostringstream out;
-  msgpack::packer<std::ostringstream> packer(out);
+  msgpack::sbuffer out;
+  msgpack::packer<msgpack::sbuffer> packer(out);
   packer.pack_array(4);
   packer.pack(key.key.home.vm);
   packer.pack(static_cast<std::uint64_t>(key.key.home.incarnation));
   packer.pack(key.key.sequence);
   packer.pack(static_cast<std::uint64_t>(key.lifetime.count()));
-  return out.str();
+  return {out.data(), out.size()};
 }
 
 tag Sign(const std::string& fleet_key,
          std::string_view payload,
          const key_scope& scope) {
-  std::ostringstream out;
-  msgpack::packer<std::ostringstream> packer(out);
+  msgpack::sbuffer out;
+  msgpack::packer<msgpack::sbuffer> packer(out);
   packer.pack_array(4);
   packer.pack(kPurpose);
   packer.pack(scope.service);
   packer.pack(scope.method);
   packer.pack(payload);
-  const std::string text = out.str();
+  const std::string_view text(out.data(), out.size());
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int size = 0;
   HMAC(EVP_sha256(), fleet_key.data(), static_cast<int>(fleet_key.size()),
