Protected calls stay protected where a daemon's manifest is older

Cause: read while the wiring was checked against the model. A daemon that has not yet heard that a method became at-most-once would take a call with a valid key for one that may be repeated, and run it beside the copy that began under the key. Its try of a serving call could likewise be repeated, and each try would derive a key of its own for the same protected call below it.

Ruled out: waiting until all daemons have the same manifest; a partition lasts.

Change: a key that opens for the method is honoured whatever the manifest here says; the target's own daemon refuses an at-most-once method that comes without a binding; a serving call without a binding may make no at-most-once call.

--- a/include/call/context_table.h
+++ b/include/call/context_table.h
@@ -59,6 +59,10 @@
   std::uint8_t ticket = 0;
   std::uint32_t depth = 0;         // One below the serving call.
   std::uint32_t retry_credit = 0;  // Lent; goes back by EndChild().
+  // Whether the serving call itself runs at most once. Only then may it make an
+  // at-most-once call: a call that is tried twice has two contexts, and a key
+  // would be derived from each.
+  bool bound = false;
 };
 
 // What is left when a serving call ends.
--- a/src/call/context_table.cc
+++ b/src/call/context_table.cc
@@ -80,7 +80,8 @@
                     .level = entry.call.level,
                     .ticket = entry.call.ticket,
                     .depth = entry.call.depth + 1,
-                    .retry_credit = entry.ledger.Lend()};
+                    .retry_credit = entry.ledger.Lend(),
+                    .bound = entry.call.binding.has_value()};
 }
 
 void context_table::EndChild(const context_token& token,
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -225,7 +225,11 @@
   request.request.level = method.level;
   request.request.ticket = static_cast<std::uint8_t>(RandomBits32());
   request.request.retry_credit = method.retry_credit;
-  if (asked->method.at_most_once) {
+  // A key that was issued for the method shows that it is at-most-once,
+  // whatever an older manifest says here. Another copy may have begun under the
+  // key.
+  const bool keyed = asked->call.key && OpenKey(*asked);
+  if (asked->method.at_most_once || keyed) {
     HandleKeyed(asked, std::move(request));
     return;
   }
@@ -253,14 +257,17 @@
                              .method = asked->call.method}));
 }
 
+std::optional<sealed_key> caller_api::OpenKey(const asked_call& asked) const {
+  return codec_.Open(*asked.call.key, {.service = asked.call.service,
+                                       .method = asked.call.method});
+}
+
 void caller_api::HandleKeyed(const asked_ptr& asked, outbound_request request) {
   if (!asked->call.key) {
     RequireKey(asked);
     return;
   }
-  const auto opened = codec_.Open(
-      *asked->call.key,
-      {.service = asked->call.service, .method = asked->call.method});
+  const auto opened = OpenKey(*asked);
   if (!opened) {
     asked->Answer(NotExecuted(reason::kBadKey),
                   "the key was not issued for this service and method");
@@ -292,6 +299,9 @@
   exchange->OnDisconnect([this, waiting] { home_.Leave(waiting); });
 }
 
+// Guard HOME_HAS_LAST_WORD in spec/at_most_once.pml. Only the key's home may
+// start its request or call it not executed: an earlier copy may have reached
+// the home already.
 void caller_api::Relay(const asked_ptr& asked,
                        const idempotency_key& key,
                        outbound_request request) {
@@ -356,6 +366,14 @@
     refuse(reason::kBadRequest);
     return;
   }
+  // A daemon with an older manifest may have sent the serving call as one that
+  // can be repeated. Then each try of it has a context of its own, and the keys
+  // derived from them would run this call once for each.
+  if (asked->method.at_most_once && !child->given.bound) {
+    done({.result = NotExecuted(reason::kKeyRequired),
+          .unspent_credit = child->given.retry_credit});
+    return;
+  }
   if (asked->method.at_most_once) {
     const auto key = DerivedKey(*token, *asked);
     if (!key) {
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -76,6 +76,9 @@
   void HandleRoot(const asked_ptr& asked);
   void HandleKeyed(const asked_ptr& asked, outbound_request request);
   void RequireKey(const asked_ptr& asked);
+  // The key that came with the call, if it was issued for its method.
+  [[nodiscard]] std::optional<sealed_key> OpenKey(
+      const asked_call& asked) const;
   void HandleChild(const asked_ptr& asked);
   void BeginKeyed(const std::shared_ptr<http_exchange>& exchange,
                   const idempotency_key& key,
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -172,6 +172,11 @@
   checked.method =
       static_cast<std::uint32_t>(method - manifest->methods.data());
   checked.resolved = true;
+  // A caller's daemon with an older manifest takes the method for one that may
+  // be tried twice. The target's own daemon has the last word.
+  if (method->at_most_once && !checked.request.binding) {
+    return NotExecuted(reason::kKeyRequired);
+  }
   if (checked.deadline <= checked.arrived) {
     return NotExecuted(reason::kDeadlinePassed);
   }
--- a/tests/context_table_test.cc
+++ b/tests/context_table_test.cc
@@ -51,6 +51,18 @@
   EXPECT_EQ(child->retry_credit, 2U);
 }
 
+// A daemon with an older manifest takes a call for one that may be repeated,
+// and tries it twice; each try would make the same protected call.
+TEST(ContextTableTest, ChildKnowsWhetherItsServingCallIsBound) {
+  context_table table({});
+  ASSERT_TRUE(table.Begin(kToken, SampleCall()));
+  EXPECT_FALSE(table.BeginChild(kToken)->bound);
+  serving_call bound = SampleCall();
+  bound.binding = execution_binding{};
+  ASSERT_TRUE(table.Begin({.high = 5, .low = 5}, bound));
+  EXPECT_TRUE(table.BeginChild({.high = 5, .low = 5})->bound);
+}
+
 // Somebody makes up a token, or a target goes on after its call has ended.
 TEST(ContextTableTest, UnknownTokenIsRefused) {
   context_table table({});
