Promises, and the model's guards named where they stand

Cause: what shows each promise, and what doesn't, stood nowhere; guards of the models were not named in the daemon's code.

Ruled out: nothing.

--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -288,6 +288,9 @@
       crashes_.OnCompleted(ended.request);
       const auto manifest = Manifest();
       constexpr int kUnavailable = 503;
+      // Guard REFUSAL_FLAG in spec/outcome_truth.pml. Most targets answer 503
+      // for failures half-way, too; only the manifest says that this one
+      // doesn't.
       if (result.reply.status == kUnavailable &&
           manifest->refusal_is_not_executed) {
         return NotExecuted(reason::kTargetRefused, kDrainRetryAfter);
@@ -297,6 +300,8 @@
     case exchange_end::kNotSent:
       return NotExecuted(reason::kNoTarget, kTargetDownRetryAfter);
     case exchange_end::kLost:
+      // Guard CRASH_IS_UNKNOWN in spec/outcome_truth.pml. A target that dies
+      // may have done its work, or half of it, before.
       crashes_.OnLost(ended.request, ended.started);
       return Unknown(reason::kTargetFailed);
     case exchange_end::kTimedOut:
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -95,6 +95,8 @@
       break;
     case exchange_end::kNotSent:
       return NotExecuted(reason::kNoTarget, kNoTargetRetryAfter);
+    // Guard TIMEOUT_IS_UNKNOWN in spec/outcome_truth.pml. A request that was
+    // sent may stand in a queue or a paused daemon and run later.
     case exchange_end::kTimedOut:
       return Unknown(reason::kTimeout);
     case exchange_end::kCancelled:
@@ -423,7 +425,8 @@
   outbound_result told{.result = result,
                        .unspent_credit = finished->credit.available(),
                        .level = finished->level};
-  // An earlier attempt may have run although the last one did not.
+  // Guard EVERY_ATTEMPT in spec/outcome_truth.pml. An earlier attempt may have
+  // run although the last one did not.
   if (result.kind == outcome_kind::kNotExecuted && finished->may_have_run) {
     told.result = Unknown(finished->unknown_reason);
   }
--- a/src/fleet/manifest_store.cc
+++ b/src/fleet/manifest_store.cc
@@ -65,6 +65,8 @@
     return manifest_verdict::kUnwanted;
   }
   const std::uint64_t in_force = VersionInForce(manifest.service);
+  // Guard VERSION_RISES in spec/manifest_versions.pml. A stale platform, or a
+  // datagram that was long under way, brings documents of the past.
   if (manifest.version <= in_force) {
     return manifest_verdict::kOlder;
   }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -240,6 +240,9 @@
     }
   }
 
+  // Guard CLOSE_UNFINISHED in spec/answer_matching.pml. A connection whose
+  // exchange has not ended still has that exchange's answer to come; the next
+  // call on it would take it for its own.
   void CloseConnection() {
     if (stream_ != nullptr) {
       stream_->close();
--- a/tests/at_most_once_property_test.cc
+++ b/tests/at_most_once_property_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/support/once_network.h"
+#include "tests/support/once_network_impl.h"
 
 namespace pistachioweir {
 namespace {
