--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -124,7 +124,8 @@
   }
   for (const gossip_node::reply_sign& reply : gossip_.TakeReplies()) {
     newcomer_.NoteReply(reply.vm, reply.has_history, reply.digest);
-    // Asked since the pause: exchanges from before it have timed out.
+    // Guard REFRESH_AFTER_PAUSE in spec/manifest_versions.pml. Asked since the
+    // pause: exchanges from before it have timed out.
     pause_.NoteRefreshed();
   }
 }
--- a/src/fleet/gossip_receive.cc
+++ b/src/fleet/gossip_receive.cc
@@ -164,6 +164,8 @@
     probes_.erase(asked);
     return;
   }
+  // Guard NEWCOMER_ASKS in spec/manifest_versions.pml. A late datagram tells a
+  // newcomer what a peer knew before the version that it must not miss.
   if (!exchanges_.contains(reply.sequence)) {
     return;  // Doubled, late, or not an answer to anything.
   }
--- a/src/fleet/newcomer_rule.cc
+++ b/src/fleet/newcomer_rule.cc
@@ -30,7 +30,8 @@
   if (!situation.documents_complete) {
     return false;
   }
-  // A peer's answer counts once this daemon knows all that the peer knows.
+  // Guards NEWCOMER and NEWCOMER_HISTORY in spec/manifest_versions.pml. A
+  // peer's answer counts once this daemon knows all that the peer knows.
   const auto agreeing = static_cast<std::size_t>(
       std::ranges::count_if(replies_, [&](const auto& item) {
         return item.second.has_history &&
