Model of the protected calls that a target makes

Cause: that one serving call has one key for a protected call below it rested on unit tests, and three rules of it had no name.

Ruled out: making it a part of at_most_once, whose state space is near what a minute allows.

Change: spec/derived_keys.pml with the guards PARENT_BOUND, DERIVED_KEY and ENDED_IS_UNKNOWN, which the daemon's code names.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -339,8 +339,8 @@
   const auto token = ParseContextToken(*asked->call.context);
   const auto child = token ? serving_.BeginChild(*token) : std::nullopt;
   if (!child) {
-    // The context may belong to a call that has ended, and an at-most-once
-    // child of it may have run.
+    // Guard ENDED_IS_UNKNOWN in spec/derived_keys.pml. The context may belong
+    // to a call that has ended, and an at-most-once child of it may have run.
     asked->Refuse(reason::kUnknownContext);
     return;
   }
@@ -366,9 +366,10 @@
     refuse(reason::kBadRequest);
     return;
   }
-  // A daemon with an older manifest may have sent the serving call as one that
-  // can be repeated. Then each try of it has a context of its own, and the keys
-  // derived from them would run this call once for each.
+  // Guard PARENT_BOUND in spec/derived_keys.pml. A daemon with an older
+  // manifest may have sent the serving call as one that can be repeated. Then
+  // each try of it has a context of its own, and the keys derived from them
+  // would run this call once for each.
   if (asked->method.at_most_once && !child->given.bound) {
     done({.result = NotExecuted(reason::kKeyRequired),
           .unspent_credit = child->given.retry_credit});
@@ -393,9 +394,9 @@
   asked->exchange->OnDisconnect([this, placed] { outbound_.Abandon(placed); });
 }
 
-// A target that sends its call again, after a lost answer, must meet the first
-// one: the key comes from the serving call and the request, not from the
-// sender.
+// Guard DERIVED_KEY in spec/derived_keys.pml. A target that sends its call
+// again, after a lost answer, must meet the first one: the key comes from the
+// serving call and the request, not from the sender.
 std::optional<idempotency_key> caller_api::DerivedKey(
     const context_token& token,
     const asked_call& asked) {
