A stopping daemon goes only when nothing comes any more, and ends cleanly

Seen in a process test: after SIGTERM under load daemons ended by SIGSEGV or SIGABRT, three of three, with no call interrupted. Suspected cause: the listening socket was part of the state that connections share, so the last connection to be destroyed, on another worker, took the socket along after its worker was gone. The socket is now apart from that state. A test does the same in one process; it did not crash before the change either, so what it shows is left to the address sanitizer.

Read while at it: a daemon with nothing in progress ended within the same millisecond as it began to stop, while other daemons still sent calls on kept connections. It now stays for one to three seconds, until none has come for half a second, answers that it is draining, and closes connections behind their answers.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <cstdint>
+#include <string>
 
 #include "include/base/log.h"
 #include "include/base/time.h"
@@ -19,6 +21,11 @@
 
 constexpr milliseconds kTickInterval{1000};
 constexpr milliseconds kStopPollInterval{20};
+// A stopping daemon stays for this long at least and at most where only new
+// requests keep it, and goes once none has come for the quiet time.
+constexpr milliseconds kLeastLinger{1000};
+constexpr milliseconds kQuietTime{500};
+constexpr milliseconds kMostLinger{3000};
 
 // Waits for signals and drives the ticks, on the calling thread.
 class daemon_loop {
@@ -51,18 +58,20 @@
         return;
       }
       parts_.Drain();
-      give_up_ = monotonic_clock::now() + settings_.stop_timeout;
+      stopping_since_ = monotonic_clock::now();
       AwaitSignal();
       AwaitIdle();
     });
   }
 
-  // Ends once nothing is in progress. Keys that are out are waited for as well:
-  // without their home, callers could only be told unknown.
+  // Ends once nothing is in progress and nothing new comes. Keys that are out
+  // are waited for as well: without their home, callers could only be told
+  // unknown.
   void AwaitIdle() {
-    const bool late = monotonic_clock::now() >= give_up_;
+    const time_point now = monotonic_clock::now();
     const bool busy = parts_.Busy();
-    if (late || (!busy && !parts_.HoldsKeys())) {
+    const bool late = now >= stopping_since_ + settings_.stop_timeout;
+    if (late || (!busy && IsQuiet(now) && !parts_.HoldsKeys())) {
       if (late && busy) {
         LogWarning("stop_timeout", {{.name = "vm", .value = settings_.vm}});
       }
@@ -77,6 +86,20 @@
     });
   }
 
+  // Other daemons hear of the stop within moments, and until then send calls on
+  // connections that they keep. A process that ended at once would cut those
+  // off, and their callers could only be told unknown. Callers outside may go
+  // on for ever; they aren't waited for.
+  [[nodiscard]] bool IsQuiet(time_point now) {
+    const std::uint64_t requests = parts_.Requests();
+    if (std::exchange(requests_, requests) != requests) {
+      last_request_ = now;
+    }
+    const duration stopping = now - stopping_since_;
+    return stopping >= kLeastLinger &&
+           (now - last_request_ >= kQuietTime || stopping >= kMostLinger);
+  }
+
   void Tick() {
     parts_.Tick();
     tick_.expires_after(kTickInterval);
@@ -94,7 +117,9 @@
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer stop_;
   bool stopping_ = false;
-  time_point give_up_;
+  time_point stopping_since_;
+  time_point last_request_;  // Of IsQuiet(), as below.
+  std::uint64_t requests_ = 0;
 };
 
 }  // namespace
--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -206,6 +206,12 @@
   fleet_.Leave();
   callers_.Drain();
   inbound_.Drain();
+  caller_server_->DrainConnections();
+  peer_server_->DrainConnections();
+}
+
+std::uint64_t daemon_parts::Requests() const {
+  return caller_server_->requests() + peer_server_->requests();
 }
 
 bool daemon_parts::Busy() {
--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -43,6 +43,8 @@
   void Drain();
   // Whether anything is still in progress that a stop would interrupt.
   [[nodiscard]] bool Busy();
+  // Requests of callers and daemons since the start.
+  [[nodiscard]] std::uint64_t Requests() const;
   // Whether keys are out that only this daemon can judge.
   [[nodiscard]] bool HoldsKeys();
   void Stop();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -69,16 +69,25 @@
 
 struct http_server::state {
   state(worker_pool& pool, http_server_options opts)
-      : workers(pool), options(std::move(opts)), acceptor(pool.context(0)) {}
+      : workers(pool), options(std::move(opts)) {}
 
   worker_pool& workers;
   http_server_options options;
-  tcp::acceptor acceptor;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> draining{false};
+  std::atomic<std::uint64_t> requests{0};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> exchanges{0};
 };
 
+// Apart from the state that sessions share: a session may be the last to go, on
+// another worker than the socket's, whose io_context may be gone by then.
+struct http_server::listener {
+  explicit listener(worker_pool& workers) : acceptor(workers.context(0)) {}
+
+  tcp::acceptor acceptor;
+};
+
 // One connection. All of it runs on one worker.
 class http_server::session : public http_exchange,
                              public std::enable_shared_from_this<session> {
@@ -171,6 +180,7 @@
     answered_ = false;
     open_ = true;
     ++shared_->exchanges;
+    ++shared_->requests;
   }
 
   void EndExchange() {
@@ -226,7 +236,8 @@
     }
     message_->body() = std::move(response.body);
     message_->keep_alive(keep_alive_ && !response.close &&
-                         !shared_->stopping.load());
+                         !shared_->stopping.load() &&
+                         !shared_->draining.load());
     message_->prepare_payload();
     stream_.expires_after(shared_->options.idle_timeout);
     http::async_write(
@@ -269,26 +280,28 @@
 };
 
 http_server::http_server(worker_pool& workers, http_server_options options)
-    : state_(std::make_shared<state>(workers, std::move(options))) {
+    : state_(std::make_shared<state>(workers, std::move(options))),
+      listener_(std::make_shared<listener>(workers)) {
   const endpoint& address = state_->options.address;
   const tcp::endpoint local(asio::ip::make_address(address.ip), address.port);
-  tcp::acceptor& acceptor = state_->acceptor;
+  tcp::acceptor& acceptor = listener_->acceptor;
   acceptor.open(local.protocol());
   acceptor.set_option(tcp::acceptor::reuse_address(true));
   acceptor.bind(local);
   acceptor.listen(asio::socket_base::max_listen_connections);
-  Accept(state_);
+  Accept(state_, listener_);
 }
 
 http_server::~http_server() {
   StopAccepting();
 }
 
-void http_server::Accept(const std::shared_ptr<state>& state) {
+void http_server::Accept(const std::shared_ptr<state>& state,
+                         const std::shared_ptr<listener>& listener) {
   const std::size_t worker = state->workers.NextWorker();
-  state->acceptor.async_accept(
+  listener->acceptor.async_accept(
       state->workers.context(worker),
-      [state, worker](error_code error, tcp::socket socket) {
+      [state, listener, worker](error_code error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || state->stopping) {
           return;
         }
@@ -300,7 +313,7 @@
           asio::post(state->workers.context(worker),
                      [opened] { opened->Start(); });
         }
-        Accept(state);
+        Accept(state, listener);
       });
 }
 
@@ -308,14 +321,22 @@
   if (state_->stopping.exchange(true)) {
     return;
   }
-  asio::post(state_->workers.context(0), [state = state_] {
+  asio::post(state_->workers.context(0), [listener = listener_] {
     error_code ignored;
-    state->acceptor.close(ignored);
+    listener->acceptor.close(ignored);
   });
 }
 
+void http_server::DrainConnections() {
+  state_->draining = true;
+}
+
+std::uint64_t http_server::requests() const {
+  return state_->requests.load();
+}
+
 endpoint http_server::address() const {
-  const tcp::endpoint local = state_->acceptor.local_endpoint();
+  const tcp::endpoint local = listener_->acceptor.local_endpoint();
   return {.ip = local.address().to_string(), .port = local.port()};
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -64,17 +64,26 @@
 
   // Where it listens; with port 0 in the options, the port that was given.
   [[nodiscard]] endpoint address() const;
+  // Closes each connection behind its next answer, while new ones are still
+  // accepted: whoever comes is told to go elsewhere.
+  void DrainConnections();
+
   [[nodiscard]] std::size_t connections() const;
+  // Requests since the start.
+  [[nodiscard]] std::uint64_t requests() const;
   // Requests whose answers have not been written yet.
   [[nodiscard]] std::size_t open_exchanges() const;
 
  private:
   struct state;
+  struct listener;
   class session;
 
-  static void Accept(const std::shared_ptr<state>& state);
+  static void Accept(const std::shared_ptr<state>& state,
+                     const std::shared_ptr<listener>& listener);
 
   std::shared_ptr<state> state_;
+  std::shared_ptr<listener> listener_;
 };
 
 }  // namespace pistachioweir
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "src/net/http_client.h"
 #include "src/net/http_server.h"
@@ -181,6 +182,30 @@
   EXPECT_TRUE(EventuallyIdle());
 }
 
+// A daemon stops while callers still hold idle connections, served by several
+// workers. It crashed at its very end, since the last connection to go took the
+// listening socket with it, whose worker was gone; operators saw a failed stop.
+TEST_F(http_test, ServerEndsBeforeItsIdleConnections) {
+  auto workers = std::make_unique<worker_pool>(2);
+  auto server = std::make_unique<http_server>(
+      *workers, http_server_options{.address = {.ip = "127.0.0.1", .port = 0},
+                                    .handler = Echo});
+  workers->Start();
+  const endpoint address = server->address();
+  std::vector<tcp::socket> idle;
+  constexpr std::size_t kConnections = 8;
+  while (idle.size() < kConnections) {
+    idle.emplace_back(io_);
+    idle.back().connect({asio::ip::make_address(address.ip), address.port});
+  }
+  while (server->connections() < kConnections) {
+    std::this_thread::yield();
+  }
+  workers->Stop();
+  server.reset();
+  workers.reset();
+}
+
 // Bytes that aren't HTTP, or say two things about where a request ends. Taking
 // a guess would let one caller's bytes pass for the next request.
 TEST_F(http_test, MalformedRequestsAreRefused) {
