A planned stop waits until its peers were told

An idle daemon stopped its io_context 4 ms after it asked the agent to leave, before the datagrams were sent.

Change: Stop() waits up to 250 ms for the news to be sent.

--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr milliseconds kTick{50};
+constexpr milliseconds kLeaveTimeout{250};
 // The view also changes by time alone: suspicions end, blobs expire.
 constexpr milliseconds kRepublish{1000};
 
@@ -62,7 +63,23 @@
   });
 }
 
+void agent_core::RequestLeave() {
+  {
+    const std::lock_guard lock(mutex_);
+    leave_requested_ = true;
+  }
+  Post([](agent_core& self) { self.Leave(); });
+}
+
 void agent_core::Stop() {
+  {
+    // An idle daemon stops within milliseconds of leaving. If its io_context
+    // were stopped before the news is sent, its callers would only learn from
+    // failed calls that it is gone.
+    std::unique_lock lock(mutex_);
+    leave_signal_.wait_for(lock, kLeaveTimeout,
+                           [this] { return !leave_requested_ || leave_told_; });
+  }
   Post([](agent_core& self) {
     self.stopped_ = true;
     self.timer_.cancel();
@@ -193,12 +210,14 @@
 }
 
 void agent_core::Leave() {
-  if (gossip_.self().state == member_state::kLeaving) {
-    return;
-  }
   const time_point now = monotonic_clock::now();
   gossip_.Leave(now);
   port_->Send(gossip_.Tick(now));
+  {
+    const std::lock_guard lock(mutex_);
+    leave_told_ = true;
+  }
+  leave_signal_.notify_all();
   Publish(now);
 }
 
--- a/src/fleet/agent_core.h
+++ b/src/fleet/agent_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -59,13 +60,16 @@
   [[nodiscard]] bool IsFresh(time_point now) const;
   [[nodiscard]] std::string HandleRpc(std::string_view json);
 
+  // Any thread: leaves soon; Stop() waits for it.
+  void RequestLeave();
+
   // On the strand.
   membership& members() { return members_; }
   void Report(const std::optional<member_change>& change);
-  void Leave();
   void LearnBlob(const fleet_blob& blob);
 
  private:
+  void Leave();
   void Tick();
   void ScheduleTick();
   void NotePause(time_point now);
@@ -135,6 +139,9 @@
   mutable std::mutex mutex_;
   std::shared_ptr<const fleet_view> view_;  // Under mutex_; never null.
   fleet_counters counters_;                 // Under mutex_.
+  bool leave_requested_ = false;            // Under mutex_.
+  bool leave_told_ = false;                 // Under mutex_.
+  std::condition_variable leave_signal_;
 };
 
 }  // namespace pistachioweir
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -59,7 +59,7 @@
 }
 
 void fleet_agent::Leave() {
-  core_->Post([](agent_core& core) { core.Leave(); });
+  core_->RequestLeave();
 }
 
 bool fleet_agent::PublishBlob(const std::string& id,
