Newcomers compare with every peer that has a history; probes are repeated

They had compared buckets with one peer in each round, a third of the time one as new as themselves, and ran out of patience knowing 1 to 7 of 10 changes. Ruled out: the byte budget (rumours were refused, exchanges were not).

Change: a newcomer compares with each answering peer that has a history, and waits up to 10 s as long as one of them knows something else. Three rounds are made now.

--- a/include/fleet/gossip_node.h
+++ b/include/fleet/gossip_node.h
@@ -123,7 +123,8 @@
   struct exchange {
     member_news peer;
     time_point sent;
-    bool probed = false;  // Others were asked; kSuspicion runs.
+    bool probed = false;       // Others were asked; kSuspicion runs.
+    std::uint32_t rounds = 0;  // How often.
     time_point suspected;
   };
   // An exchange made for another daemon.
--- a/include/fleet/newcomer_rule.h
+++ b/include/fleet/newcomer_rule.h
@@ -40,6 +40,9 @@
   // Three peers with a history: one that is itself behind can't mislead.
   static constexpr std::size_t kEnough = 3;
   static constexpr seconds kPatience{3};
+  // As long as a peer with a history knows something else, there is something
+  // to wait for; yet changes in quick succession may keep all apart.
+  static constexpr seconds kDisagreement{10};
 
   // Takes a peer's answer.
   void NoteReply(const vm_id& vm, bool has_history, std::uint64_t digest);
--- a/src/fleet/gossip_node.cc
+++ b/src/fleet/gossip_node.cc
@@ -26,6 +26,10 @@
 constexpr double kOverheadBytes = 28 + 16;
 constexpr std::size_t kMaxExchanges = 64;
 constexpr std::size_t kHelpers = 2;
+// With a tenth of the datagrams lost, one round of probes fails two times in a
+// hundred for a healthy peer; three rounds, once in a hundred thousand.
+constexpr std::uint32_t kProbeRounds = 3;
+constexpr milliseconds kProbePause{900};
 // Above this share of failing exchanges the own network is suspected.
 constexpr double kMaxFailing = 0.5;
 constexpr double kFailingWeight = 0.1;
@@ -244,6 +248,10 @@
       peers_->NoteMiss(pending.peer.vm);
       pending.probed = true;
       pending.suspected = now;
+    }
+    if (pending.probed && pending.rounds < kProbeRounds &&
+        now - pending.suspected >= kProbePause * pending.rounds) {
+      ++pending.rounds;
       AskOthers(pending, it->first, out);
     }
     if (!pending.probed || now - pending.suspected < kSuspicion) {
--- a/src/fleet/gossip_receive.cc
+++ b/src/fleet/gossip_receive.cc
@@ -176,7 +176,15 @@
   replies_.push_back({.vm = reply.sender.vm,
                       .has_history = reply.has_history,
                       .digest = reply.digest});
-  if (reply.digest == manifests_.digest() || now < next_bucket_sync_) {
+  if (reply.digest == manifests_.digest()) {
+    return;
+  }
+  // A newcomer compares with each peer that has a history: waiting for its turn
+  // at one that is as new as itself, it would run out of patience knowing
+  // little. Others meet again soon enough.
+  const bool compare =
+      has_history_ ? now >= next_bucket_sync_ : reply.has_history;
+  if (!compare) {
     return;
   }
   next_bucket_sync_ = now + kBucketSyncPause;
--- a/src/fleet/newcomer_rule.cc
+++ b/src/fleet/newcomer_rule.cc
@@ -46,7 +46,8 @@
   if (all_answered && agreeing == with_history) {
     return true;
   }
-  return now - *asked_since_ >= kPatience;
+  const seconds patience = agreeing < with_history ? kDisagreement : kPatience;
+  return now - *asked_since_ >= patience;
 }
 
 }  // namespace pistachioweir
--- a/tests/gossip_fleet_test.cc
+++ b/tests/gossip_fleet_test.cc
@@ -139,6 +139,37 @@
   }
 }
 
+// The same, and a tenth of the datagrams is lost: a newcomer that compares
+// versions with few peers runs out of patience before it knows all.
+TEST(GossipLossTest, RestartedDaemonsDoNotFallBackUnderLoss) {
+  constexpr std::size_t kMany = 200;
+  constexpr std::size_t kAll = 10;
+  gossip_fleet fleet({.nodes = kMany, .services = kAll, .seed = 1});
+  fleet.RunFor(seconds(60));
+  fleet.SetLoss(0.1);
+  fleet.SetPlatformStale(true);
+  std::vector<std::uint64_t> newest;
+  newest.reserve(kAll);
+  for (std::size_t service = 0; service < kAll; ++service) {
+    newest.push_back(fleet.PublishManifest(service));
+    fleet.TellOf(service, service, newest.back());
+  }
+  fleet.RunFor(seconds(20));
+  for (std::size_t i = 0; i < kMany; i += 3) {
+    fleet.Kill(i);
+    fleet.Restart(i);
+  }
+  for (int step = 0; step < 300; ++step) {
+    fleet.RunFor(milliseconds(50));
+    for (std::size_t i = 0; i < kMany; i += 3) {
+      const std::size_t own = fleet.ServiceOf(i);
+      if (fleet.IsReady(i)) {
+        ASSERT_EQ(fleet.VersionInForce(i, own), newest[own]) << "node " << i;
+      }
+    }
+  }
+}
+
 // All VMs of a service are replaced while the platform is stale. Other daemons
 // still know that a newer manifest was accepted, but none has the document:
 // the service waits for the platform rather than bring the old rules back.
