--- a/src/config/value_parsers.cc
+++ b/src/config/value_parsers.cc
@@ -48,14 +48,17 @@
 }
 
 bool IsName(std::string_view text) {
+  // A name such as ".." would mean something else in a path.
   return !text.empty() && text.size() <= kMaxNameLength &&
-         std::ranges::all_of(text, IsNameChar);
+         text.front() != '.' && std::ranges::all_of(text, IsNameChar);
 }
 
 std::optional<std::string> ParseName(const json_node& node) {
   auto text = node.ReadString();
   if (text && !IsName(*text)) {
-    node.AddError(node.Describe(), "1 to 64 letters, digits, '.', '_' or '-'");
+    node.AddError(
+        node.Describe(),
+        "1 to 64 letters, digits, '.', '_' or '-', not starting with '.'");
     return std::nullopt;
   }
   return text;
--- a/src/config/value_parsers.h
+++ b/src/config/value_parsers.h
@@ -15,7 +15,7 @@
 inline constexpr std::size_t kMaxNameLength = 64;
 
 // A name that can stand in a URL, a log line and a metric's label as it is:
-// letters, digits, '.', '_' and '-'.
+// letters, digits, '.', '_' and '-', not starting with '.'.
 [[nodiscard]] bool IsName(std::string_view text);
 [[nodiscard]] std::optional<std::string> ParseName(const json_node& node);
 
--- a/tests/manifest_parser_test.cc
+++ b/tests/manifest_parser_test.cc
@@ -106,6 +106,8 @@
               ElementsAre(ErrorAt("m.json: /methods/0/at_most_once", "1")));
   EXPECT_THAT(ErrorsOf(With("\"contracts\"", "\"keys\"")),
               ElementsAre(ErrorAt("m.json: /service", "keys")));
+  EXPECT_THAT(ErrorsOf(With("\"contracts\"", "\"..\"")),
+              ElementsAre(ErrorAt("m.json: /service", "..")));
   EXPECT_THAT(ErrorsOf(With("{\"name\": \"list\"}", "3")),
               ElementsAre(ErrorAt("m.json: /methods/1", "3")));
 }
