--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -5,13 +5,11 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <optional>
 #include <string>
 
-#include "include/base/random_bits.h"
 #include "include/fleet/fleet_agent.h"
 #include "src/daemon/crash_guard.h"
 #include "src/daemon/inbound_call.h"
@@ -40,16 +38,6 @@
 
 }  // namespace
 
-// Wakes the admission state when a queued call's time runs out, even if no call
-// comes or ends. Armed only while calls are queued.
-class inbound_role::wakeup_timer {
- public:
-  explicit wakeup_timer(boost::asio::io_context& context) : timer_(context) {}
-
-  boost::asio::steady_timer timer_;
-  std::atomic<bool> armed_{false};
-};
-
 inbound_role::inbound_role(const inbound_options& options)
     : settings_(options.settings),
       incarnation_(options.incarnation),
@@ -59,25 +47,20 @@
       crashes_(options.crashes),
       target_(options.workers, options.settings.target),
       watch_(options.watch),
-      admission_(admission_options{}),
+      admission_(options.workers,
+                 [this](const admission_event& event) { Carry(event); }),
       // One start for all shards: they must agree on the epoch.
       executor_(kShards,
                 [made = ExecutorOptions(options.incarnation)](
                     std::size_t /*shard*/) { return executor_table(made); }),
-      calls_(kShards, [](std::size_t /*shard*/) { return call_map(); }),
-      wakeup_(std::make_unique<wakeup_timer>(options.workers.context(0))) {}
+      calls_(kShards, [](std::size_t /*shard*/) { return call_map(); }) {}
 
 inbound_role::~inbound_role() = default;
 
 void inbound_role::SetManifest(
     std::shared_ptr<const service_manifest> manifest) {
-  {
-    const std::lock_guard lock(admission_mutex_);
-    admission_.Reconfigure(
-        std::max<std::uint32_t>(1, manifest->slots),
-        std::max<std::uint32_t>(
-            1, static_cast<std::uint32_t>(manifest->methods.size())));
-  }
+  admission_.Reconfigure(manifest->slots,
+                         static_cast<std::uint32_t>(manifest->methods.size()));
   std::vector<method_metrics*> counted;
   for (const method_spec& method : manifest->methods) {
     counted.push_back(watch_.metrics().ForMethod(
@@ -193,22 +176,17 @@
                                   .method = offered->method,
                                   .deadline = offered->deadline,
                                   .cookie = offered->id};
-  admission_decision decision;
-  std::vector<admission_event> events;
-  {
-    const std::lock_guard lock(admission_mutex_);
-    decision = admission_.Offer(request, offered->arrived, RandomBits32());
-    events = TakeEvents(offered->arrived);
-    // Before the lock goes, since another worker may start it right after.
-    offered->handle = decision.handle;
-    offered->state = call::step::kQueued;
-  }
+  const admission_decision decision =
+      admission_.Offer(request, offered->arrived, [&](admission_handle handle) {
+        // Another worker may start the call right after.
+        offered->handle = handle;
+        offered->state = call::step::kQueued;
+      });
   if (decision.action == admission_action::kRun) {
     Start(offered);
   } else if (decision.action == admission_action::kRefused) {
     Settle(offered, NotExecuted(decision.why, decision.retry_after));
   }
-  Carry(events);
 }
 
 void inbound_role::Start(const call_ptr& started) {
@@ -267,19 +245,11 @@
 void inbound_role::EndRun(const call_ptr& ended,
                           const outcome& result,
                           duration downstream) {
-  const time_point now = monotonic_clock::now();
-  std::vector<admission_event> events;
-  {
-    const std::lock_guard lock(admission_mutex_);
-    admission_.Finish(ended->handle,
-                      {.downstream = downstream,
-                       .answered = result.kind == outcome_kind::kCompleted,
-                       .target_refused = result.why == reason::kTargetRefused},
-                      now);
-    events = TakeEvents(now);
-  }
+  admission_.Finish(ended->handle,
+                    {.downstream = downstream,
+                     .answered = result.kind == outcome_kind::kCompleted,
+                     .target_refused = result.why == reason::kTargetRefused});
   Settle(ended, result);
-  Carry(events);
 }
 
 outcome inbound_role::OutcomeOf(call& ended, target_result result) {
@@ -361,15 +331,12 @@
 }
 
 answer_envelope inbound_role::Describe(std::uint32_t method) {
+  const load_report load = admission_.Report(method);
   answer_envelope answer;
-  {
-    const std::lock_guard lock(admission_mutex_);
-    const load_report load = admission_.Report(method, monotonic_clock::now());
-    answer.admission_level = load.admission_level;
-    answer.in_flight = load.in_flight;
-    answer.queued = load.queued;
-    answer.limit = load.limit;
-  }
+  answer.admission_level = load.admission_level;
+  answer.in_flight = load.in_flight;
+  answer.queued = load.queued;
+  answer.limit = load.limit;
   answer.executor = incarnation_;
   answer.epoch = Epoch();
   answer.draining = draining_;
@@ -387,19 +354,12 @@
   if (abandoned->done == nullptr || abandoned->request.binding) {
     return;
   }
-  bool queued = false;
-  std::vector<admission_event> events;
-  if (abandoned->state == call::step::kQueued) {
-    const std::lock_guard lock(admission_mutex_);
-    queued = admission_.Cancel(abandoned->handle);
-    events = TakeEvents(monotonic_clock::now());
-  }
-  if (queued) {
+  if (abandoned->state == call::step::kQueued &&
+      admission_.Cancel(abandoned->handle)) {
     Settle(abandoned, NotExecuted(reason::kCancelled));
   } else if (abandoned->run != nullptr) {
     http_client::Cancel(abandoned->run);
   }
-  Carry(events);
 }
 
 answer_envelope inbound_role::CancelAttempt(const execution_binding& attempt) {
@@ -419,90 +379,37 @@
 
 void inbound_role::SetDownstreamLevel(std::uint32_t method,
                                       admission_rank level) {
-  const std::lock_guard lock(admission_mutex_);
-  admission_.SetDownstreamLevel(method, level, monotonic_clock::now());
+  admission_.SetDownstreamLevel(method, level);
 }
 
 void inbound_role::Tick() {
   const time_point now = monotonic_clock::now();
   executor_.ForEach([now](executor_table& table) { table.Tick(now); });
   crashes_.Expire(now);
-  std::vector<admission_event> events;
-  {
-    const std::lock_guard lock(admission_mutex_);
-    events = TakeEvents(now);
-  }
-  Carry(events);
-}
-
-std::vector<admission_event> inbound_role::TakeEvents(time_point now) {
-  std::vector<admission_event> events;
-  while (const auto event = admission_.TakeNext(now, RandomBits32())) {
-    events.push_back(*event);
-  }
-  if (admission_.queued() > 0) {
-    ArmWakeup();
-  }
-  return events;
+  admission_.Wake();
 }
 
-// Starts or refuses calls that were queued, each on its own worker.
-void inbound_role::Carry(const std::vector<admission_event>& events) {
-  for (const admission_event& event : events) {
-    const call_ptr waiting = Find(event.cookie);
-    if (waiting == nullptr) {
-      GiveBack(event.decision);
-      continue;
+// Starts or refuses a call that was queued, on its own worker.
+void inbound_role::Carry(const admission_event& event) {
+  const call_ptr waiting = Find(event.cookie);
+  if (waiting == nullptr) {
+    // A cancelled attempt is answered at once but leaves the queue only when
+    // its turn comes. Its slot must not stay taken then.
+    if (event.decision.action == admission_action::kRun) {
+      admission_.Finish(event.decision.handle, {.answered = false});
     }
-    boost::asio::post(
-        workers_.context(waiting->worker),
-        [this, waiting, decision = event.decision] {
-          if (decision.action == admission_action::kRun) {
-            waiting->handle = decision.handle;
-            Start(waiting);
-          } else {
-            Settle(waiting, NotExecuted(decision.why, decision.retry_after));
-          }
-        });
-  }
-}
-
-// A cancelled attempt is answered at once but leaves the queue only when its
-// turn comes. Its slot must not stay taken then.
-void inbound_role::GiveBack(const admission_decision& decision) {
-  if (decision.action != admission_action::kRun) {
-    return;
-  }
-  std::vector<admission_event> events;
-  {
-    const std::lock_guard lock(admission_mutex_);
-    const time_point now = monotonic_clock::now();
-    admission_.Finish(decision.handle, {.answered = false}, now);
-    events = TakeEvents(now);
-  }
-  Carry(events);
-}
-
-void inbound_role::ArmWakeup() {
-  if (wakeup_->armed_.exchange(true)) {
     return;
   }
-  const time_point when = admission_.next_wakeup();
-  boost::asio::post(workers_.context(0), [this, when] {
-    wakeup_->timer_.expires_at(when);
-    wakeup_->timer_.async_wait([this](boost::system::error_code error) {
-      if (error) {
-        return;
-      }
-      wakeup_->armed_ = false;
-      std::vector<admission_event> events;
-      {
-        const std::lock_guard lock(admission_mutex_);
-        events = TakeEvents(monotonic_clock::now());
-      }
-      Carry(events);
-    });
-  });
+  boost::asio::post(workers_.context(waiting->worker),
+                    [this, waiting, decision = event.decision] {
+                      if (decision.action == admission_action::kRun) {
+                        waiting->handle = decision.handle;
+                        Start(waiting);
+                      } else {
+                        Settle(waiting,
+                               NotExecuted(decision.why, decision.retry_after));
+                      }
+                    });
 }
 
 auto inbound_role::Find(std::uint64_t id) -> call_ptr {
@@ -513,13 +420,7 @@
 }
 
 load_report inbound_role::Load() const {
-  const std::lock_guard lock(admission_mutex_);
-  return admission_.Report(0, monotonic_clock::now());
-}
-
-admission_counters inbound_role::AdmissionCounters() const {
-  const std::lock_guard lock(admission_mutex_);
-  return admission_.counters();
+  return admission_.Report(0);
 }
 
 }  // namespace pistachioweir
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -10,7 +10,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "include/admit/admission_controller.h"
 #include "include/base/ids.h"
 #include "include/base/sharded.h"
 #include "include/base/time.h"
@@ -18,6 +17,7 @@
 #include "include/config/manifest.h"
 #include "include/config/settings.h"
 #include "include/once/executor_table.h"
+#include "src/daemon/admission_gate.h"
 #include "src/daemon/target_client.h"
 
 namespace pistachioweir {
@@ -85,7 +85,6 @@
   void Tick();
 
   [[nodiscard]] load_report Load() const;
-  [[nodiscard]] admission_counters AdmissionCounters() const;
   [[nodiscard]] epoch_id Epoch();
 
  private:
@@ -104,19 +103,13 @@
   void Deliver(const call_ptr& waiter,
                const outcome& result,
                std::uint32_t unspent);
-  void Carry(const std::vector<admission_event>& events);
-  void GiveBack(const admission_decision& decision);
-  void ArmWakeup();
+  void Carry(const admission_event& event);
   [[nodiscard]] call_ptr Find(std::uint64_t id);
   [[nodiscard]] answer_envelope Describe(std::uint32_t method);
   [[nodiscard]] std::shared_ptr<const service_manifest> Manifest() const;
   [[nodiscard]] method_metrics* CountersOf(const call& counted) const;
   void Report(const call& ended, const answer_envelope& answer);
 
-  // What TakeNext() has to say after the admission state has changed. With
-  // admission_mutex_ held.
-  [[nodiscard]] std::vector<admission_event> TakeEvents(time_point now);
-
   const daemon_settings& settings_;
   const incarnation_id incarnation_;
   worker_pool& workers_;
@@ -131,15 +124,11 @@
   std::shared_ptr<const service_manifest> manifest_;
   std::vector<method_metrics*> counted_;  // By method index.
 
-  mutable std::mutex admission_mutex_;
-  admission_controller admission_;  // Guarded by admission_mutex_.
+  admission_gate admission_;
 
   sharded<executor_table> executor_;
   sharded<call_map> calls_;  // Every call that is not answered.
 
-  class wakeup_timer;
-  std::unique_ptr<wakeup_timer> wakeup_;
-
   std::atomic<std::uint64_t> next_id_{1};
   std::atomic<std::size_t> in_progress_{0};
   std::atomic<bool> draining_{false};
