Unknown never has the status of a refusal; keys are spread over all shards

Cause: a daemon that isn't ready answered a keyed request 503 with the outcome unknown. A caller that looks at the status alone takes that for a refusal and sends its request again under another key. All keys of one address lay in one of 16 shards, so one gateway had a sixteenth of the keys.

--- a/src/daemon/caller_protocol.cc
+++ b/src/daemon/caller_protocol.cc
@@ -15,7 +15,10 @@
 constexpr std::size_t kMaxNameSize = 128;
 constexpr std::size_t kMaxTokenSize = 512;
 
-// Indexed by reason.
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+
+// Of refusals, indexed by reason.
 constexpr std::array<int, kReasonCount> kStatuses = {
     200,  // kNone
     400,  // kBadRequest
@@ -156,6 +159,11 @@
   if (result.kind == outcome_kind::kCompleted) {
     return result.reply.status;
   }
+  // Whatever the reason, a caller that only looks at the status must not take
+  // "unknown" for a refusal.
+  if (result.kind == outcome_kind::kUnknown) {
+    return result.why == reason::kTimeout ? kGatewayTimeout : kBadGateway;
+  }
   return kStatuses[static_cast<std::size_t>(result.why)];
 }
 
--- a/src/daemon/home_role.cc
+++ b/src/daemon/home_role.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <variant>
 
+#include "include/base/random_bits.h"
 #include "src/daemon/home_execution.h"
 #include "src/daemon/inbound_role.h"
 #include "src/daemon/peer_directory.h"
@@ -48,6 +49,7 @@
       .shard = static_cast<std::uint32_t>(shard),
       .shards = kShards};
   made.max_keys /= kShards;
+  made.max_keys_per_caller /= kShards;
   made.max_answer_bytes /= kShards;
   return made;
 }
@@ -75,7 +77,9 @@
 issued_keys home_role::Issue(std::uint32_t count,
                              const std::string& caller,
                              milliseconds lifetime) {
-  const std::size_t shard = std::hash<std::string>()(caller);
+  // Any shard: one that an address always had would be full of that caller's
+  // keys while the others stand empty.
+  const std::size_t shard = RandomBits64();
   return homes_.With(shard, [&](key_home& home) {
     return home.Issue(count, caller, lifetime, monotonic_clock::now());
   });
