--- /dev/null
+++ b/tests/process/platform_failed_test.cc
@@ -0,0 +1,46 @@
+// The platform's service down, stale or serving an older version.
+#include "tests/support/process_test.h"
+
+namespace pistachioweir {
+namespace {
+
+class platform_failed_test : public process_test {
+ protected:
+  // Whether all daemons of `service` have `version` in force.
+  bool InForce(const std::string& service, std::uint64_t version) {
+    for (const std::string& vm : fleet().VmsOf(service)) {
+      if (fleet().VersionAt(vm, service) != version) {
+        return false;
+      }
+    }
+    return true;
+  }
+};
+
+// The platform is down for long. What is known stays in force, and calls are
+// served as if nothing had happened.
+TEST_F(platform_failed_test, DownWhileCallsGoOn) {
+  StartFleet();
+  fleet().SetPlatform("down");
+  background_load load(Plan(seconds(6)));
+  const standin::load_report& report = load.Wait();
+  EXPECT_EQ(InDeadline(report), Sent(report));
+  ExpectPromises();
+}
+
+// A stale platform hides a change from all daemons until it recovers; then the
+// change must come into force everywhere.
+TEST_F(platform_failed_test, ChangeComesIntoForceAfterStaleness) {
+  StartFleet();
+  fleet().SetPlatform("stale");
+  const std::uint64_t version =
+      fleet().ChangeManifest("contracts", Json::Value(Json::objectValue));
+  background_load load(Plan(seconds(4)));
+  load.Wait();
+  fleet().SetPlatform("ok");
+  EXPECT_TRUE(Eventually([&] { return InForce("contracts", version); }));
+  ExpectPromises();
+}
+
+}  // namespace
+}  // namespace pistachioweir
