Calls from other calls count as invested, and a target that is down is known as such

The decisions had inputs that the daemon did not feed: whether other targets have worked for a request already (then it is refused last within its priority), the level at the entrance of the called service instead of the one on the last answer, and whether the target is up.

--- a/src/daemon/admission_gate.cc
+++ b/src/daemon/admission_gate.cc
@@ -64,6 +64,11 @@
   controller_.SetDownstreamLevel(method, level, monotonic_clock::now());
 }
 
+void admission_gate::SetAvailable(bool available) {
+  const std::lock_guard lock(mutex_);
+  controller_.SetAvailable(available);
+}
+
 void admission_gate::Wake() {
   Change(monotonic_clock::now(), [](admission_controller& /*controller*/,
                                     std::uint32_t /*random*/) { return true; });
--- a/src/daemon/admission_gate.h
+++ b/src/daemon/admission_gate.h
@@ -48,6 +48,8 @@
   bool Cancel(admission_handle handle);
   void SetDownstreamLevel(std::uint32_t method, admission_rank level);
 
+  void SetAvailable(bool available);
+
   // Lets time pass.
   void Wake();
 
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -355,7 +355,9 @@
                child = *child](const outbound_result& result) {
     serving_.EndChild(token, child, result.result.kind, result.unspent_credit,
                       monotonic_clock::now() - asked->arrived);
-    inbound_.SetDownstreamLevel(child.parent_method, result.level);
+    inbound_.SetDownstreamLevel(
+        child.parent_method,
+        outbound_.EntranceLevel(asked->call.service, asked->method.index));
     asked->Answer(result.result);
   };
   const auto refuse = [&](reason why) {
--- a/src/daemon/home_execution.h
+++ b/src/daemon/home_execution.h
@@ -38,7 +38,6 @@
   std::uint32_t sends = 0;  // Of the present attempt.
   // What rode on the last answer.
   std::uint32_t unspent_credit = 0;
-  admission_rank level = 0;
 };
 
 }  // namespace pistachioweir
--- a/src/daemon/home_role.cc
+++ b/src/daemon/home_role.cc
@@ -303,7 +303,6 @@
     EndTry(*sent, ResultOf(result), answer, now - at);
   }
   if (answer != nullptr) {
-    sent->level = answer->admission_level;
     sent->unspent_credit = answer->unspent_credit;
   }
   CarryOut(On(key, [&](key_home& home) -> home_action {
@@ -373,7 +372,6 @@
     executions_.With(action.key.sequence, [&](execution_map& executions) {
       executions.erase(action.key.sequence);
     });
-    told.level = ended->level;
     told.unspent_credit = ended->unspent_credit;
     OnWorkerOf(ended, [ended] { ended->deadline_timer.cancel(); });
   }
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -49,6 +49,9 @@
       watch_(options.watch),
       admission_(options.workers,
                  [this](const admission_event& event) { Carry(event); }),
+      watch_target_(options.workers,
+                    options.settings.target,
+                    [this](bool up) { admission_.SetAvailable(up); }),
       // One start for all shards: they must agree on the epoch.
       executor_(kShards,
                 [made = ExecutorOptions(options.incarnation)](
@@ -174,6 +177,7 @@
   const admission_request request{.level = offered->request.level,
                                   .ticket = offered->request.ticket,
                                   .method = offered->method,
+                                  .invested = offered->request.depth > 0,
                                   .deadline = offered->deadline,
                                   .cookie = offered->id};
   const admission_decision decision =
@@ -268,6 +272,7 @@
       return Completed(std::move(result.reply));
     }
     case exchange_end::kNotSent:
+      watch_target_.NoteRefused();
       return NotExecuted(reason::kNoTarget, kTargetDownRetryAfter);
     case exchange_end::kLost:
       // Guard CRASH_IS_UNKNOWN in spec/outcome_truth.pml. A target that dies
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -19,6 +19,7 @@
 #include "include/once/executor_table.h"
 #include "src/daemon/admission_gate.h"
 #include "src/daemon/target_client.h"
+#include "src/daemon/target_watch.h"
 
 namespace pistachioweir {
 
@@ -125,6 +126,7 @@
   std::vector<method_metrics*> counted_;  // By method index.
 
   admission_gate admission_;
+  target_watch watch_target_;
 
   sharded<executor_table> executor_;
   sharded<call_map> calls_;  // Every call that is not answered.
--- a/src/daemon/outbound_call.h
+++ b/src/daemon/outbound_call.h
@@ -32,7 +32,6 @@
   // Whether an attempt may have run; then the call can't end as not executed.
   bool may_have_run = false;
   reason unknown_reason = reason::kNone;
-  admission_rank level = 0;
   // Of the attempt that is out; reset when it ends.
   std::shared_ptr<void> attempt;
   vm_id target;  // Of that attempt.
--- a/src/daemon/outbound_role.cc
+++ b/src/daemon/outbound_role.cc
@@ -234,7 +234,8 @@
                                 chosen_target* chosen) {
   placement_request wanted{.method = request.method,
                            .level = request.request.level,
-                           .ticket = request.request.ticket};
+                           .ticket = request.request.ticket,
+                           .invested = request.request.depth > 0};
   const auto route = RouteTo(request.request.service);
   const time_point now = monotonic_clock::now();
   const std::lock_guard lock(route->mutex);
@@ -363,7 +364,6 @@
           monotonic_clock::now() - sent, answer);
   if (answer != nullptr) {
     placed->credit.Return(lent, answer->unspent_credit);
-    placed->level = answer->admission_level;
   } else {
     placed->credit.Lose(lent);
   }
@@ -403,7 +403,8 @@
     const std::lock_guard lock(route->mutex);
     placement_request wanted{.method = failed.request.method,
                              .level = failed.request.request.level,
-                             .ticket = failed.request.request.ticket};
+                             .ticket = failed.request.request.ticket,
+                             .invested = failed.request.request.depth > 0};
     wanted.tried.count = static_cast<std::uint32_t>(
         std::min<std::size_t>(failed.tried.size(), tried_targets::kMax));
     if (failed.credit.available() == 0 ||
@@ -423,8 +424,7 @@
     return;
   }
   outbound_result told{.result = result,
-                       .unspent_credit = finished->credit.available(),
-                       .level = finished->level};
+                       .unspent_credit = finished->credit.available()};
   // Guard EVERY_ATTEMPT in spec/outcome_truth.pml. An earlier attempt may have
   // run although the last one did not.
   if (result.kind == outcome_kind::kNotExecuted && finished->may_have_run) {
@@ -433,6 +433,13 @@
   done(std::move(told));
 }
 
+admission_rank outbound_role::EntranceLevel(const std::string& service,
+                                            std::uint32_t method) {
+  const auto route = RouteTo(service);
+  const std::lock_guard lock(route->mutex);
+  return route->targets.EntranceLevel(method, monotonic_clock::now());
+}
+
 void outbound_role::Abandon(const call_ptr& abandoned) {
   abandoned->done = nullptr;
   const auto attempt =
--- a/src/daemon/outbound_role.h
+++ b/src/daemon/outbound_role.h
@@ -52,8 +52,6 @@
 struct outbound_result {
   outcome result;
   std::uint32_t unspent_credit = 0;
-  // Level below which the called service refuses.
-  admission_rank level = 0;
 };
 
 // What one target is chosen by, for a call that is bound to it.
@@ -82,6 +80,10 @@
                              outbound_request request,
                              callback done);
 
+  // Calls of the method below this are refused here, wherever they would go.
+  [[nodiscard]] admission_rank EntranceLevel(const std::string& service,
+                                             std::uint32_t method);
+
   // The caller went away. On the call's worker.
   void Abandon(const std::shared_ptr<call>& abandoned);
 
