--- a/include/fleet/fleet_agent.h
+++ b/include/fleet/fleet_agent.h
@@ -50,6 +50,10 @@
   std::uint64_t known_services = 0;
   std::uint64_t known_peers = 0;
   std::uint64_t fleet_size_estimate = 0;
+  // When the platform last answered a read; zero time if it never did.
+  time_point platform_answered;
+  // Whether the last read failed. Most daemons read seldom.
+  bool platform_failing = false;
 };
 
 struct fleet_agent_options {
--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -86,6 +86,7 @@
                .incarnation = incarnation_,
                .view = view_,
                .fleet = fleet_,
+               .directory = directory_,
                .inbound = inbound_,
                .outbound = outbound_,
                .watch = watch_}),
--- a/src/daemon/peer_directory.cc
+++ b/src/daemon/peer_directory.cc
@@ -82,6 +82,15 @@
   return known->second.address;
 }
 
+std::optional<time_point> peer_directory::HeardAt(const vm_id& vm) const {
+  const std::lock_guard lock(mutex_);
+  const auto known = entries_.find(vm);
+  if (known == entries_.end() || known->second.heard == time_point()) {
+    return std::nullopt;
+  }
+  return known->second.heard;
+}
+
 std::optional<executor_start> peer_directory::StartOf(const vm_id& vm,
                                                       time_point now) const {
   const std::lock_guard lock(mutex_);
--- a/src/daemon/peer_directory.h
+++ b/src/daemon/peer_directory.h
@@ -40,6 +40,9 @@
 
   [[nodiscard]] std::optional<endpoint> AddressOf(const vm_id& vm) const;
 
+  // When the last answer of `vm` came; nothing if none did.
+  [[nodiscard]] std::optional<time_point> HeardAt(const vm_id& vm) const;
+
   // The last heard start of `vm`, if it was heard recently enough that its
   // epoch is surely still acceptable; else nothing, and the VM must be asked.
   [[nodiscard]] std::optional<executor_start> StartOf(const vm_id& vm,
--- a/src/daemon/status_report.cc
+++ b/src/daemon/status_report.cc
@@ -9,6 +9,7 @@
 #include "src/daemon/inbound_role.h"
 #include "src/daemon/observer.h"
 #include "src/daemon/outbound_role.h"
+#include "src/daemon/peer_directory.h"
 #include "src/daemon/view_holder.h"
 
 namespace pistachioweir {
@@ -34,6 +35,7 @@
       incarnation_(options.incarnation),
       view_(options.view),
       fleet_(options.fleet),
+      directory_(options.directory),
       inbound_(options.inbound),
       outbound_(options.outbound),
       watch_(options.watch) {}
@@ -61,26 +63,43 @@
   status.in_flight = load.in_flight;
   status.queued = load.queued;
   status.admission_level = load.admission_level;
-  status.peers_known =
-      static_cast<std::uint32_t>(fleet_.Counters().known_peers);
+  const fleet_counters fleet = fleet_.Counters();
+  status.peers_known = static_cast<std::uint32_t>(fleet.known_peers);
+  const bool answered = fleet.platform_answered != time_point();
+  status.platform_reachable = answered && !fleet.platform_failing;
+  if (answered) {
+    status.platform_age = std::chrono::duration_cast<milliseconds>(
+        monotonic_clock::now() - fleet.platform_answered);
+  }
   if (view->fleet == nullptr) {
     return status;
   }
+  const time_point now = monotonic_clock::now();
   for (const fleet_service& service : view->fleet->services) {
     if (service.manifest != nullptr) {
       status.manifests.push_back(
-          {.service = service.service, .version = service.manifest->version});
+          {.service = service.service,
+           .version = service.manifest->version,
+           .held_for = std::chrono::duration_cast<milliseconds>(
+               now - view->held_since.at(service.service))});
     }
     for (const fleet_target& target : service.targets) {
       status.targets.push_back({.service = service.service,
                                 .vm = target.vm,
                                 .data_centre = target.data_centre,
-                                .state = StateOf(target.state)});
+                                .state = StateOf(target.state),
+                                .heard_ago = HeardAgo(target.vm, now)});
     }
   }
   return status;
 }
 
+milliseconds status_report::HeardAgo(const vm_id& vm, time_point now) const {
+  const auto heard = directory_.HeardAt(vm);
+  return heard ? std::chrono::duration_cast<milliseconds>(now - *heard)
+               : milliseconds(0);
+}
+
 method_explanation status_report::Explain(std::string_view service,
                                           std::string_view method) {
   const auto view = view_.Get();
--- a/src/daemon/status_report.h
+++ b/src/daemon/status_report.h
@@ -18,6 +18,7 @@
 class inbound_role;
 class observer;
 class outbound_role;
+class peer_directory;
 class view_holder;
 
 struct status_options {
@@ -25,6 +26,7 @@
   incarnation_id incarnation{};
   view_holder& view;
   fleet_agent& fleet;
+  const peer_directory& directory;
   inbound_role& inbound;
   outbound_role& outbound;
   observer& watch;
@@ -46,6 +48,7 @@
 
  private:
   [[nodiscard]] daemon_state State();
+  [[nodiscard]] milliseconds HeardAgo(const vm_id& vm, time_point now) const;
   void UpdateCounters();
 
   const daemon_settings& settings_;
@@ -53,6 +56,7 @@
   const time_point started_ = monotonic_clock::now();
   view_holder& view_;
   fleet_agent& fleet_;
+  const peer_directory& directory_;
   inbound_role& inbound_;
   outbound_role& outbound_;
   observer& watch_;
--- a/src/daemon/view_holder.cc
+++ b/src/daemon/view_holder.cc
@@ -18,6 +18,16 @@
                                             manifest.service, method.name));
     }
   }
+  const auto last = Get();
+  const time_point now = monotonic_clock::now();
+  for (const service_manifest& manifest : made->manifests->manifests()) {
+    const service_manifest* before =
+        last->manifests == nullptr ? nullptr
+                                   : last->manifests->Find(manifest.service);
+    const bool same = before != nullptr && before->version == manifest.version;
+    made->held_since[manifest.service] =
+        same ? last->held_since.at(manifest.service) : now;
+  }
   const std::lock_guard lock(mutex_);
   view_ = std::move(made);
 }
--- a/src/daemon/view_holder.h
+++ b/src/daemon/view_holder.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "include/base/time.h"
 #include "include/config/manifest_set.h"
 #include "include/fleet/fleet_view.h"
 
@@ -27,6 +28,8 @@
   // Counters of outbound calls, by service and method index; valid as long as
   // the daemon's metrics. Kept here so that no call looks them up by name.
   std::unordered_map<std::string, std::vector<method_metrics*>> counters;
+  // Since when each service's manifest has been in force here.
+  std::unordered_map<std::string, time_point> held_since;
 
   // Whether calls may be judged by it. A daemon that was paused must be asked
   // for at each call: see fleet_agent::IsFresh().
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -293,6 +293,14 @@
   ++(counters_.*counter);
 }
 
+void agent_core::NotePlatform(bool failing, time_point now) {
+  const std::lock_guard lock(mutex_);
+  counters_.platform_failing = failing;
+  if (!failing) {
+    counters_.platform_answered = now;
+  }
+}
+
 void agent_core::CopyCounters(time_point now) {
   const gossip_port_counters& port = port_->counters();
   const gossip_counters& gossip = gossip_.counters();
--- a/src/fleet/agent_core.h
+++ b/src/fleet/agent_core.h
@@ -103,6 +103,7 @@
   void Publish(time_point now);
   void Emit(const fleet_event& event);
   void Count(std::uint64_t fleet_counters::*counter);
+  void NotePlatform(bool failing, time_point now);
   void CopyCounters(time_point now);
 
   const fleet_agent_options options_;
--- a/src/fleet/agent_reads.cc
+++ b/src/fleet/agent_reads.cc
@@ -37,6 +37,7 @@
   if (failed) {
     Count(&fleet_counters::platform_failures);
   }
+  NotePlatform(failed, now);
   if (result.status == read_status::kFound) {
     if (key == "index") {
       OnIndex(result.body, now);
