A daemon that isn't ready refuses calls of other daemons too

Seen in the process test of planned stops: a target beside a daemon that had just started was given calls, and its own calls were refused by that daemon as not ready, so its runs failed. A newcomer may also hold an older manifest. It now refuses both ways until it is ready.

--- a/src/daemon/daemon_parts.cc
+++ b/src/daemon/daemon_parts.cc
@@ -152,6 +152,7 @@
   if (own != nullptr && own->manifest != nullptr) {
     inbound_.SetManifest(own->manifest);
   }
+  inbound_.SetReady(view->ready);
   ImportSuspects(*view);
   if (view->own_state == member_state::kLeaving) {
     Drain();
--- a/src/daemon/inbound_role.cc
+++ b/src/daemon/inbound_role.cc
@@ -142,7 +142,9 @@
   const auto manifest = Manifest();
   // A daemon that was paused doesn't know yet whether its target is leaving, or
   // which manifest is in force by now.
-  if (manifest == nullptr || !fleet_.IsFresh(checked.arrived)) {
+  // A newcomer may hold an older manifest, and its target's own calls would be
+  // refused here.
+  if (manifest == nullptr || !ready_ || !fleet_.IsFresh(checked.arrived)) {
     return NotExecuted(reason::kNotReady, kNotReadyRetryAfter);
   }
   if (draining_) {
--- a/src/daemon/inbound_role.h
+++ b/src/daemon/inbound_role.h
@@ -56,6 +56,10 @@
   // A newer manifest of the own service is in force.
   void SetManifest(std::shared_ptr<const service_manifest> manifest);
 
+  // Whether the view of the fleet may be acted on; calls are refused until
+  // then.
+  void SetReady(bool ready) { ready_ = ready; }
+
   // Refuses new calls from now on; those in progress go on.
   void Drain();
   [[nodiscard]] bool draining() const { return draining_.load(); }
@@ -133,6 +137,7 @@
 
   std::atomic<std::uint64_t> next_id_{1};
   std::atomic<std::size_t> in_progress_{0};
+  std::atomic<bool> ready_{false};
   std::atomic<bool> draining_{false};
 };
 
