Settings name the peer address that other daemons are told

Behind a translation of addresses a daemon is reached at another address than it binds; gossip spread the bound one, so peers went past whatever stands between. Optional advertised_peer, the bound address by default. It also lets a test carry the traffic between daemons and cut it.

--- a/include/config/settings.h
+++ b/include/config/settings.h
@@ -32,6 +32,9 @@
   endpoint caller;  // HTTP for callers.
   endpoint local;   // HTTP for the target's own calls; loopback only.
   endpoint peer;    // TCP calls and UDP gossip of other daemons.
+  // Where other daemons reach `peer`; the same unless an address is translated
+  // between them.
+  endpoint advertised_peer;
   endpoint admin;   // Status, metrics, health; reads only.
   endpoint target;  // The target beside this daemon.
   std::vector<endpoint> platform;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -45,6 +45,8 @@
       {"caller", kRequired, ReadWith(&s::caller, ParseEndpoint)},
       {"local", kRequired, ReadWith(&s::local, ParseEndpoint)},
       {"peer", kRequired, ReadWith(&s::peer, ParseEndpoint)},
+      {"advertised_peer", kOptional,
+       ReadWith(&s::advertised_peer, ParseEndpoint)},
       {"admin", kRequired, ReadWith(&s::admin, ParseEndpoint)},
       {"target", kRequired, ReadWith(&s::target, ParseEndpoint)},
       {"platform", kRequired,
@@ -115,6 +117,9 @@
                        &result.errors);
   Schema().Read(root, &result.value);
   if (document.root.isObject()) {
+    if (!document.root.isMember("advertised_peer")) {
+      result.value.advertised_peer = result.value.peer;
+    }
     CheckAddresses(result.value, root);
     CheckUnique(result.value.platform, root.Member("platform"));
     CheckUnique(result.value.fleet_keys, root.Member("fleet_keys"));
--- a/src/fleet/agent_core.cc
+++ b/src/fleet/agent_core.cc
@@ -18,7 +18,7 @@
           .service = options.settings.service,
           .data_centre = options.settings.data_centre,
           .region = options.settings.region,
-          .peer = options.settings.peer,
+          .peer = options.settings.advertised_peer,
           .incarnation = options.incarnation};
 }
 
