--- a/standin/verifier.h
+++ b/standin/verifier.h
@@ -53,7 +53,9 @@
   // Records of targets, platform and callers. A last line that was cut by the
   // end of its writer is passed over.
   void ReadRecords(const std::string& path);
-  // The log of one daemon, over all its starts.
+  // The log of one daemon, over all its starts. A manifest is in force from the
+  // moment that the daemon takes calls: a newcomer may read an old one and must
+  // have replaced it before.
   void ReadLog(const std::string& path);
 
   [[nodiscard]] verdict Judge() const;
@@ -73,6 +75,7 @@
     std::int64_t us = 0;
     std::string state;
   };
+  // A version that came into force.
   struct acceptance {
     std::string log;
     std::uint64_t version = 0;
