--- a/src/admin/admin_api.cc
+++ b/src/admin/admin_api.cc
@@ -1,12 +1,11 @@
 // Pages of the admin port.
 #include "include/admin/admin_api.h"
 
-#include <charconv>
-#include <optional>
 #include <utility>
 
 #include "src/admin/status_json.h"
 #include "src/config/value_parsers.h"
+#include "src/net/http_message.h"
 
 namespace pistachioweir {
 namespace {
@@ -28,22 +27,6 @@
   return Respond(status, "{\"error\": \"" + std::string(problem) + "\"}\n");
 }
 
-// The value of `name` in a query such as "a=1&b=2". Names and numbers need no
-// percent-encoding, so none is decoded; what has one is refused as a bad name.
-std::optional<std::string_view> QueryValue(std::string_view query,
-                                           std::string_view name) {
-  while (!query.empty()) {
-    const std::size_t end = std::min(query.find('&'), query.size());
-    const std::string_view pair = query.substr(0, end);
-    query.remove_prefix(std::min(end + 1, query.size()));
-    const std::size_t equals = pair.find('=');
-    if (equals != pair.npos && pair.substr(0, equals) == name) {
-      return pair.substr(equals + 1);
-    }
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 admin_api::admin_api(admin_sources sources) : sources_(std::move(sources)) {}
@@ -88,19 +71,19 @@
 
 admin_response admin_api::Audit(std::string_view query) const {
   std::size_t max = kDefaultAuditEvents;
-  if (const auto text = QueryValue(query, "max")) {
-    const char* end = text->data() + text->size();
-    const auto [stop, error] = std::from_chars(text->data(), end, max);
-    if (error != std::errc() || stop != end || max > kMaxAuditEvents) {
+  if (const auto text = FindParameter(query, "max")) {
+    const auto number = ParseNumber(*text);
+    if (!number || *number > kMaxAuditEvents) {
       return Problem(400, "max must be a number up to 10000");
     }
+    max = *number;
   }
   return Respond(200, ToJson(sources_.audit(max)));
 }
 
 admin_response admin_api::Explain(std::string_view query) const {
-  const auto service = QueryValue(query, "service");
-  const auto method = QueryValue(query, "method");
+  const auto service = FindParameter(query, "service");
+  const auto method = FindParameter(query, "method");
   if (!service || !method || !IsName(*service) || !IsName(*method)) {
     return Problem(400, "needs service=NAME and method=NAME");
   }
