--- a/include/call/msgpack_reader.h
+++ b/include/call/msgpack_reader.h
@@ -17,8 +17,13 @@
  public:
   // Expects an array of exactly `fields` entries and nothing after it.
   msgpack_reader(std::string_view bytes, std::uint32_t fields);
+  // Expects an array of at most `max` entries and nothing after it.
+  [[nodiscard]] static msgpack_reader UpTo(std::string_view bytes,
+                                           std::uint32_t max);
 
   [[nodiscard]] bool ok() const { return ok_; }
+  // Entries of the array; zero if it could not be read.
+  [[nodiscard]] std::uint32_t size() const;
 
   std::uint64_t Unsigned();
   std::uint32_t Unsigned32();
@@ -29,6 +34,9 @@
   void Skip();
 
  private:
+  msgpack_reader() = default;
+  void Unpack(std::string_view bytes, std::uint32_t max);
+
   // The next field, or nullptr with ok() cleared.
   const msgpack::object* Next();
 
--- /dev/null
+++ b/include/forward/forward_settings.h
@@ -0,0 +1,55 @@
+// forward_settings: what a daemon is told about itself where a platform's own
+// protocols are spoken on both sides of it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/config/config_error.h"
+#include "include/config/settings.h"
+
+namespace pistachioweir {
+
+struct forward_settings {
+  vm_id vm;
+  std::string service;  // Of the target beside the daemon.
+  std::string data_centre;
+
+  endpoint caller;                 // HTTP for callers and for the target.
+  endpoint peer;                   // Other daemons.
+  endpoint ready;                  // Tells whether callers may come.
+  endpoint admin;                  // Metrics; reads only.
+  endpoint target;                 // The target beside this daemon.
+  std::vector<endpoint> platform;  // The store of views.
+
+  // What the process may take.
+  std::uint32_t memory_mb = 256;
+  std::uint32_t max_descriptors = 1024;
+
+  // How long a stopping daemon has before it is killed.
+  milliseconds stop_timeout{6000};
+  // How often a target confirms that it lives.
+  milliseconds heartbeat{1500};
+  // How long the platform keeps the changes of its store.
+  milliseconds store_history{20000};
+
+  // Bounds on how often requests are sent again, over all daemons: in each
+  // window, a part of the requests of a service and a reserve.
+  double repeat_ratio = 0.2;
+  std::uint32_t repeat_reserve = 10;
+  milliseconds repeat_window{10000};
+};
+
+// Reads settings from JSON with comments. Unknown keys, wrong types, values out
+// of range and missing ones are errors, each named with its place below
+// `origin`.
+[[nodiscard]] parse_result<forward_settings> ParseForwardSettings(
+    std::string_view json,
+    std::string_view origin);
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/include/forward/service_view.h
@@ -0,0 +1,70 @@
+// service_view: what one daemon believes of the services around it: the routes
+// and limits in force, and the targets that live.
+//
+// A value that is shared and never changed; a newer one replaces it whole.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "include/base/enum_table.h"
+#include "include/base/time.h"
+#include "include/config/settings.h"
+#include "include/route/route_table.h"
+
+namespace pistachioweir {
+
+enum class target_state : std::uint8_t { kReady, kLeaving };
+
+inline constexpr enum_table<target_state, 2> kTargetStateNames(
+    {"ready", "leaving"});
+
+// One start of one target, as it registered itself.
+struct target_entry {
+  std::string id;  // New at each start.
+  std::string service;
+  endpoint address;
+  std::string data_centre;
+  std::uint32_t slots = 1;  // Requests that it runs at a time.
+  target_state state = target_state::kReady;
+  milliseconds warm_up_left{0};  // How much longer it is slow after its start.
+
+  friend bool operator==(const target_entry&, const target_entry&) = default;
+};
+
+// What callers may send, and how long they may take.
+struct caller_limits {
+  std::size_t max_head_bytes = 16384;
+  std::size_t max_body_bytes = 1 << 20;
+  milliseconds head_timeout{10000};
+  milliseconds idle_timeout{30000};
+
+  friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
+struct service_entry {
+  // Connections that one target accepts from all callers together; zero if not
+  // told.
+  std::uint32_t max_connections = 0;
+};
+
+// What the operator publishes.
+struct service_config {
+  std::uint64_t version = 0;
+  route_table routes;
+  std::unordered_map<std::string, service_entry> services;
+  caller_limits limits;
+};
+
+struct service_view {
+  std::shared_ptr<const service_config> config;  // nullptr until one is known.
+  std::vector<target_entry> targets;
+  // Counts up with every change of the targets.
+  std::uint64_t targets_version = 0;
+};
+
+}  // namespace pistachioweir
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -118,6 +119,17 @@
   // The target said itself that it is leaving: no new calls from now on.
   void MarkLeaving(target_ref target);
 
+  // No connection to the target's daemon can be had; or one can again.
+  void SetReachable(target_ref target, bool reachable);
+  // The target's daemon is stopping, or a new one serves in its place. Unlike
+  // leaving, this ends.
+  void SetStopping(target_ref target, bool stopping);
+  // The target's load was heard of apart from an answer.
+  void NoteLoad(target_ref target, const load_report& report, time_point now);
+
+  // The present reference of a target, or nothing if it isn't listed.
+  [[nodiscard]] std::optional<target_ref> RefOf(std::string_view vm) const;
+
   // Whether a call that was refused may be tried on another target.
   [[nodiscard]] bool MayTryElsewhere(const placement_request& request,
                                      time_point now) const;
@@ -142,6 +154,8 @@
     std::uint32_t generation = 0;
     bool listed = false;
     bool leaving = false;
+    bool stopping = false;     // Its daemon says so.
+    bool unreachable = false;  // Its daemon can't be connected to.
     bool local = false;  // In the caller's own data centre.
     std::uint32_t in_flight = 0;
     // In flight and queued there for other callers, when last heard.
@@ -184,6 +198,7 @@
                                      time_point now,
                                      std::uint64_t random) const;
   void RecordFailure(target& failed, time_point now);
+  static void SetLoad(target& of, const load_report& report);
   [[nodiscard]] bool MayEject(time_point now) const;
   [[nodiscard]] target* Find(target_ref ref);
   [[nodiscard]] const target* Find(target_ref ref) const;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,11 +1,41 @@
-// Log lines by easylogging++.
+// Log lines. easylogging++ formats those of the process's life; the lines of
+// single requests, of which there are thousands a second, are put together
+// here. Both go through one buffer.
 #include "include/base/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <mutex>
+#include <utility>
+
+#include "src/base/log_buffer.h"
 
 namespace pistachioweir {
 namespace {
 
+// A second or two of lines at the rate at which a busy daemon fails requests.
+constexpr std::size_t kMaxWaitingBytes = 1 << 20;
+
+log_buffer& Buffer() {
+  static log_buffer buffer(STDOUT_FILENO, kMaxWaitingBytes);
+  return buffer;
+}
+
+struct flush_schedule {
+  std::mutex mutex;
+  std::function<void()> schedule;  // Guarded by mutex.
+};
+
+flush_schedule& Schedule() {
+  static flush_schedule schedule;
+  return schedule;
+}
+
 void AppendValue(std::string* line, std::string_view value) {
   const bool plain =
       !value.empty() && value.find_first_of(" \"\\=\n") == value.npos;
@@ -27,19 +57,56 @@
   line->push_back('"');
 }
 
-std::string ToLine(std::string_view event,
-                   std::initializer_list<log_field> fields) {
-  std::string line = "event=";
-  AppendValue(&line, event);
+void AppendFields(std::string_view event,
+                  std::initializer_list<log_field> fields,
+                  std::string* line) {
+  line->append("event=");
+  AppendValue(line, event);
   for (const log_field& field : fields) {
-    line.push_back(' ');
-    line.append(field.name);
-    line.push_back('=');
-    AppendValue(&line, field.value);
+    line->push_back(' ');
+    line->append(field.name);
+    line->push_back('=');
+    AppendValue(line, field.value);
+  }
+}
+
+// "2026-01-31T12:00:00", made once a second on each thread.
+std::string_view SecondText(std::time_t now) {
+  thread_local std::time_t known = 0;
+  thread_local std::array<char, 32> text{};
+  thread_local std::size_t length = 0;
+  if (now != known) {
+    std::tm parts{};
+    gmtime_r(&now, &parts);
+    length = std::strftime(text.data(), text.size(), "%FT%T", &parts);
+    known = now;
   }
-  return line;
+  return {text.data(), length};
+}
+
+void AppendTime(std::string* line) {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+          .count();
+  constexpr std::int64_t kPerSecond = 1000;
+  std::array<char, 8> fraction{};
+  const int length =
+      std::snprintf(fraction.data(), fraction.size(), ".%03d",
+                    static_cast<int>(count % kPerSecond));
+  line->append("time=").append(SecondText(count / kPerSecond));
+  line->append(fraction.data(), static_cast<std::size_t>(length));
 }
 
+// Takes the library's finished lines instead of its own output.
+class buffer_dispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    WriteLogLines(data->logMessage()->logger()->logBuilder()->build(
+        data->logMessage(), true));
+  }
+};
+
 }  // namespace
 
 void InitLog() {
@@ -48,17 +115,57 @@
   config.setGlobally(el::ConfigurationType::Format,
                      "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
   config.setGlobally(el::ConfigurationType::ToFile, "false");
-  config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  config.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(config);
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+      "DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<buffer_dispatch>("buffer");
+}
+
+void ScheduleLogFlush(std::function<void()> schedule) {
+  const std::lock_guard lock(Schedule().mutex);
+  Schedule().schedule = std::move(schedule);
+}
+
+void FlushLog() {
+  Buffer().Flush();
+}
+
+void WriteLogLines(std::string_view lines) {
+  const bool first = Buffer().Add(lines);
+  const std::lock_guard lock(Schedule().mutex);
+  if (!Schedule().schedule) {
+    Buffer().Flush();
+  } else if (first) {
+    Schedule().schedule();
+  }
+}
+
+std::uint64_t DroppedLogLines() {
+  return Buffer().dropped();
+}
+
+void AppendLogLine(log_level level,
+                   std::string_view event,
+                   std::initializer_list<log_field> fields,
+                   std::string* lines) {
+  AppendTime(lines);
+  lines->append(level == log_level::kInfo ? " level=INFO " : " level=WARNING ");
+  AppendFields(event, fields, lines);
+  lines->push_back('\n');
 }
 
 void LogEvent(std::string_view event, std::initializer_list<log_field> fields) {
-  LOG(INFO) << ToLine(event, fields);
+  std::string line;
+  AppendFields(event, fields, &line);
+  LOG(INFO) << line;
 }
 
 void LogWarning(std::string_view event,
                 std::initializer_list<log_field> fields) {
-  LOG(WARNING) << ToLine(event, fields);
+  std::string line;
+  AppendFields(event, fields, &line);
+  LOG(WARNING) << line;
 }
 
 }  // namespace pistachioweir
--- a/src/call/msgpack_reader.cc
+++ b/src/call/msgpack_reader.cc
@@ -7,22 +7,35 @@
 namespace pistachioweir {
 
 msgpack_reader::msgpack_reader(std::string_view bytes, std::uint32_t fields) {
+  Unpack(bytes, fields);
+  ok_ = ok_ && size() == fields;
+}
+
+msgpack_reader msgpack_reader::UpTo(std::string_view bytes, std::uint32_t max) {
+  msgpack_reader reader;
+  reader.Unpack(bytes, max);
+  return reader;
+}
+
+void msgpack_reader::Unpack(std::string_view bytes, std::uint32_t max) {
   // Bounds what a hostile message can make the library allocate: no value is
   // larger than the message itself.
-  const msgpack::unpack_limit limit(fields, 0, bytes.size(), bytes.size(), 0,
-                                    2);
+  const msgpack::unpack_limit limit(max, 0, bytes.size(), bytes.size(), 0, 2);
   try {
     std::size_t offset = 0;
     handle_ = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr,
                               nullptr, limit);
     ok_ = offset == bytes.size() &&
-          handle_.get().type == msgpack::type::ARRAY &&
-          handle_.get().via.array.size == fields;
+          handle_.get().type == msgpack::type::ARRAY;
   } catch (const std::exception&) {
     ok_ = false;
   }
 }
 
+std::uint32_t msgpack_reader::size() const {
+  return ok_ ? handle_.get().via.array.size : 0;
+}
+
 const msgpack::object* msgpack_reader::Next() {
   if (!ok_ || next_ >= handle_.get().via.array.size) {
     ok_ = false;
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,6 +1,7 @@
 // The pistachioweir program: one binary with a subcommand for each use.
 #include <CLI/CLI.hpp>
 
+#include "platform/serve_command.h"
 #include "src/cli/commands.h"
 #include "src/cli/run_command.h"
 
@@ -17,6 +18,7 @@
       "Nothing here changes a daemon that runs: operators change manifests.");
   int status = 0;
   pistachioweir::AddRunCommand(app, &status);
+  pistachioweir::AddServeCommand(app, &status);
   pistachioweir::AddCheckCommand(app, &status);
   pistachioweir::AddStatusCommand(app, &status);
   pistachioweir::AddAuditCommand(app, &status);
--- /dev/null
+++ b/src/config/forward_settings.cc
@@ -0,0 +1,74 @@
+// Settings of a daemon between a platform's protocols.
+#include "include/forward/forward_settings.h"
+
+#include <cmath>
+#include <utility>
+
+#include "src/config/json_document.h"
+#include "src/config/json_schema.h"
+#include "src/config/value_parsers.h"
+
+namespace pistachioweir {
+namespace {
+
+constexpr std::size_t kMaxPlatformAddresses = 8;
+constexpr std::uint64_t kMinMemoryMb = 16;
+constexpr std::uint64_t kMaxMemoryMb = 1 << 20;
+constexpr std::uint64_t kMinDescriptors = 64;
+constexpr std::uint64_t kMaxDescriptors = 1 << 24;
+constexpr std::uint64_t kMaxReserve = 1000000;
+constexpr double kMaxRatio = 10;
+
+auto ReadDuration(milliseconds forward_settings::*member) {
+  return ReadWith(member, ParseDuration);
+}
+
+json_schema<forward_settings> Schema() {
+  using s = forward_settings;
+  using enum presence;
+  return {
+      {"vm", kRequired, ReadWith(&s::vm, ParseName)},
+      {"service", kRequired, ReadWith(&s::service, ParseName)},
+      {"data_centre", kRequired, ReadWith(&s::data_centre, ParseName)},
+      {"caller", kRequired, ReadWith(&s::caller, ParseEndpoint)},
+      {"peer", kRequired, ReadWith(&s::peer, ParseEndpoint)},
+      {"ready", kRequired, ReadWith(&s::ready, ParseEndpoint)},
+      {"admin", kRequired, ReadWith(&s::admin, ParseEndpoint)},
+      {"target", kRequired, ReadWith(&s::target, ParseEndpoint)},
+      {"platform", kRequired,
+       ReadList(&s::platform, 1, kMaxPlatformAddresses, ParseEndpoint)},
+      {"memory_mb", kOptional,
+       ReadNumber(&s::memory_mb, kMinMemoryMb, kMaxMemoryMb)},
+      {"max_descriptors", kOptional,
+       ReadNumber(&s::max_descriptors, kMinDescriptors, kMaxDescriptors)},
+      {"stop_timeout", kOptional, ReadDuration(&s::stop_timeout)},
+      {"heartbeat", kOptional, ReadDuration(&s::heartbeat)},
+      {"store_history", kOptional, ReadDuration(&s::store_history)},
+      {"repeat_ratio", kOptional,
+       ReadWith(&s::repeat_ratio,
+                [](const json_node& node) {
+                  return ParseFraction(node, 0, kMaxRatio);
+                })},
+      {"repeat_reserve", kOptional,
+       ReadNumber(&s::repeat_reserve, 0, kMaxReserve)},
+      {"repeat_window", kOptional, ReadDuration(&s::repeat_window)},
+  };
+}
+
+}  // namespace
+
+parse_result<forward_settings> ParseForwardSettings(std::string_view json,
+                                                    std::string_view origin) {
+  parse_result<forward_settings> result;
+  const json_document document = ParseJson(json, origin);
+  result.errors = document.errors;
+  if (!document.readable) {
+    return result;
+  }
+  const json_node root(document.root, std::string(origin) + ": ",
+                       &result.errors);
+  Schema().Read(root, &result.value);
+  return result;
+}
+
+}  // namespace pistachioweir
--- a/src/config/json_document.cc
+++ b/src/config/json_document.cc
@@ -62,13 +62,15 @@
 
 }  // namespace
 
-json_document ParseJson(std::string_view text, std::string_view origin) {
+json_document ParseJson(std::string_view text,
+                        std::string_view origin,
+                        std::size_t max_bytes) {
   json_document document;
-  if (text.size() > kMaxJsonBytes) {
+  if (text.size() > max_bytes) {
     document.errors.push_back(
         {.place = std::string(origin),
          .problem = std::to_string(text.size()) + " bytes",
-         .expected = "at most " + std::to_string(kMaxJsonBytes) + " bytes"});
+         .expected = "at most " + std::to_string(max_bytes) + " bytes"});
     return document;
   }
   const std::string complaints =
--- a/src/config/json_document.h
+++ b/src/config/json_document.h
@@ -4,6 +4,7 @@
 
 #include <json/value.h>
 
+#include <cstddef>
 #include <string_view>
 
 #include "include/config/config_error.h"
@@ -15,6 +16,8 @@
 inline constexpr int kMaxJsonDepth = 32;
 // A value of the platform is at most 1 MiB; more can only be a mistake.
 inline constexpr std::size_t kMaxJsonBytes = 1 << 20;
+// An answer of a platform's store: values of a page, in base64, with their keys.
+inline constexpr std::size_t kMaxStoredBytes = 4 << 20;
 
 struct json_document {
   Json::Value root;  // Null unless `readable`.
@@ -26,6 +29,7 @@
 
 // Parses `text`, named `origin` in errors. Never throws.
 [[nodiscard]] json_document ParseJson(std::string_view text,
-                                      std::string_view origin);
+                                      std::string_view origin,
+                                      std::size_t max_bytes = kMaxJsonBytes);
 
 }  // namespace pistachioweir
--- a/src/config/value_parsers.cc
+++ b/src/config/value_parsers.cc
@@ -107,6 +107,52 @@
   return address;
 }
 
+std::optional<milliseconds> ParseDurationText(std::string_view text) {
+  // Longer than anything that is configured; guards the conversion below.
+  constexpr double kMostSeconds = 1e6;
+  const bool in_milliseconds = text.ends_with("ms");
+  if (!in_milliseconds && !text.ends_with("s")) {
+    return std::nullopt;
+  }
+  text.remove_suffix(in_milliseconds ? 2 : 1);
+  double count = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, count,
+                                             std::chars_format::fixed);
+  if (error != std::errc() || stop != end || !(count >= 0) ||
+      count > kMostSeconds * 1000) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double, std::milli> exact(
+      in_milliseconds ? count : count * 1000);
+  return std::chrono::round<milliseconds>(exact);
+}
+
+std::optional<milliseconds> ParseDuration(const json_node& node) {
+  const auto text = node.ReadString();
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto time = ParseDurationText(*text);
+  if (!time) {
+    node.AddError(node.Describe(), "a time such as \"1500ms\" or \"2.5s\"");
+  }
+  return time;
+}
+
+std::optional<double> ParseFraction(const json_node& node,
+                                    double min,
+                                    double max) {
+  const Json::Value& value = node.value();
+  if (!value.isNumeric() || !(value.asDouble() >= min) ||
+      !(value.asDouble() <= max)) {
+    node.AddError(node.Describe(), "a number from " + std::to_string(min) +
+                                       " to " + std::to_string(max));
+    return std::nullopt;
+  }
+  return value.asDouble();
+}
+
 bool IsLoopback(const endpoint& address) {
   return address.ip.starts_with("127.") || address.ip == "::1";
 }
--- a/src/config/value_parsers.h
+++ b/src/config/value_parsers.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "include/base/priority.h"
+#include "include/base/time.h"
 #include "include/config/settings.h"
 #include "src/config/json_node.h"
 
@@ -28,6 +29,16 @@
 [[nodiscard]] std::optional<endpoint> ParseEndpointText(std::string_view text);
 [[nodiscard]] std::optional<endpoint> ParseEndpoint(const json_node& node);
 
+// "1500ms", "2.5s": a time with its unit, not negative; or nothing.
+[[nodiscard]] std::optional<milliseconds> ParseDurationText(
+    std::string_view text);
+[[nodiscard]] std::optional<milliseconds> ParseDuration(const json_node& node);
+
+// A number, whole or not, from `min` to `max`.
+[[nodiscard]] std::optional<double> ParseFraction(const json_node& node,
+                                                  double min,
+                                                  double max);
+
 [[nodiscard]] bool IsLoopback(const endpoint& address);
 
 [[nodiscard]] std::optional<priority> ParsePriority(const json_node& node);
--- /dev/null
+++ b/src/forward/caller_server.h
@@ -0,0 +1,104 @@
+// caller_server: the port for callers.
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "include/config/settings.h"
+#include "include/forward/service_view.h"
+#include "src/forward/caller_session.h"
+#include "src/forward/origin.h"
+
+namespace pistachioweir {
+
+struct caller_server_options {
+  endpoint address;
+  std::size_t max_connections = 4096;
+  std::size_t max_held_bytes = 64 << 20;
+};
+
+// Owns the listening socket; sessions own themselves. Used on its context's
+// thread only.
+template <caller_protocol Protocol>
+class caller_server {
+ public:
+  // Binds and listens. Throws boost::system::system_error if it can't.
+  caller_server(boost::asio::io_context& context,
+                const caller_server_options& options,
+                origin& calls)
+      : options_(options),
+        acceptor_(context),
+        state_(std::make_shared<caller_port_state>(caller_port_state{
+            .calls = calls, .max_held_bytes = options.max_held_bytes})) {
+    const tcp::endpoint local(
+        boost::asio::ip::make_address(options.address.ip),
+        options.address.port);
+    acceptor_.open(local.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(local);
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+    Accept();
+  }
+
+  void SetLimits(const caller_limits& limits) { state_->limits = limits; }
+
+  // Each connection ends behind its next answer; new ones are still taken.
+  void Drain() { state_->draining = true; }
+
+  // Takes no more connections and ends those that are idle.
+  void Close() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& weak : sessions_) {
+      if (const auto open = weak.lock()) {
+        open->CloseIfIdle();
+      }
+    }
+  }
+
+  [[nodiscard]] const caller_port_state& state() const { return *state_; }
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+  using session = caller_session<Protocol>;
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (error == boost::asio::error::operation_aborted) {
+            return;
+          }
+          if (!error && state_->sessions < options_.max_connections) {
+            auto opened =
+                std::make_shared<session>(state_, std::move(socket));
+            Remember(opened);
+            opened->Start();
+          }
+          Accept();
+        });
+  }
+
+  void Remember(const std::shared_ptr<session>& opened) {
+    // Ended ones are cleared once they may be half of all.
+    if (sessions_.size() > 2 * state_->sessions + kFewSessions) {
+      std::erase_if(sessions_,
+                    [](const auto& weak) { return weak.expired(); });
+    }
+    sessions_.push_back(opened);
+  }
+
+  static constexpr std::size_t kFewSessions = 64;
+
+  const caller_server_options options_;
+  tcp::acceptor acceptor_;
+  std::shared_ptr<caller_port_state> state_;
+  std::list<std::weak_ptr<session>> sessions_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/caller_session.h
@@ -0,0 +1,442 @@
+// caller_session: one connection of a caller.
+//
+// Requests may come before earlier ones have been answered; they are served at
+// the same time and answered in the order in which they came.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "include/base/log.h"
+#include "include/base/time.h"
+#include "include/forward/service_view.h"
+#include "src/forward/caller_protocol_concept.h"
+#include "src/forward/origin.h"
+#include "src/net/http_reader.h"
+
+namespace pistachioweir {
+
+// What all sessions of one port share.
+struct caller_port_state {
+  origin& calls;
+  caller_limits limits;
+  // Bytes of bodies that may be held for all callers together; more requests
+  // are refused until some have ended.
+  std::size_t max_held_bytes = 64 << 20;
+  std::size_t held_bytes = 0;
+  std::size_t sessions = 0;
+  // Requests that were read and are not answered.
+  std::size_t open_requests = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t malformed = 0;
+  bool draining = false;
+};
+
+// Requests of one connection that are served at the same time. More wait in the
+// socket.
+inline constexpr std::size_t kMaxPipelined = 32;
+// A caller that takes none of its answer's bytes for this long is cut off.
+inline constexpr milliseconds kWriteTimeout{15000};
+
+// Kept alive by its pending operations.
+template <caller_protocol Protocol>
+class caller_session
+    : public std::enable_shared_from_this<caller_session<Protocol>> {
+ public:
+  using tcp = boost::asio::ip::tcp;
+  using state_ptr = std::shared_ptr<caller_port_state>;
+
+  caller_session(state_ptr state, tcp::socket socket)
+      : state_(std::move(state)),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor()) {
+    ++state_->sessions;
+  }
+
+  ~caller_session() { --state_->sessions; }
+  caller_session(const caller_session&) = delete;
+  caller_session& operator=(const caller_session&) = delete;
+
+  void Start() {
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    NoteProgress();
+    ArmTimer();
+    Read();
+  }
+
+  // Ends the connection if nothing is in progress on it.
+  void CloseIfIdle() {
+    if (exchanges_.empty() && !writing_ && received_.empty()) {
+      Close();
+    }
+  }
+
+ private:
+  using error_code = boost::system::error_code;
+
+  // One request, from its head to its answer.
+  struct exchange {
+    origin::call_id call = 0;
+    std::size_t held = 0;  // Bytes counted in held_bytes.
+    bool safe = false;     // Further requests may be served meanwhile.
+    bool answered = false;
+    bool close = false;    // The connection ends behind the answer.
+    std::string head;      // Of the answer, as the body.
+    std::string body;
+  };
+
+  using exchange_ptr = std::shared_ptr<exchange>;
+
+  void Read() {
+    if (reading_ || closed_) {
+      return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        boost::asio::buffer(chunk_),
+        [self = this->shared_from_this()](error_code error, std::size_t bytes) {
+          self->reading_ = false;
+          self->OnRead(error, bytes);
+        });
+  }
+
+  void OnRead(error_code error, std::size_t bytes) {
+    if (closed_) {
+      return;
+    }
+    if (error) {
+      // The caller is gone, or says that it sends no more: whatever it still
+      // waited for has no one to go to.
+      Close();
+      return;
+    }
+    if (received_.empty() || (reader_ && reader_->has_head())) {
+      NoteProgress();
+    }
+    received_.append(chunk_.data(), bytes);
+    Digest();
+  }
+
+  [[nodiscard]] bool MayTakeMore() const {
+    return !last_request_ && !waiting_ && exchanges_.size() < kMaxPipelined &&
+           (exchanges_.empty() || exchanges_.back()->safe);
+  }
+
+  // Takes as many requests out of what was received as may be served now. One
+  // read stays pending in any case, so that the caller's leaving is noticed.
+  void Digest() {
+    if (waiting_ && exchanges_.empty()) {
+      Begin(*std::exchange(waiting_, std::nullopt));
+    }
+    while (!closed_ && !received_.empty() && MayTakeMore()) {
+      if (!reader_) {
+        reader_.emplace(read_limits{
+            .max_head_bytes = state_->limits.max_head_bytes,
+            .max_body_bytes = state_->limits.max_body_bytes});
+        head_begun_ = monotonic_clock::now();
+      }
+      std::size_t taken = 0;
+      const read_state state = reader_->Feed(received_, &taken);
+      received_.erase(0, taken);
+      if (state == read_state::kFailed) {
+        RefuseUnreadable(reader_->problem());
+        return;
+      }
+      if (state == read_state::kMore) {
+        SendContinueIfAsked();
+        break;
+      }
+      read_request request = reader_->Take();
+      reader_.reset();
+      continued_ = false;
+      // A request that may run only once is not begun behind others: if an
+      // answer in front of it ends the connection, its caller takes it as not
+      // read and sends it again.
+      if (!IsSafe(request) && !exchanges_.empty()) {
+        waiting_ = std::move(request);
+        break;
+      }
+      Begin(std::move(request));
+    }
+    if (!closed_ && received_.size() < kMostUnread) {
+      Read();
+    }
+  }
+
+  void SendContinueIfAsked() {
+    if (continued_ || !reader_->expects_continue() || !exchanges_.empty()) {
+      return;
+    }
+    continued_ = true;
+    const auto text =
+        std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(*text),
+        [self = this->shared_from_this(), text](error_code, std::size_t) {});
+  }
+
+  [[nodiscard]] static bool IsSafe(const read_request& request) {
+    return request.verb == "GET" || request.verb == "HEAD";
+  }
+
+  void Begin(read_request request) {
+    auto begun = std::make_shared<exchange>();
+    begun->safe = IsSafe(request);
+    begun->close = !request.keep_alive;
+    begun->held = request.body.size();
+    last_request_ = begun->close;
+    exchanges_.push_back(begun);
+    ++state_->requests;
+    ++state_->open_requests;
+    state_->held_bytes += begun->held;
+    NoteProgress();
+    if (state_->held_bytes > state_->max_held_bytes) {
+      Answer(begun, {.kind = outcome_kind::kNotExecuted,
+                     .why = reason::kTableFull,
+                     .retry_after = milliseconds(1000)});
+      return;
+    }
+    relayed_call call =
+        Protocol::Decode(std::move(request), monotonic_clock::now());
+    const auto id = state_->calls.Submit(
+        std::move(call),
+        [self = this->shared_from_this(), begun](relayed_result result) {
+          self->Answer(begun, std::move(result));
+        });
+    begun->call = id;
+  }
+
+  void RefuseUnreadable(read_problem problem) {
+    ++state_->malformed;
+    LogWarning("caller_unreadable",
+               {{.name = "problem",
+                 .value = std::string(kReadProblemNames.Name(problem))}});
+    auto refused = std::make_shared<exchange>();
+    refused->close = true;
+    last_request_ = true;
+    exchanges_.push_back(refused);
+    ++state_->open_requests;
+    received_.clear();
+    const reason why = problem == read_problem::kMalformed
+                           ? reason::kBadRequest
+                           : reason::kTooLarge;
+    relayed_response response = Protocol::Encode(
+        {.kind = outcome_kind::kNotExecuted, .why = why});
+    constexpr int kHeadTooLargeStatus = 431;
+    if (problem == read_problem::kHeadTooLarge) {
+      response.status = kHeadTooLargeStatus;
+    }
+    SetAnswer(refused, std::move(response));
+  }
+
+  void Answer(const exchange_ptr& answered, relayed_result result) {
+    if (closed_) {
+      Release(*answered);
+      return;
+    }
+    SetAnswer(answered, result.kind == outcome_kind::kCompleted
+                            ? std::move(result.response)
+                            : Protocol::Encode(result));
+  }
+
+  void SetAnswer(const exchange_ptr& answered, relayed_response response) {
+    const bool close = answered->close || state_->draining;
+    if (state_->draining && !answered->close) {
+      answered->close = true;
+      last_request_ = true;
+    }
+    answered->head = ResponseHead(response.status, response.header_block,
+                                  response.body.size(), !close);
+    answered->body = std::move(response.body);
+    answered->answered = true;
+    WriteNext();
+  }
+
+  void WriteNext() {
+    if (writing_ || closed_ || exchanges_.empty() ||
+        !exchanges_.front()->answered) {
+      return;
+    }
+    writing_ = true;
+    NoteProgress();
+    const exchange_ptr& front = exchanges_.front();
+    const std::array<boost::asio::const_buffer, 2> parts{
+        boost::asio::buffer(front->head), boost::asio::buffer(front->body)};
+    boost::asio::async_write(
+        socket_, parts,
+        [self = this->shared_from_this(), front](error_code error,
+                                                 std::size_t) {
+          self->writing_ = false;
+          self->OnWritten(front, error);
+        });
+  }
+
+  void OnWritten(const exchange_ptr& written, error_code error) {
+    if (closed_) {
+      return;
+    }
+    if (error) {
+      Close();
+      return;
+    }
+    NoteProgress();
+    exchanges_.pop_front();
+    Release(*written);
+    if (written->close) {
+      CloseGracefully();
+      return;
+    }
+    WriteNext();
+    Digest();
+  }
+
+  void Release(exchange& ended) {
+    if (ended.held != kReleased) {
+      state_->held_bytes -= ended.held;
+      --state_->open_requests;
+      ended.held = kReleased;
+    }
+  }
+
+  // The answer must reach the caller although it may have sent more: closing a
+  // socket with unread bytes resets it, and the reset overtakes the answer.
+  void CloseGracefully() {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    AbandonAll();
+    lingering_ = true;
+    received_.clear();
+    NoteProgress();
+    Linger();
+  }
+
+  void Linger() {
+    if (reading_ || closed_) {
+      return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        boost::asio::buffer(chunk_),
+        [self = this->shared_from_this()](error_code error, std::size_t) {
+          self->reading_ = false;
+          if (error) {
+            self->Close();
+          } else {
+            self->Linger();
+          }
+        });
+  }
+
+  void AbandonAll() {
+    for (const exchange_ptr& open : std::exchange(exchanges_, {})) {
+      if (!open->answered && open->call != 0) {
+        state_->calls.Abandon(open->call);
+      }
+      Release(*open);
+    }
+  }
+
+  void Close() {
+    if (std::exchange(closed_, true)) {
+      return;
+    }
+    AbandonAll();
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+  void NoteProgress() { last_progress_ = monotonic_clock::now(); }
+
+  // When the connection is to be ended if nothing more happens on it.
+  [[nodiscard]] time_point Deadline() const {
+    if (lingering_) {
+      return last_progress_ + kLingerTimeout;
+    }
+    if (writing_) {
+      return last_progress_ + kWriteTimeout;
+    }
+    if (!exchanges_.empty()) {
+      return time_point::max();  // Its calls have deadlines of their own.
+    }
+    if (reader_ && !reader_->has_head()) {
+      return head_begun_ + state_->limits.head_timeout;
+    }
+    return last_progress_ + state_->limits.idle_timeout;
+  }
+
+  // Looked at now and then, since the time is rarely up: a timer for each step
+  // of each request would cost more than it is worth.
+  void ArmTimer() {
+    timer_.expires_after(kTimerInterval);
+    timer_.async_wait([self = std::weak_ptr<caller_session>(
+                           this->shared_from_this())](error_code error) {
+      const auto session = self.lock();
+      if (error || session == nullptr || session->closed_) {
+        return;
+      }
+      if (monotonic_clock::now() >= session->Deadline()) {
+        session->OnTimeout();
+      } else {
+        session->ArmTimer();
+      }
+    });
+  }
+
+  void OnTimeout() {
+    const bool unfinished = reader_.has_value() && exchanges_.empty();
+    if (!unfinished || lingering_) {
+      Close();
+      return;
+    }
+    // A request that was never whole has not run.
+    auto refused = std::make_shared<exchange>();
+    refused->close = true;
+    last_request_ = true;
+    exchanges_.push_back(refused);
+    ++state_->open_requests;
+    relayed_response response = Protocol::Encode(
+        {.kind = outcome_kind::kNotExecuted, .why = reason::kTimeout});
+    SetAnswer(refused, std::move(response));
+    ArmTimer();
+  }
+
+  static constexpr std::size_t kReleased = SIZE_MAX;
+  // Bytes that are read ahead while nothing may be begun.
+  static constexpr std::size_t kMostUnread = 64 << 10;
+  static constexpr milliseconds kTimerInterval{500};
+  static constexpr milliseconds kLingerTimeout{1000};
+
+  const state_ptr state_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::array<char, 8192> chunk_{};
+  std::string received_;  // Not taken by the reader yet.
+  std::optional<request_reader> reader_;  // Of a request that isn't whole.
+  // A whole request that is begun once those before it are answered.
+  std::optional<read_request> waiting_;
+  std::deque<exchange_ptr> exchanges_;    // In the order of the requests.
+  time_point last_progress_;
+  time_point head_begun_;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool continued_ = false;     // "100 Continue" was sent for this request.
+  bool last_request_ = false;  // No further request is taken.
+  bool lingering_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/executor.cc
@@ -0,0 +1,275 @@
+// Admission, running and answers of the target beside this daemon.
+#include "src/forward/executor.h"
+
+#include <utility>
+
+#include <algorithm>
+#include <string>
+
+#include "include/base/call_log.h"
+#include "include/base/random_bits.h"
+#include "src/forward/run_outcome.h"
+
+namespace pistachioweir {
+namespace {
+
+// Requests that wait at one target. Deadlines bound the wait long before.
+constexpr std::uint32_t kMaxQueue = 1024;
+// A target that nobody listens at is tried again after this while, with the
+// next call. Shorter than its restart takes, and long enough that callers are
+// sent elsewhere in between.
+constexpr milliseconds kTargetRetry{100};
+// When a caller that found no target here should come back.
+constexpr milliseconds kDownRetryAfter{500};
+constexpr milliseconds kDrainRetryAfter{50};
+
+milliseconds ToMilliseconds(duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+microseconds ToMicroseconds(duration time) {
+  return std::chrono::duration_cast<microseconds>(time);
+}
+
+priority PriorityOf(std::uint32_t rank) {
+  return static_cast<priority>(
+      std::min<std::uint32_t>(rank, kPriorityCount - 1));
+}
+
+}  // namespace
+
+executor::executor(boost::asio::io_context& context,
+                   target_runner run,
+                   call_log& log)
+    : context_(context),
+      run_(std::move(run)),
+      log_(log),
+      wakeup_(context),
+      // What a run takes includes the calls that the target makes meanwhile, so
+      // that a slow service below would lower this target's limit.
+      admission_({.slots = 1,
+                  .methods = kind_index::kMost,
+                  .max_queue = kMaxQueue,
+                  .learn_limit = false}) {}
+
+void executor::SetSlots(std::uint32_t slots) {
+  slots_known_ = true;
+  admission_.Reconfigure(std::max(1U, slots), kind_index::kMost);
+  CarryEvents();
+}
+
+void executor::Drain() {
+  draining_ = true;
+}
+
+load_report executor::Load() const {
+  const time_point now = monotonic_clock::now();
+  load_report load = admission_.Report(0, now);
+  if (draining_ || !slots_known_ || TargetDown(now)) {
+    load.admission_level = kRankCount;
+  }
+  return load;
+}
+
+bool executor::TargetDown(time_point now) const {
+  return now < target_down_until_;
+}
+
+std::uint64_t executor::Serve(call_frame call, callback done) {
+  const time_point now = monotonic_clock::now();
+  const std::uint64_t id = next_id_++;
+  served_call& served = calls_[id];
+  served.call = std::move(call);
+  served.done = std::move(done);
+  served.arrived = now;
+  served.deadline = now + served.call.remaining;
+  served.kind = kinds_.IndexOf(served.call.route);
+  log_.Add(id, served.call.request_id, "executor_received",
+           {{.name = "route", .value = served.call.route},
+            {.name = "target", .value = served.call.target_id},
+            {.name = "rank", .value = std::to_string(served.call.rank)},
+            {.name = "left_ms",
+             .value = std::to_string(served.call.remaining.count())},
+            {.name = "running", .value = std::to_string(admission_.running())},
+            {.name = "queued", .value = std::to_string(admission_.queued())}});
+  if (draining_) {
+    Refuse(id, reason::kDraining, kDrainRetryAfter);
+    return id;
+  }
+  if (!slots_known_ || TargetDown(now)) {
+    Refuse(id, reason::kNotReady, kDownRetryAfter);
+    return id;
+  }
+  const admission_decision decision =
+      admission_.Offer({.level = PriorityOf(served.call.rank),
+                        .ticket = served.call.ticket,
+                        .method = served.kind,
+                        .deadline = served.deadline,
+                        .cookie = id},
+                       now, RandomBits32());
+  served.admitted = decision.handle;
+  if (decision.action == admission_action::kRefused) {
+    Refuse(id, decision.why, decision.retry_after);
+  } else if (decision.action == admission_action::kRun) {
+    Start(id);
+  } else {
+    log_.Add(id, served.call.request_id, "queued",
+             {{.name = "ahead", .value = std::to_string(admission_.queued())}});
+  }
+  CarryEvents();
+  return id;
+}
+
+// What followed from the last change: queued calls that run now or are refused.
+void executor::CarryEvents() {
+  while (const auto event =
+             admission_.TakeNext(monotonic_clock::now(), RandomBits32())) {
+    const auto found = calls_.find(event->cookie);
+    if (found == calls_.end()) {
+      continue;
+    }
+    if (event->decision.action == admission_action::kRun) {
+      found->second.admitted = event->decision.handle;
+      Start(event->cookie);
+    } else {
+      Refuse(event->cookie, event->decision.why, event->decision.retry_after);
+    }
+  }
+  ArmWakeup();
+}
+
+void executor::ArmWakeup() {
+  const time_point due = admission_.next_wakeup();
+  if (wakeup_armed_ || due == time_point::max()) {
+    return;
+  }
+  wakeup_armed_ = true;
+  wakeup_.expires_at(due);
+  wakeup_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      wakeup_armed_ = false;
+      CarryEvents();
+    }
+  });
+}
+
+void executor::Start(std::uint64_t id) {
+  served_call& served = calls_.at(id);
+  served.started = monotonic_clock::now();
+  log_.Add(id, served.call.request_id, "run_at_target",
+           {{.name = "queued_us",
+             .value = std::to_string(
+                 ToMicroseconds(served.started - served.arrived).count())},
+            {.name = "running",
+             .value = std::to_string(admission_.running())}});
+  target_run run{.request = std::move(served.call.request),
+                 .request_id = served.call.request_id,
+                 .target_id = served.call.target_id,
+                 .caller_service = served.call.caller_service,
+                 .repeats = served.call.repeats,
+                 .deadline = served.deadline};
+  served.give_up = run_(std::move(run), [this, id](run_result result) {
+    OnRunEnd(id, std::move(result));
+  });
+}
+
+void executor::NoteTarget(const run_result& result, time_point now) {
+  if (result.end != run_end::kNotSent || !result.refused) {
+    return;
+  }
+  if (!TargetDown(now)) {
+    LogWarning("target_down", {{.name = "why", .value = "refused connection"}});
+  }
+  target_down_until_ = now + kTargetRetry;
+}
+
+void executor::OnRunEnd(std::uint64_t id, run_result result) {
+  const time_point now = monotonic_clock::now();
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  served_call& served = found->second;
+  const bool answered = result.end == run_end::kAnswered;
+  admission_.Finish(served.admitted,
+                    {.answered = answered,
+                     .target_refused = result.end == run_end::kNotExecuted},
+                    now);
+  NoteTarget(result, now);
+  log_.Add(id, served.call.request_id, "run_ended",
+           {{.name = "end", .value = std::string(kRunEndNames.Name(result.end))},
+            {.name = "status", .value = std::to_string(result.response.status)},
+            {.name = "served_us",
+             .value = std::to_string(
+                 ToMicroseconds(now - served.started).count())}});
+  answer_frame answer = AnswerOf(std::move(result));
+  answer.queued = ToMicroseconds(served.started - served.arrived);
+  answer.served = ToMicroseconds(now - served.started);
+  Answer(id, std::move(answer));
+  CarryEvents();
+}
+
+void executor::Refuse(std::uint64_t id, reason why, milliseconds retry_after) {
+  served_call& served = calls_.at(id);
+  const duration waited = monotonic_clock::now() - served.arrived;
+  log_.Add(id, served.call.request_id, "executor_refused",
+           {{.name = "why", .value = std::string(kReasonNames.Name(why))},
+            {.name = "retry_after_ms",
+             .value = std::to_string(retry_after.count())},
+            {.name = "level", .value = std::to_string(admission_.own_level())},
+            {.name = "running", .value = std::to_string(admission_.running())},
+            {.name = "queued", .value = std::to_string(admission_.queued())},
+            {.name = "waited_ms",
+             .value = std::to_string(ToMilliseconds(waited).count())}});
+  answer_frame answer;
+  answer.kind = outcome_kind::kNotExecuted;
+  answer.why = why;
+  answer.retry_after = retry_after;
+  answer.queued = ToMicroseconds(waited);
+  Answer(id, std::move(answer));
+}
+
+void executor::Answer(std::uint64_t id, answer_frame answer) {
+  const auto found = calls_.find(id);
+  served_call served = std::move(found->second);
+  calls_.erase(found);
+  answer.number = served.call.number;
+  answer.load = Load();
+  ++(answer.kind == outcome_kind::kCompleted     ? counters_.completed
+     : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
+                                                 : counters_.unknown);
+  const bool failed = answer.kind != outcome_kind::kCompleted ||
+                      IsServerError(answer.response.status);
+  log_.End(id, served.call.request_id, failed);
+  if (served.done) {
+    served.done(std::move(answer));
+  }
+}
+
+void executor::Cancel(std::uint64_t id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second.caller_gone) {
+    return;
+  }
+  served_call& served = found->second;
+  served.caller_gone = true;
+  const bool runs = served.give_up != nullptr;
+  const bool stops = !runs || served.call.repeats == repeat_policy::kIdempotent;
+  log_.Add(id, served.call.request_id, "cancelled",
+           {{.name = "running", .value = runs ? "yes" : "no"},
+            {.name = "stopped", .value = stops ? "yes" : "no"}});
+  if (!stops) {
+    return;
+  }
+  if (runs) {
+    const auto give_up = served.give_up;
+    give_up();
+    return;
+  }
+  if (admission_.Cancel(served.admitted)) {
+    Refuse(id, reason::kCancelled, milliseconds(0));
+    CarryEvents();
+  }
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/executor.h
@@ -0,0 +1,102 @@
+// executor: runs calls on the target beside this daemon. Admits, queues or
+// refuses each, and says truthfully what became of it.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "include/admit/admission_controller.h"
+#include "include/base/time.h"
+#include "include/route/kind_index.h"
+#include "src/forward/target_run.h"
+#include "src/peer/peer_frame.h"
+
+namespace pistachioweir {
+
+class call_log;
+
+// Hands a request to the target; returns what gives it up.
+using target_runner = std::function<std::function<void()>(
+    target_run run,
+    std::function<void(run_result)> done)>;
+
+struct executor_counters {
+  std::uint64_t completed = 0;
+  std::uint64_t refused = 0;  // Not executed, for whatever reason.
+  std::uint64_t unknown = 0;
+};
+
+// Used on its context's thread only. Owns the admission state and every call
+// until it is answered.
+class executor {
+ public:
+  using callback = std::function<void(answer_frame)>;
+
+  executor(boost::asio::io_context& context,
+           target_runner run,
+           call_log& log);
+
+  // The target beside the daemon registered with so many slots.
+  void SetSlots(std::uint32_t slots);
+
+  // Runs the call and calls `done` once, now or later. Returns a name for it.
+  std::uint64_t Serve(call_frame call, callback done);
+  // The caller has gone. A call that waits ends, one that may run again is
+  // stopped at the target. One that may run only once goes on to its end: half
+  // of it may be done, and its effect is wanted whole or not at all.
+  void Cancel(std::uint64_t id);
+
+  // Refuses new calls from now on; those in progress go on.
+  void Drain();
+  [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
+  [[nodiscard]] load_report Load() const;
+  [[nodiscard]] const executor_counters& counters() const { return counters_; }
+
+ private:
+  struct served_call {
+    call_frame call;
+    callback done;
+    time_point arrived;
+    time_point started;
+    time_point deadline;
+    std::uint32_t kind = 0;  // Of work, for the estimates of its duration.
+    admission_handle admitted;
+    std::function<void()> give_up;  // Only while it runs.
+    bool caller_gone = false;
+  };
+
+  using call_map = std::unordered_map<std::uint64_t, served_call>;
+
+  void Start(std::uint64_t id);
+  void OnRunEnd(std::uint64_t id, run_result result);
+  void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
+  void Answer(std::uint64_t id, answer_frame answer);
+  void CarryEvents();
+  void ArmWakeup();
+  void NoteTarget(const run_result& result, time_point now);
+  [[nodiscard]] bool TargetDown(time_point now) const;
+
+  boost::asio::io_context& context_;
+  const target_runner run_;
+  call_log& log_;
+  boost::asio::steady_timer wakeup_;
+  bool wakeup_armed_ = false;
+  admission_controller admission_;
+  kind_index kinds_;
+  call_map calls_;
+  std::uint64_t next_id_ = 1;
+  time_point target_down_until_;
+  bool slots_known_ = false;
+  bool draining_ = false;
+  executor_counters counters_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/forward_daemon.h
@@ -0,0 +1,304 @@
+// forward_daemon: a daemon between the protocols of one platform: its callers'
+// and its targets', and its store of what is in force.
+#pragma once
+
+#include <atomic>
+#include <concepts>
+#include <csignal>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "include/base/call_log.h"
+#include "include/base/ids.h"
+#include "include/base/log.h"
+#include "include/base/time.h"
+#include "include/forward/forward_settings.h"
+#include "include/forward/service_view.h"
+#include "src/forward/caller_server.h"
+#include "src/forward/executor.h"
+#include "src/forward/forward_pages.h"
+#include "src/forward/origin.h"
+#include "src/forward/stop_plan.h"
+#include "src/forward/target_pool.h"
+#include "src/net/http_server.h"
+#include "src/net/worker_pool.h"
+#include "src/peer/peer_server.h"
+
+namespace pistachioweir {
+
+// Where views come from. Calls the sink on the context's thread, first as soon
+// as a configuration is known, then at each change.
+template <typename Source>
+concept view_source =
+    std::constructible_from<
+        Source,
+        boost::asio::io_context&,
+        const forward_settings&,
+        std::function<void(std::shared_ptr<const service_view>)>> &&
+    requires(Source source) {
+      source.Start();
+      source.Stop();
+    };
+
+template <typename Platform>
+concept forward_platform = caller_protocol<typename Platform::callers> &&
+                           target_protocol<typename Platform::targets> &&
+                           view_source<typename Platform::views>;
+
+// Owns all parts. They share one thread: a VM gives the daemon less than one
+// processor, and threads that take turns on it would only add hand-overs.
+template <forward_platform Platform>
+class forward_daemon {
+ public:
+  // `reload` reads the settings again; called on SIGHUP.
+  using reloader = std::function<void()>;
+
+  forward_daemon(const forward_settings& settings, reloader reload)
+      : settings_(settings),
+        reload_(std::move(reload)),
+        workers_(1),
+        context_(workers_.context(0)),
+        incarnation_(NewIncarnation()),
+        targets_(context_,
+                 settings.target,
+                 {.max_head_bytes = kMaxResponseHead,
+                  .max_body_bytes = kMaxFrameBytes / 2}),
+        executor_(
+            context_,
+            [this](target_run run, std::function<void(run_result)> done) {
+              return RunOnTarget(std::move(run), std::move(done));
+            },
+            executor_log_),
+        origin_(context_, OriginOptions(settings, incarnation_), executor_,
+                origin_log_),
+        peers_(context_,
+               {.address = settings.peer, .self = incarnation_},
+               executor_),
+        callers_(context_,
+                 {.address = settings.caller,
+                  .max_connections = settings.max_descriptors / 2,
+                  .max_held_bytes = settings.memory_mb * kHeldBytesPerMb},
+                 origin_),
+        views_(context_,
+               settings_,
+               [this](std::shared_ptr<const service_view> view) {
+                 OnView(std::move(view));
+               }),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP),
+        tick_(context_),
+        flush_(context_),
+        stop_(context_),
+        ready_server_(workers_, ReadyOptions()),
+        admin_server_(workers_, AdminOptions()) {}
+
+  // Until it is stopped by a signal.
+  void Run() {
+    LogEvent("started",
+             {{.name = "version", .value = PW_VERSION},
+              {.name = "vm", .value = settings_.vm},
+              {.name = "service", .value = settings_.service},
+              {.name = "incarnation",
+               .value = std::to_string(
+                   static_cast<std::uint64_t>(incarnation_))}});
+    ScheduleLogFlush([this] { ArmFlush(); });
+    AwaitSignal();
+    Tick();
+    views_.Start();
+    std::future<void> stopped = stopped_.get_future();
+    workers_.Start();
+    stopped.wait();
+    workers_.Stop();
+    ScheduleLogFlush(nullptr);
+    LogEvent("stopped", {{.name = "vm", .value = settings_.vm}});
+    FlushLog();
+  }
+
+ private:
+  using error_code = boost::system::error_code;
+
+  // Heads of answers; as much as servers commonly send.
+  static constexpr std::size_t kMaxResponseHead = 64 << 10;
+  // A quarter of the memory may be held for bodies of requests.
+  static constexpr std::size_t kHeldBytesPerMb = (1 << 20) / 4;
+  static constexpr milliseconds kTickInterval{1000};
+  // Log lines are written this long after the first, many at a time.
+  static constexpr milliseconds kFlushDelay{50};
+  static constexpr milliseconds kStopPollInterval{25};
+
+  static origin_options OriginOptions(const forward_settings& settings,
+                                      incarnation_id self) {
+    return {.vm = settings.vm,
+            .service = settings.service,
+            .data_centre = settings.data_centre,
+            .own_target = settings.target,
+            .peer_port = settings.peer.port,
+            .self = self,
+            .repeat_ratio = settings.repeat_ratio * kRatioShare,
+            .repeat_reserve = settings.repeat_reserve,
+            .repeat_window = settings.repeat_window};
+  }
+
+  // Of the ratio that the operator allows for repeats, what one service's
+  // callers use themselves. A repeat of a request that calls other services
+  // repeats those calls too, and they count there.
+  static constexpr double kRatioShare = 0.25;
+
+  http_server_options ReadyOptions() {
+    return {.address = settings_.ready,
+            .handler = [this](const std::shared_ptr<http_exchange>& exchange) {
+              const bool up = ready_ && !stop_plan_.stopping();
+              constexpr int kOk = 200;
+              constexpr int kUnavailable = 503;
+              exchange->Respond({.status = up ? kOk : kUnavailable});
+            }};
+  }
+
+  http_server_options AdminOptions() {
+    return {.address = settings_.admin,
+            .handler = [this](const std::shared_ptr<http_exchange>& exchange) {
+              exchange->Respond(ForwardPage(
+                  exchange->request().path,
+                  {.calls = origin_,
+                   .runs = executor_,
+                   .callers = callers_.state(),
+                   .target_connections_opened = targets_.counters().opened,
+                   .target_connections_reused = targets_.counters().reused,
+                   .ready = ready_ && !stop_plan_.stopping()}));
+            }};
+  }
+
+  std::function<void()> RunOnTarget(target_run run,
+                                    std::function<void(run_result)> done) {
+    const auto handle = targets_.Run(std::move(run), std::move(done));
+    return [handle] { target_pool<typename Platform::targets>::Cancel(handle); };
+  }
+
+  void OnView(std::shared_ptr<const service_view> view) {
+    if (view->config != nullptr) {
+      callers_.SetLimits(view->config->limits);
+    }
+    for (const target_entry& target : view->targets) {
+      if (target.address == settings_.target) {
+        executor_.SetSlots(target.slots);
+      }
+    }
+    const bool usable = view->config != nullptr;
+    origin_.SetView(std::move(view));
+    if (usable && !std::exchange(ready_, true)) {
+      LogEvent("ready", {{.name = "vm", .value = settings_.vm}});
+    }
+  }
+
+  void AwaitSignal() {
+    signals_.async_wait([this](error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      LogEvent("signal", {{.name = "number", .value = std::to_string(signal)}});
+      AwaitSignal();
+      if (signal == SIGHUP) {
+        reload_();
+      } else {
+        Drain();
+      }
+    });
+  }
+
+  void Drain() {
+    if (stop_plan_.stopping()) {
+      return;
+    }
+    stop_plan_.Begin(monotonic_clock::now(), settings_.stop_timeout);
+    LogEvent("stopping",
+             {{.name = "requests",
+               .value = std::to_string(callers_.state().open_requests)},
+              {.name = "runs",
+               .value = std::to_string(executor_.in_progress())}});
+    executor_.Drain();
+    peers_.Drain();
+    callers_.Drain();
+    PollStop();
+  }
+
+  void PollStop() {
+    const stop_progress progress{
+        .requests_read = callers_.state().requests,
+        .open_requests = callers_.state().open_requests,
+        .runs = executor_.in_progress()};
+    if (stop_plan_.IsOver(progress, monotonic_clock::now())) {
+      Stop();
+      return;
+    }
+    stop_.expires_after(kStopPollInterval);
+    stop_.async_wait([this](error_code error) {
+      if (!error) {
+        PollStop();
+      }
+    });
+  }
+
+  void Stop() {
+    callers_.Close();
+    views_.Stop();
+    // Answers that were handed to the kernel go out; give the last ones a turn.
+    stop_.expires_after(kStopPollInterval);
+    stop_.async_wait([this](error_code) { stopped_.set_value(); });
+  }
+
+  void Tick() {
+    const time_point now = monotonic_clock::now();
+    origin_.Tick(now);
+    peers_.Tick(now);
+    FlushLog();
+    tick_.expires_after(kTickInterval);
+    tick_.async_wait([this](error_code error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  // On any thread.
+  void ArmFlush() {
+    boost::asio::post(context_, [this] {
+      flush_.expires_after(kFlushDelay);
+      flush_.async_wait([](error_code error) {
+        if (!error) {
+          FlushLog();
+        }
+      });
+    });
+  }
+
+  const forward_settings& settings_;
+  const reloader reload_;
+  worker_pool workers_;
+  boost::asio::io_context& context_;
+  const incarnation_id incarnation_;
+  call_log origin_log_{{}};
+  call_log executor_log_{{}};
+  target_pool<typename Platform::targets> targets_;
+  executor executor_;
+  origin origin_;
+  peer_server peers_;
+  caller_server<typename Platform::callers> callers_;
+  typename Platform::views views_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer tick_;
+  boost::asio::steady_timer flush_;
+  boost::asio::steady_timer stop_;
+  stop_plan stop_plan_;
+  bool ready_ = false;
+  std::promise<void> stopped_;
+  http_server ready_server_;
+  http_server admin_server_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/forward_pages.cc
@@ -0,0 +1,102 @@
+// Metrics of a forwarding daemon, by prometheus-cpp's serializer.
+#include "src/forward/forward_pages.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/log.h"
+#include "src/forward/caller_session.h"
+#include "src/forward/executor.h"
+#include "src/forward/origin.h"
+
+namespace pistachioweir {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+void Add(std::string_view name,
+         std::string_view help,
+         MetricType type,
+         double value,
+         std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_" + std::string(name);
+  family.help = std::string(help);
+  family.type = type;
+  ClientMetric metric;
+  (type == MetricType::Gauge ? metric.gauge.value : metric.counter.value) =
+      value;
+  family.metric.push_back(std::move(metric));
+  families->push_back(std::move(family));
+}
+
+std::string MetricsText(const forward_page_sources& sources) {
+  std::vector<MetricFamily> families;
+  const auto counter = [&](std::string_view name, std::string_view help,
+                           std::uint64_t value) {
+    Add(name, help, MetricType::Counter, static_cast<double>(value), &families);
+  };
+  const auto gauge = [&](std::string_view name, std::string_view help,
+                         double value) {
+    Add(name, help, MetricType::Gauge, value, &families);
+  };
+  const origin_counters& calls = sources.calls.counters();
+  counter("calls_completed", "Callers' requests with a target's answer",
+          calls.completed);
+  counter("calls_not_executed", "Callers' requests refused, nothing ran",
+          calls.not_executed);
+  counter("calls_unknown", "Callers' requests that may have run",
+          calls.unknown);
+  counter("calls_abandoned", "Callers that left before their answer",
+          calls.abandoned);
+  counter("calls_sent_again", "Further sends of a request", calls.sent_again);
+  const executor_counters& runs = sources.runs.counters();
+  counter("runs_completed", "Runs answered by the target", runs.completed);
+  counter("runs_refused", "Calls refused for the target", runs.refused);
+  counter("runs_unknown", "Runs without an answer", runs.unknown);
+  counter("target_connections_opened", "Connections opened to the target",
+          sources.target_connections_opened);
+  counter("target_connections_reused", "Runs on a kept connection",
+          sources.target_connections_reused);
+  counter("caller_requests", "Requests read from callers",
+          sources.callers.requests);
+  counter("caller_malformed", "Requests that can't be read",
+          sources.callers.malformed);
+  counter("log_lines_dropped", "Log lines nobody took in time",
+          DroppedLogLines());
+  const load_report load = sources.runs.Load();
+  gauge("running", "Requests at the target", load.in_flight);
+  gauge("queued", "Requests that wait for the target", load.queued);
+  gauge("limit", "Requests that the target runs at a time", load.limit);
+  gauge("caller_connections", "Connections of callers",
+        static_cast<double>(sources.callers.sessions));
+  gauge("ready", "Whether callers may come", sources.ready ? 1 : 0);
+  const auto& view = sources.calls.view();
+  if (view != nullptr && view->config != nullptr) {
+    gauge("config_version", "Configuration in force",
+          static_cast<double>(view->config->version));
+    gauge("targets", "Targets in the view",
+          static_cast<double>(view->targets.size()));
+  }
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace
+
+http_response ForwardPage(std::string_view path,
+                          const forward_page_sources& sources) {
+  constexpr int kNotFound = 404;
+  if (path != "/metrics") {
+    return {.status = kNotFound};
+  }
+  return {.content_type = "text/plain; version=0.0.4",
+          .body = MetricsText(sources)};
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/origin.cc
@@ -0,0 +1,569 @@
+// Routing, placing, sending and retrying of callers' requests.
+#include "src/forward/origin.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include "include/base/call_log.h"
+#include "include/base/log.h"
+#include "include/base/random_bits.h"
+#include "src/forward/executor.h"
+#include "src/forward/run_outcome.h"
+
+namespace pistachioweir {
+namespace {
+
+// Sends of one call, those that reach no target included. A refusal by the
+// daemon beside a target costs the target nothing, but each takes a round trip
+// and most of a busy service's targets are equally full.
+constexpr std::uint32_t kMaxSends = 4;
+// A caller that doesn't say how long it waits, on a route without a timeout.
+constexpr milliseconds kDefaultTimeout{30000};
+// When to come back if nothing tells better.
+constexpr milliseconds kDefaultRetryAfter{200};
+// A link that nothing was sent over for this long is closed.
+constexpr milliseconds kLinkIdle{60000};
+// The reserve of the repeat budget is for all daemons together. Each takes its
+// part of half of it: a restarted daemon has forgotten what it spent.
+constexpr double kReserveShare = 0.5;
+
+milliseconds Left(time_point deadline, time_point now) {
+  return std::max(milliseconds(0),
+                  std::chrono::duration_cast<milliseconds>(deadline - now));
+}
+
+std::string Text(std::uint64_t number) {
+  return std::to_string(number);
+}
+
+priority PriorityOf(std::uint32_t rank) {
+  return static_cast<priority>(
+      std::min<std::uint32_t>(rank, kPriorityCount - 1));
+}
+
+call_result ResultOf(const peer_answer& answer) {
+  if (answer.answer.kind == outcome_kind::kCompleted) {
+    return call_result::kAnswered;
+  }
+  if (answer.answer.kind == outcome_kind::kNotExecuted) {
+    return answer.heard ? call_result::kRefused : call_result::kFailed;
+  }
+  if (answer.answer.why == reason::kCancelled) {
+    return call_result::kCancelled;
+  }
+  return answer.answer.why == reason::kTimeout ? call_result::kTimedOut
+                                               : call_result::kFailed;
+}
+
+}  // namespace
+
+origin::origin(boost::asio::io_context& context,
+               origin_options options,
+               executor& local,
+               call_log& log)
+    : context_(context),
+      options_(std::move(options)),
+      local_(local),
+      log_(log) {}
+
+origin::~origin() {
+  for (const auto& [ip, link] : links_) {
+    link->Close();
+  }
+}
+
+void origin::SetView(std::shared_ptr<const service_view> view) {
+  const time_point now = monotonic_clock::now();
+  view_ = std::move(view);
+  targets_by_id_.clear();
+  std::set<std::string> ips;
+  std::map<std::string, std::vector<target_info>> by_service;
+  for (std::size_t i = 0; i < view_->targets.size(); ++i) {
+    const target_entry& target = view_->targets[i];
+    targets_by_id_.emplace(target.id, i);
+    ips.insert(target.address.ip);
+    by_service[target.service].push_back(
+        {.vm = target.id,
+         .data_centre = target.data_centre,
+         .leaving = target.state == target_state::kLeaving,
+         .cold = target.warm_up_left > milliseconds(0)});
+  }
+  daemons_ = std::max<std::size_t>(1, ips.size());
+  for (auto& [service, state] : services_) {
+    by_service.try_emplace(service);
+  }
+  for (const auto& [service, targets] : by_service) {
+    StateOf(service).targets.SetTargets(targets, now);
+  }
+  CloseUnusedLinks();
+}
+
+origin::service_state& origin::StateOf(const std::string& service) {
+  const auto found = services_.find(service);
+  if (found != services_.end()) {
+    return found->second;
+  }
+  const double reserve = kReserveShare * options_.repeat_reserve /
+                         static_cast<double>(daemons_);
+  return services_
+      .try_emplace(service,
+                   balancer_options{.data_centre = options_.data_centre,
+                                    .methods = kind_index::kMost,
+                                    .max_tries = kMaxSends},
+                   repeat_budget_options{
+                       .window = options_.repeat_window,
+                       .ratio = options_.repeat_ratio,
+                       .reserve = std::max(
+                           1U, static_cast<std::uint32_t>(reserve))})
+      .first->second;
+}
+
+const target_entry* origin::FindTarget(std::string_view id) const {
+  const auto found = targets_by_id_.find(std::string(id));
+  return found == targets_by_id_.end() ? nullptr
+                                       : &view_->targets[found->second];
+}
+
+bool origin::FindRoute(placed_call& call, reason* why) const {
+  if (view_ == nullptr || view_->config == nullptr) {
+    *why = reason::kNotReady;
+    return false;
+  }
+  call.view = view_;
+  call.matched =
+      view_->config->routes.Find(call.call.host, call.call.request.target);
+  if (call.matched == nullptr) {
+    *why = reason::kNoRoute;
+    return false;
+  }
+  return true;
+}
+
+origin::call_id origin::Submit(relayed_call call, relayed_callback done) {
+  const call_id id = next_id_++;
+  auto placed = std::make_shared<placed_call>(context_);
+  placed->call = std::move(call);
+  placed->done = std::move(done);
+  calls_.emplace(id, placed);
+  const std::string& name = placed->call.id;
+  reason why = reason::kNone;
+  if (!FindRoute(*placed, &why)) {
+    log_.Add(id, name, "received",
+             {{.name = "host", .value = placed->call.host},
+              {.name = "target", .value = placed->call.request.target}});
+    Finish(id, {.kind = outcome_kind::kNotExecuted,
+                .why = why,
+                .retry_after = kDefaultRetryAfter});
+    return id;
+  }
+  const route& matched = *placed->matched;
+  const auto split =
+      splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
+  placed->service = std::string(split->second.Next(matched.parts));
+  service_state& state = StateOf(placed->service);
+  state.repeats.OnRequest(placed->call.received);
+
+  milliseconds timeout = placed->call.caller_timeout;
+  if (timeout == milliseconds(0) ||
+      (matched.timeout > milliseconds(0) && matched.timeout < timeout)) {
+    timeout = matched.timeout;
+  }
+  if (timeout == milliseconds(0)) {
+    timeout = kDefaultTimeout;
+  }
+  placed->deadline = placed->call.received + timeout;
+  placed->placing = {
+      .method = state.kinds.IndexOf(matched.name),
+      .level = PriorityOf(matched.rank),
+      .ticket = static_cast<std::uint8_t>(RandomBits32())};
+  log_.Add(id, name, "routed",
+           {{.name = "route", .value = matched.name},
+            {.name = "service", .value = placed->service},
+            {.name = "config", .value = Text(view_->config->version)},
+            {.name = "targets", .value = Text(view_->targets_version)},
+            {.name = "rank", .value = Text(matched.rank)},
+            {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
+  placed->timer.expires_at(placed->deadline);
+  placed->timer.async_wait([this, id](boost::system::error_code error) {
+    if (!error) {
+      OnTimeout(id);
+    }
+  });
+  Try(id);
+  return id;
+}
+
+void origin::Try(call_id id) {
+  const call_ptr call = calls_.at(id);
+  service_state& state = StateOf(call->service);
+  const time_point now = monotonic_clock::now();
+  const placement placed =
+      state.targets.Place(call->placing, now, RandomBits64());
+  if (!placed.placed) {
+    call->why = placed.why;
+    call->retry_after = placed.retry_after;
+    log_.Add(id, call->call.id, "not_placed",
+             {{.name = "why", .value = std::string(kReasonNames.Name(placed.why))},
+              {.name = "usable", .value = Text(state.targets.usable(now))}});
+    FinishWithoutAnswer(id);
+    return;
+  }
+  call->target = placed.target;
+  call->target_id = std::string(state.targets.VmOf(placed.target));
+  call->placing.tried.refs[call->placing.tried.count++] = placed.target;
+  const target_entry* const target = FindTarget(call->target_id);
+  if (target == nullptr) {
+    // The list that the balancer has is the view's, so this can't be.
+    LogWarning("target_unknown", {{.name = "id", .value = call->target_id}});
+    call->why = reason::kNoTarget;
+    FinishWithoutAnswer(id);
+    return;
+  }
+  Send(id, *target);
+}
+
+call_frame origin::FrameOf(const placed_call& call,
+                           const target_entry& target,
+                           time_point now) const {
+  const auto waited =
+      std::chrono::duration_cast<milliseconds>(now - call.call.received);
+  return {.target_id = target.id,
+          .route = call.matched->name,
+          .rank = call.matched->rank,
+          .ticket = call.placing.ticket,
+          .repeats = call.matched->repeats,
+          .remaining = Left(call.deadline, now),
+          .objective_left = std::max(milliseconds(0),
+                                     call.matched->latency_objective - waited),
+          .caller_service = options_.service,
+          .request_id = call.call.id,
+          .request = call.call.request};
+}
+
+void origin::Send(call_id id, const target_entry& target) {
+  const call_ptr call = calls_.at(id);
+  const time_point now = monotonic_clock::now();
+  const std::uint32_t generation = ++call->generation;
+  call->sent_at = now;
+  call->sending = true;
+  log_.Add(id, call->call.id, generation == 1 ? "sent" : "sent_again",
+           {{.name = "target", .value = target.id},
+            {.name = "address", .value = ToString(target.address)},
+            {.name = "send", .value = Text(generation)},
+            {.name = "left_ms",
+             .value = std::to_string(Left(call->deadline, now).count())}});
+  call_frame frame = FrameOf(*call, target, now);
+  if (target.address == options_.own_target) {
+    call->link = nullptr;
+    call->number = 0;
+    const std::uint64_t number = local_.Serve(
+        std::move(frame), [this, id, generation](answer_frame answer) {
+          // Later: the executor may answer before Serve() returns.
+          boost::asio::post(context_, [this, id, generation,
+                                       answer = std::move(answer)]() mutable {
+            OnAnswer(id, generation,
+                     {.answer = std::move(answer), .heard = true});
+          });
+        });
+    call->number = number;
+    return;
+  }
+  call->link = LinkTo(target.address.ip);
+  call->number = call->link->Send(
+      std::move(frame), [this, id, generation](peer_answer answer) {
+        OnAnswer(id, generation, std::move(answer));
+      });
+}
+
+void origin::NoteAnswer(placed_call& call,
+                        const peer_answer& answer,
+                        time_point now) {
+  StateOf(call.service)
+      .targets.Finish(call.target, call.placing.method, ResultOf(answer),
+                      now - call.sent_at,
+                      answer.heard ? &answer.answer.load : nullptr, now);
+  if (answer.answer.why == reason::kDraining) {
+    StateOf(call.service).targets.SetStopping(call.target, true);
+  }
+  if (answer.answer.reached_target ||
+      answer.answer.kind == outcome_kind::kUnknown) {
+    ++call.reached;
+  }
+  if (answer.answer.kind == outcome_kind::kUnknown) {
+    call.may_have_run = true;
+  }
+  if (answer.answer.kind != outcome_kind::kCompleted) {
+    call.why = answer.answer.why;
+    call.retry_after = answer.answer.retry_after;
+  }
+}
+
+void origin::OnAnswer(call_id id,
+                      std::uint32_t generation,
+                      peer_answer answer) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second->generation != generation) {
+    return;
+  }
+  const call_ptr call = found->second;
+  const time_point now = monotonic_clock::now();
+  call->sending = false;
+  NoteAnswer(*call, answer, now);
+  answer_frame& told = answer.answer;
+  log_.Add(
+      id, call->call.id, "answer",
+      {{.name = "target", .value = call->target_id},
+       {.name = "outcome", .value = std::string(kOutcomeKindNames.Name(told.kind))},
+       {.name = "why", .value = std::string(kReasonNames.Name(told.why))},
+       {.name = "status", .value = std::to_string(told.response.status)},
+       {.name = "heard", .value = answer.heard ? "yes" : "no"},
+       {.name = "took_us",
+        .value = std::to_string(std::chrono::duration_cast<microseconds>(
+                                    now - call->sent_at)
+                                    .count())},
+       {.name = "queued_us", .value = std::to_string(told.queued.count())},
+       {.name = "served_us", .value = std::to_string(told.served.count())}});
+  if (MayTryAgain(*call, told, now)) {
+    if (told.kind == outcome_kind::kCompleted) {
+      call->may_have_run = true;
+      call->has_failure = true;
+      call->failure = std::move(told.response);
+    }
+    ++counters_.sent_again;
+    Try(id);
+    return;
+  }
+  if (told.kind == outcome_kind::kCompleted) {
+    Finish(id, {.kind = outcome_kind::kCompleted,
+                .response = std::move(told.response)});
+    return;
+  }
+  FinishWithoutAnswer(id);
+}
+
+// Another target is asked for a request that has not run, and for one that may
+// run again if it failed. Sends that reach targets are paid from the budget:
+// the second send of a request is load that its caller didn't bring.
+bool origin::MayTryAgain(placed_call& call,
+                         const answer_frame& answer,
+                         time_point now) {
+  const bool completed = answer.kind == outcome_kind::kCompleted;
+  if (completed && (!IsServerError(answer.response.status) ||
+                    call.matched->repeats == repeat_policy::kAtMostOnce)) {
+    return false;
+  }
+  const bool may_run = !call.may_have_run ||
+                       call.matched->repeats == repeat_policy::kIdempotent;
+  service_state& state = StateOf(call.service);
+  if (!may_run || now >= call.deadline ||
+      answer.why == reason::kCancelled ||
+      !state.targets.MayTryElsewhere(call.placing, now)) {
+    return false;
+  }
+  if (call.reached == 0) {
+    return true;
+  }
+  return call.reached < call.matched->max_targets &&
+         state.repeats.TrySpend(now);
+}
+
+void origin::OnTimeout(call_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const call_ptr call = found->second;
+  log_.Add(id, call->call.id, "timed_out",
+           {{.name = "sending", .value = call->sending ? "yes" : "no"},
+            {.name = "target", .value = call->target_id}});
+  if (call->sending) {
+    CancelSend(*call);
+    call->may_have_run = true;
+    StateOf(call->service)
+        .targets.Finish(call->target, call->placing.method,
+                        call_result::kTimedOut,
+                        monotonic_clock::now() - call->sent_at, nullptr,
+                        monotonic_clock::now());
+  }
+  call->why = reason::kTimeout;
+  FinishWithoutAnswer(id);
+}
+
+void origin::CancelSend(placed_call& call) {
+  ++call.generation;
+  call.sending = false;
+  if (call.link != nullptr) {
+    call.link->Cancel(call.number);
+  } else {
+    local_.Cancel(call.number);
+  }
+}
+
+void origin::Abandon(call_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const call_ptr call = found->second;
+  ++counters_.abandoned;
+  log_.Add(id, call->call.id, "caller_gone",
+           {{.name = "target", .value = call->target_id}});
+  if (call->sending) {
+    CancelSend(*call);
+    StateOf(call->service)
+        .targets.Finish(call->target, call->placing.method,
+                        call_result::kCancelled, duration(0), nullptr,
+                        monotonic_clock::now());
+  }
+  log_.End(id, call->call.id, true);
+  calls_.erase(found);
+}
+
+void origin::FinishWithoutAnswer(call_id id) {
+  Finish(id, Failure(*calls_.at(id)));
+}
+
+// Not executed only if that holds for each send.
+relayed_result origin::Failure(const placed_call& call) const {
+  if (call.has_failure) {
+    return {.kind = outcome_kind::kCompleted, .response = call.failure};
+  }
+  if (call.may_have_run) {
+    return {.kind = outcome_kind::kUnknown, .why = call.why};
+  }
+  return {.kind = outcome_kind::kNotExecuted,
+          .why = call.why,
+          .retry_after = call.retry_after > milliseconds(0)
+                             ? call.retry_after
+                             : kDefaultRetryAfter};
+}
+
+void origin::Finish(call_id id, relayed_result result) {
+  const auto found = calls_.find(id);
+  const call_ptr call = found->second;
+  calls_.erase(found);
+  call->timer.cancel();
+  ++(result.kind == outcome_kind::kCompleted     ? counters_.completed
+     : result.kind == outcome_kind::kNotExecuted ? counters_.not_executed
+                                                 : counters_.unknown);
+  const auto took = std::chrono::duration_cast<milliseconds>(
+      monotonic_clock::now() - call->call.received);
+  log_.Add(
+      id, call->call.id, "answered",
+      {{.name = "outcome",
+        .value = std::string(kOutcomeKindNames.Name(result.kind))},
+       {.name = "why", .value = std::string(kReasonNames.Name(result.why))},
+       {.name = "status", .value = std::to_string(result.response.status)},
+       {.name = "retry_after_ms",
+        .value = std::to_string(result.retry_after.count())},
+       {.name = "took_ms", .value = std::to_string(took.count())}});
+  log_.End(id, call->call.id,
+           result.kind != outcome_kind::kCompleted ||
+               IsServerError(result.response.status));
+  call->done(std::move(result));
+}
+
+std::shared_ptr<peer_link> origin::LinkTo(const std::string& ip) {
+  std::shared_ptr<peer_link>& link = links_[ip];
+  if (link == nullptr) {
+    link = std::make_shared<peer_link>(
+        context_,
+        peer_link_options{.address = {.ip = ip, .port = options_.peer_port},
+                          .self = options_.self,
+                          .vm = options_.vm},
+        EventsOf(ip));
+  }
+  return link;
+}
+
+peer_link_events origin::EventsOf(const std::string& ip) {
+  return {
+      .on_reachable =
+          [this, ip](bool reachable, std::string_view why) {
+            LogEvent("peer_reachable",
+                     {{.name = "peer", .value = ip},
+                      {.name = "reachable", .value = reachable ? "yes" : "no"},
+                      {.name = "why", .value = std::string(why)}});
+            ForTargetsAt(ip, [reachable](balancer& targets, target_ref target) {
+              targets.SetReachable(target, reachable);
+            });
+          },
+      .on_leaving =
+          [this, ip](bool leaving) {
+            ForTargetsAt(ip, [leaving](balancer& targets, target_ref target) {
+              targets.SetStopping(target, leaving);
+            });
+          },
+      .on_load =
+          [this, ip](const load_report& load) {
+            const time_point now = monotonic_clock::now();
+            ForTargetsAt(ip, [&](balancer& targets, target_ref target) {
+              targets.NoteLoad(target, load, now);
+            });
+          },
+      .on_suspects =
+          [this](const suspects_frame& suspects) {
+            if (options_.on_suspects) {
+              options_.on_suspects(suspects);
+            }
+          }};
+}
+
+void origin::ForTargetsAt(
+    const std::string& ip,
+    const std::function<void(balancer&, target_ref)>& work) {
+  if (view_ == nullptr) {
+    return;
+  }
+  for (const target_entry& target : view_->targets) {
+    if (target.address.ip != ip) {
+      continue;
+    }
+    balancer& targets = StateOf(target.service).targets;
+    if (const auto ref = targets.RefOf(target.id)) {
+      work(targets, *ref);
+    }
+  }
+}
+
+void origin::TellSuspects(const suspects_frame& suspects) {
+  for (const auto& [ip, link] : links_) {
+    link->SendSuspects(suspects);
+  }
+}
+
+void origin::Tick(time_point now) {
+  for (auto place = links_.begin(); place != links_.end();) {
+    const bool unused = place->second->outstanding() == 0 &&
+                        now - place->second->last_used() > kLinkIdle;
+    if (unused) {
+      place->second->Close();
+      place = links_.erase(place);
+    } else {
+      ++place;
+    }
+  }
+}
+
+// Links to machines that no target lives on any more.
+void origin::CloseUnusedLinks() {
+  std::set<std::string> ips;
+  for (const target_entry& target : view_->targets) {
+    ips.insert(target.address.ip);
+  }
+  for (auto place = links_.begin(); place != links_.end();) {
+    if (!ips.contains(place->first) && place->second->outstanding() == 0) {
+      place->second->Close();
+      place = links_.erase(place);
+    } else {
+      ++place;
+    }
+  }
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/origin.h
@@ -0,0 +1,168 @@
+// origin: the daemon beside a caller. Finds the service and the target of each
+// request, sends it there, and tries again where that is allowed and can help.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/config/settings.h"
+#include "include/forward/service_view.h"
+#include "include/retry/repeat_budget.h"
+#include "include/route/balancer.h"
+#include "include/route/kind_index.h"
+#include "include/route/weighted_split.h"
+#include "src/forward/relayed_call.h"
+#include "src/peer/peer_link.h"
+
+namespace pistachioweir {
+
+class call_log;
+class executor;
+
+struct origin_options {
+  vm_id vm;
+  std::string service;  // Of the target beside this daemon.
+  std::string data_centre;
+  endpoint own_target;
+  std::uint16_t peer_port = 0;  // Where all daemons listen for each other.
+  incarnation_id self{};
+  // Of all daemons together, for each called service and window.
+  double repeat_ratio = 0.1;
+  std::uint32_t repeat_reserve = 10;
+  milliseconds repeat_window{10000};
+  std::function<void(const suspects_frame&)> on_suspects;
+};
+
+struct origin_counters {
+  std::uint64_t completed = 0;
+  std::uint64_t not_executed = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t abandoned = 0;  // By their callers.
+  std::uint64_t sent_again = 0;
+};
+
+// Used on its context's thread only. Owns what is known of targets, the links
+// to their daemons, and every call until it is answered.
+class origin {
+ public:
+  // Names a call in progress.
+  using call_id = std::uint64_t;
+
+  origin(boost::asio::io_context& context,
+         origin_options options,
+         executor& local,
+         call_log& log);
+  ~origin();
+
+  void SetView(std::shared_ptr<const service_view> view);
+
+  // Serves the request; `done` is called once, now or later, unless the call is
+  // abandoned before.
+  call_id Submit(relayed_call call, relayed_callback done);
+  // The caller has gone.
+  void Abandon(call_id id);
+
+  void TellSuspects(const suspects_frame& suspects);
+  // Once a second.
+  void Tick(time_point now);
+
+  [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
+  [[nodiscard]] const origin_counters& counters() const { return counters_; }
+  [[nodiscard]] const std::shared_ptr<const service_view>& view() const {
+    return view_;
+  }
+
+ private:
+  // What is known of one called service.
+  struct service_state {
+    service_state(const balancer_options& placing,
+                  const repeat_budget_options& repeating)
+        : targets(placing), repeats(repeating) {}
+
+    balancer targets;
+    repeat_budget repeats;
+    kind_index kinds;
+  };
+
+  struct placed_call {
+    relayed_call call;
+    relayed_callback done;
+    std::shared_ptr<const service_view> view;  // Keeps `matched` valid.
+    const route* matched = nullptr;
+    std::string service;
+    time_point deadline;
+    placement_request placing;
+    boost::asio::steady_timer timer;
+    // The send in progress, if there is one.
+    target_ref target;
+    std::string target_id;
+    std::shared_ptr<peer_link> link;  // nullptr for the own target.
+    std::uint64_t number = 0;         // At the link or the executor.
+    time_point sent_at;
+    bool sending = false;
+    std::uint32_t generation = 0;  // Of sends; late answers have an old one.
+
+    std::uint32_t reached = 0;  // Sends that reached a target.
+    bool may_have_run = false;
+    bool has_failure = false;  // `failure` is a target's own answer.
+    relayed_response failure;
+    reason why = reason::kNone;  // Of the last send that gave no answer.
+    milliseconds retry_after{0};
+
+    explicit placed_call(boost::asio::io_context& context) : timer(context) {}
+  };
+
+  using call_ptr = std::shared_ptr<placed_call>;
+
+  [[nodiscard]] bool FindRoute(placed_call& call, reason* why) const;
+  void Try(call_id id);
+  void Send(call_id id, const target_entry& target);
+  [[nodiscard]] call_frame FrameOf(const placed_call& call,
+                                   const target_entry& target,
+                                   time_point now) const;
+  void OnAnswer(call_id id, std::uint32_t generation, peer_answer answer);
+  void NoteAnswer(placed_call& call, const peer_answer& answer, time_point now);
+  [[nodiscard]] bool MayTryAgain(placed_call& call,
+                                 const answer_frame& answer,
+                                 time_point now);
+  void OnTimeout(call_id id);
+  void Finish(call_id id, relayed_result result);
+  void FinishWithoutAnswer(call_id id);
+  void CancelSend(placed_call& call);
+  [[nodiscard]] relayed_result Failure(const placed_call& call) const;
+
+  service_state& StateOf(const std::string& service);
+  [[nodiscard]] const target_entry* FindTarget(std::string_view id) const;
+  [[nodiscard]] std::shared_ptr<peer_link> LinkTo(const std::string& ip);
+  [[nodiscard]] peer_link_events EventsOf(const std::string& ip);
+  void ForTargetsAt(const std::string& ip,
+                    const std::function<void(balancer&, target_ref)>& work);
+  void CloseUnusedLinks();
+
+  boost::asio::io_context& context_;
+  const origin_options options_;
+  executor& local_;
+  call_log& log_;
+
+  std::shared_ptr<const service_view> view_;
+  std::unordered_map<std::string, std::size_t> targets_by_id_;  // In view_.
+  std::size_t daemons_ = 1;  // That the view shows.
+  std::unordered_map<std::string, service_state> services_;
+  std::unordered_map<std::string, weighted_split> splits_;  // By route.
+  std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP number.
+  std::unordered_map<call_id, call_ptr> calls_;
+  call_id next_id_ = 1;
+  origin_counters counters_;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/run_outcome.cc
@@ -0,0 +1,57 @@
+// Ends of runs as outcomes.
+#include "src/forward/run_outcome.h"
+
+#include <utility>
+
+namespace pistachioweir {
+namespace {
+
+struct run_meaning {
+  outcome_kind kind = outcome_kind::kUnknown;
+  reason why = reason::kNone;
+  bool reached_target = true;
+};
+
+run_meaning MeaningOf(run_end end) {
+  using enum outcome_kind;
+  switch (end) {
+    case run_end::kAnswered:
+      return {.kind = kCompleted, .why = reason::kNone};
+    case run_end::kNotExecuted:
+      return {.kind = kNotExecuted, .why = reason::kTargetRefused};
+    case run_end::kWrongTarget:
+      return {.kind = kNotExecuted, .why = reason::kWrongTarget};
+    case run_end::kNotSent:
+      return {.kind = kNotExecuted,
+              .why = reason::kNotReady,
+              .reached_target = false};
+    case run_end::kTimedOut:
+      return {.kind = kUnknown, .why = reason::kTimeout};
+    case run_end::kCancelled:
+      return {.kind = kUnknown, .why = reason::kCancelled};
+    case run_end::kLost:
+      break;
+  }
+  return {.kind = kUnknown, .why = reason::kConnectionLost};
+}
+
+}  // namespace
+
+bool IsServerError(int status) {
+  constexpr int kFirstServerError = 500;
+  return status >= kFirstServerError;
+}
+
+answer_frame AnswerOf(run_result result) {
+  const run_meaning meaning = MeaningOf(result.end);
+  answer_frame answer;
+  answer.kind = meaning.kind;
+  answer.why = meaning.why;
+  answer.reached_target = meaning.reached_target;
+  if (meaning.kind == outcome_kind::kCompleted) {
+    answer.response = std::move(result.response);
+  }
+  return answer;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/target_connection.h
@@ -0,0 +1,329 @@
+// target_connection: one connection to the target beside the daemon.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "include/base/time.h"
+#include "include/config/settings.h"
+#include "src/forward/target_run.h"
+#include "src/net/http_message.h"
+#include "src/net/http_reader.h"
+#include "src/net/tcp_options.h"
+
+namespace pistachioweir {
+
+// How long the kernel tries to bring bytes to a target on the same machine
+// before the connection counts as silent. Loopback acknowledges within
+// microseconds; the rest is for a machine that is short of processor time.
+inline constexpr milliseconds kTargetSilence{1000};
+inline constexpr milliseconds kTargetConnectTimeout{500};
+// An idle connection is left this long before the target would close it, or a
+// request would cross that close and be lost.
+inline constexpr milliseconds kIdleMargin{1000};
+// Where a target doesn't tell how long it keeps idle connections.
+inline constexpr milliseconds kDefaultIdle{4000};
+
+// Owns the socket. Kept alive by its pending operations, and by the pool while
+// it is idle.
+template <target_protocol Protocol>
+class target_connection
+    : public std::enable_shared_from_this<target_connection<Protocol>> {
+ public:
+  using self_ptr = std::shared_ptr<target_connection>;
+  using callback = std::function<void(run_result)>;
+  using listener = std::function<void(const self_ptr&)>;
+
+  target_connection(boost::asio::io_context& context,
+                    const endpoint& target,
+                    const read_limits& limits)
+      : socket_(context), timer_(context), target_(target), limits_(limits) {}
+
+  // `on_free` hears if the connection may be used again.
+  void Run(target_run run, callback done, listener on_free) {
+    run_ = std::move(run);
+    done_ = std::move(done);
+    on_free_ = std::move(on_free);
+    on_closed_ = nullptr;
+    got_any_ = false;
+    clean_ = true;
+    written_ = false;
+    head_.clear();
+    reader_.emplace(limits_, run_.request.verb == "HEAD");
+    ArmDeadline();
+    if (connected_) {
+      Write();
+    } else {
+      Connect();
+    }
+  }
+
+  // Idle from now on; `on_closed` hears when it ends by itself.
+  void WaitIdle(listener on_closed) {
+    idle_since_ = monotonic_clock::now();
+    on_closed_ = std::move(on_closed);
+  }
+
+  [[nodiscard]] bool IsUsable(time_point now) const {
+    return socket_.is_open() && now - idle_since_ < most_idle_;
+  }
+
+  void Cancel() {
+    if (done_) {
+      End({.end = run_end::kCancelled});
+    }
+  }
+
+  void Close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+ private:
+  using error_code = boost::system::error_code;
+  using tcp = boost::asio::ip::tcp;
+
+  void ArmDeadline() {
+    timer_.expires_at(run_.deadline);
+    timer_.async_wait([self = this->shared_from_this(),
+                       deadline = run_.deadline](error_code error) {
+      if (!error && self->done_ && self->run_.deadline == deadline) {
+        self->End({.end = run_end::kTimedOut});
+      }
+    });
+  }
+
+  void Connect() {
+    const tcp::endpoint remote(boost::asio::ip::make_address(target_.ip),
+                               target_.port);
+    error_code ignored;
+    socket_.open(remote.protocol(), ignored);
+    auto timeout =
+        std::make_shared<boost::asio::steady_timer>(socket_.get_executor());
+    timeout->expires_after(kTargetConnectTimeout);
+    timeout->async_wait([self = this->shared_from_this()](error_code error) {
+      if (!error && !self->connected_ && self->done_) {
+        self->End({.end = run_end::kNotSent});
+      }
+    });
+    socket_.async_connect(remote, [self = this->shared_from_this(),
+                                   timeout](error_code error) {
+      timeout->cancel();
+      self->OnConnected(error);
+    });
+  }
+
+  void OnConnected(error_code error) {
+    if (!done_) {
+      return;
+    }
+    if (error) {
+      End({.end = run_end::kNotSent,
+           .refused = error == boost::asio::error::connection_refused});
+      return;
+    }
+    connected_ = true;
+    SetUpConnection(socket_, kTargetSilence);
+    Write();
+    Read();
+  }
+
+  void Write() {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        run_.deadline - monotonic_clock::now());
+    if (left.count() <= 0) {
+      // Later, as everywhere: the caller of Run() doesn't expect its end yet.
+      boost::asio::post(socket_.get_executor(),
+                        [self = this->shared_from_this()] {
+                          if (self->done_ && self->head_.empty()) {
+                            self->End({.end = run_end::kNotSent});
+                          }
+                        });
+      return;
+    }
+    head_ = RequestHead(run_.request, Protocol::Headers(run_, left));
+    const std::array<boost::asio::const_buffer, 2> parts{
+        boost::asio::buffer(head_), boost::asio::buffer(run_.request.body)};
+    boost::asio::async_write(
+        socket_, parts,
+        [self = this->shared_from_this()](error_code error, std::size_t) {
+          // A write error shows on the read as well, which may still have an
+          // answer in front of it.
+          self->written_ = !error;
+        });
+  }
+
+  // One read is always pending, also while the connection is idle, so that its
+  // end is noticed before a request is sent into it.
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(chunk_),
+        [self = this->shared_from_this()](error_code error, std::size_t bytes) {
+          self->OnRead(error, bytes);
+        });
+  }
+
+  void OnRead(error_code error, std::size_t bytes) {
+    if (!done_) {
+      // The end of an idle connection, or bytes that belong to no request.
+      Retire();
+      return;
+    }
+    if (error) {
+      OnEnd(error);
+      return;
+    }
+    got_any_ = true;
+    buffer_.append(chunk_.data(), bytes);
+    if (Digest()) {
+      Read();
+    }
+  }
+
+  // Whether to read on.
+  bool Digest() {
+    for (;;) {
+      std::size_t taken = 0;
+      const read_state state = reader_->Feed(buffer_, &taken);
+      buffer_.erase(0, taken);
+      if (state == read_state::kMore) {
+        return true;
+      }
+      if (state == read_state::kFailed) {
+        End({.end = run_end::kLost});
+        return false;
+      }
+      if (OnMessage(reader_->Take())) {
+        return connected_ && socket_.is_open();
+      }
+      reader_.emplace(limits_, run_.request.verb == "HEAD");
+      if (buffer_.empty()) {
+        return true;
+      }
+    }
+  }
+
+  void OnEnd(error_code error) {
+    // An answer without a length ends with its connection, if that ends in good
+    // order; after a reset nobody knows how much is missing.
+    if (error == boost::asio::error::eof &&
+        reader_->FeedEnd() == read_state::kDone && OnMessage(reader_->Take())) {
+      return;
+    }
+    if (done_) {
+      End({.end = run_end::kLost, .cut = !got_any_});
+    }
+  }
+
+  // Whether the request has its answer.
+  bool OnMessage(read_response response) {
+    constexpr int kFirstFinalStatus = 200;
+    if (response.status < kFirstFinalStatus) {
+      return false;
+    }
+    const target_answer answer = Protocol::Classify(run_, response);
+    if (answer == target_answer::kOtherRequest) {
+      clean_ = false;
+      return false;
+    }
+    run_result result{.end = EndOf(answer)};
+    result.response = {.status = response.status,
+                       .header_block = ToBlock(response.headers),
+                       .body = std::move(response.body)};
+    if (written_ && clean_ && buffer_.empty() && response.keep_alive &&
+        socket_.is_open()) {
+      most_idle_ = IdleTime(response.keep_alive_header);
+      Free(std::move(result));
+    } else {
+      End(std::move(result));
+    }
+    return true;
+  }
+
+  static run_end EndOf(target_answer answer) {
+    switch (answer) {
+      case target_answer::kNotExecuted:
+        return run_end::kNotExecuted;
+      case target_answer::kWrongTarget:
+        return run_end::kWrongTarget;
+      default:
+        return run_end::kAnswered;
+    }
+  }
+
+  // "timeout=N" in whole seconds.
+  static milliseconds IdleTime(std::string_view keep_alive) {
+    constexpr std::string_view kName = "timeout=";
+    const std::size_t at = keep_alive.find(kName);
+    if (at == keep_alive.npos) {
+      return kDefaultIdle;
+    }
+    const std::string_view rest = keep_alive.substr(at + kName.size());
+    const auto number =
+        ParseNumber(rest.substr(0, rest.find_first_not_of("0123456789")));
+    if (!number) {
+      return kDefaultIdle;
+    }
+    const milliseconds told = seconds(*number);
+    return told > 2 * kIdleMargin ? told - kIdleMargin : told / 2;
+  }
+
+  void Free(run_result result) {
+    timer_.cancel();
+    auto done = std::exchange(done_, nullptr);
+    const auto on_free = std::exchange(on_free_, nullptr);
+    on_free(this->shared_from_this());
+    done(std::move(result));
+  }
+
+  void End(run_result result) {
+    Close();
+    connected_ = false;
+    auto done = std::exchange(done_, nullptr);
+    on_free_ = nullptr;
+    done(std::move(result));
+  }
+
+  void Retire() {
+    Close();
+    if (const auto on_closed = std::exchange(on_closed_, nullptr)) {
+      on_closed(this->shared_from_this());
+    }
+  }
+
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;  // Of the run's deadline.
+  const endpoint target_;
+  const read_limits limits_;
+
+  target_run run_;
+  callback done_;       // Set exactly while a request is in progress.
+  listener on_free_;    // Likewise.
+  listener on_closed_;  // Set only while idle.
+  std::optional<response_reader> reader_;
+  std::string head_;
+  std::string buffer_;  // Bytes that the reader has not taken.
+  std::array<char, 16384> chunk_{};
+  time_point idle_since_;
+  milliseconds most_idle_ = kDefaultIdle;
+  bool connected_ = false;
+  bool got_any_ = false;  // Bytes came since the request began.
+  bool clean_ = true;     // Nothing unexpected came.
+  bool written_ = false;  // The whole request has left.
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/net/http_reader.cc
@@ -0,0 +1,242 @@
+// Reading by Beast's parsers, writing of heads.
+#include "src/net/http_reader.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace pistachioweir {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// Headers that concern one connection only, besides those that Connection
+// names. The length is set anew from the body.
+constexpr std::array<std::string_view, 10> kHopByHop{
+    "Connection",       "Keep-Alive", "Proxy-Connection",
+    "TE",               "Trailer",    "Transfer-Encoding",
+    "Upgrade",          "Expect",     "Content-Length",
+    "Proxy-Authenticate"};
+
+std::string ToString(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool Equals(boost::beast::string_view a, std::string_view b) {
+  return boost::beast::iequals(a, boost::beast::string_view(b.data(), b.size()));
+}
+
+template <typename Fields>
+bool IsHopByHop(const Fields& fields, boost::beast::string_view name) {
+  if (std::ranges::any_of(kHopByHop, [&](std::string_view hop) {
+        return Equals(name, hop);
+      })) {
+    return true;
+  }
+  const auto named = fields[http::field::connection];
+  return !named.empty() && http::token_list(named).exists(name);
+}
+
+template <typename Fields>
+http_headers EndToEnd(const Fields& fields) {
+  http_headers kept;
+  for (const auto& field : fields) {
+    if (!IsHopByHop(fields, field.name_string())) {
+      kept.push_back({.name = ToString(field.name_string()),
+                      .value = ToString(field.value())});
+    }
+  }
+  return kept;
+}
+
+read_problem ProblemOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return read_problem::kHeadTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return read_problem::kBodyTooLarge;
+  }
+  return read_problem::kMalformed;
+}
+
+// Feeds as long as the parser takes something: it stops behind the head and
+// behind each chunk.
+template <typename Parser>
+read_state FeedAll(Parser& parser,
+                   std::string_view bytes,
+                   std::size_t* taken,
+                   read_problem* problem) {
+  *taken = 0;
+  while (!parser.is_done()) {
+    error_code error;
+    const std::size_t used = parser.put(
+        boost::asio::buffer(bytes.data() + *taken, bytes.size() - *taken),
+        error);
+    *taken += used;
+    if (error == http::error::need_more) {
+      return read_state::kMore;
+    }
+    if (error) {
+      *problem = ProblemOf(error);
+      return read_state::kFailed;
+    }
+    if (used == 0 && !parser.is_done()) {
+      return read_state::kMore;
+    }
+  }
+  return read_state::kDone;
+}
+
+template <typename Parser>
+void Prepare(Parser& parser, const read_limits& limits) {
+  parser.eager(true);
+  parser.header_limit(static_cast<std::uint32_t>(limits.max_head_bytes));
+  parser.body_limit(limits.max_body_bytes);
+}
+
+}  // namespace
+
+void AppendHeader(std::string_view name,
+                  std::string_view value,
+                  std::string* block) {
+  block->append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string ToBlock(const http_headers& headers) {
+  std::string block;
+  for (const http_header& header : headers) {
+    AppendHeader(header.name, header.value, &block);
+  }
+  return block;
+}
+
+struct request_reader::state {
+  http::request_parser<http::string_body> parser;
+  read_problem problem = read_problem::kNone;
+};
+
+request_reader::request_reader(const read_limits& limits)
+    : state_(std::make_unique<state>()) {
+  Prepare(state_->parser, limits);
+}
+
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+request_reader& request_reader::operator=(request_reader&&) noexcept = default;
+
+read_state request_reader::Feed(std::string_view bytes, std::size_t* taken) {
+  return FeedAll(state_->parser, bytes, taken, &state_->problem);
+}
+
+read_problem request_reader::problem() const {
+  return state_->problem;
+}
+
+bool request_reader::has_head() const {
+  return state_->parser.is_header_done();
+}
+
+bool request_reader::expects_continue() const {
+  return has_head() && !state_->parser.is_done() &&
+         Equals(state_->parser.get()[http::field::expect], "100-continue");
+}
+
+read_request request_reader::Take() {
+  auto& message = state_->parser.get();
+  read_request request;
+  request.verb = ToString(message.method_string());
+  request.target = ToString(message.target());
+  request.headers = EndToEnd(message);
+  request.keep_alive = message.keep_alive();
+  request.body = std::move(message.body());
+  return request;
+}
+
+struct response_reader::state {
+  http::response_parser<http::string_body> parser;
+  read_problem problem = read_problem::kNone;
+};
+
+response_reader::response_reader(const read_limits& limits, bool to_head)
+    : state_(std::make_unique<state>()) {
+  Prepare(state_->parser, limits);
+  state_->parser.skip(to_head);
+}
+
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader&&) noexcept = default;
+response_reader& response_reader::operator=(response_reader&&) noexcept =
+    default;
+
+read_state response_reader::Feed(std::string_view bytes, std::size_t* taken) {
+  return FeedAll(state_->parser, bytes, taken, &state_->problem);
+}
+
+read_state response_reader::FeedEnd() {
+  error_code error;
+  if (!state_->parser.got_some()) {
+    return read_state::kFailed;
+  }
+  state_->parser.put_eof(error);
+  return !error && state_->parser.is_done() ? read_state::kDone
+                                            : read_state::kFailed;
+}
+
+bool response_reader::begun() const {
+  return state_->parser.got_some();
+}
+
+read_response response_reader::Take() {
+  auto& message = state_->parser.get();
+  read_response response;
+  response.status = static_cast<int>(message.result_int());
+  response.headers = EndToEnd(message);
+  response.keep_alive_header = ToString(message[http::field::keep_alive]);
+  response.keep_alive = state_->parser.keep_alive();
+  response.body = std::move(message.body());
+  return response;
+}
+
+std::string RequestHead(const relayed_request& request,
+                        std::string_view more_headers) {
+  std::string head;
+  head.reserve(request.header_block.size() + more_headers.size() + 128);
+  head.append(request.verb).append(" ").append(request.target);
+  head.append(" HTTP/1.1\r\n");
+  head.append(request.header_block).append(more_headers);
+  const bool bodiless = request.verb == "GET" || request.verb == "HEAD";
+  if (!request.body.empty() || !bodiless) {
+    AppendHeader("Content-Length", std::to_string(request.body.size()), &head);
+  }
+  head.append("\r\n");
+  return head;
+}
+
+std::string ResponseHead(int status,
+                         std::string_view header_block,
+                         std::size_t body_bytes,
+                         bool keep_alive) {
+  std::string head;
+  head.reserve(header_block.size() + 128);
+  head.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  head.append(
+      ToString(http::obsolete_reason(static_cast<http::status>(status))));
+  head.append("\r\n").append(header_block);
+  const bool bodiless = status == 204 || status == 304;
+  if (!bodiless) {
+    AppendHeader("Content-Length", std::to_string(body_bytes), &head);
+  }
+  if (!keep_alive) {
+    AppendHeader("Connection", "close", &head);
+  }
+  head.append("\r\n");
+  return head;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/frame_stream.cc
@@ -0,0 +1,128 @@
+// Reading and writing of frames.
+#include "src/peer/frame_stream.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace pistachioweir {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+frame_stream::frame_stream(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), last_heard_(monotonic_clock::now()) {}
+
+void frame_stream::Start(on_frame frame, on_end end) {
+  on_frame_ = std::move(frame);
+  on_end_ = std::move(end);
+  Read();
+}
+
+void frame_stream::Read() {
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](error_code error, std::size_t bytes) {
+        if (!self->open_) {
+          return;
+        }
+        if (error) {
+          self->End(error.message());
+          return;
+        }
+        self->last_heard_ = monotonic_clock::now();
+        self->received_.append(self->chunk_.data(), bytes);
+        self->Digest();
+      });
+}
+
+void frame_stream::Digest() {
+  std::size_t used = 0;
+  while (open_) {
+    frame_view frame;
+    const auto rest = std::string_view(received_).substr(used);
+    const frame_state state = NextFrame(rest, kMaxFrameBytes, &frame);
+    if (state == frame_state::kBroken) {
+      End("broken frame");
+      return;
+    }
+    if (state == frame_state::kMore) {
+      break;
+    }
+    on_frame_(frame);
+    used += frame.bytes;
+  }
+  if (open_) {
+    received_.erase(0, used);
+    Read();
+  }
+}
+
+void frame_stream::Send(std::string bytes) {
+  Send(std::make_shared<const std::string>(std::move(bytes)));
+}
+
+void frame_stream::Send(std::shared_ptr<const std::string> bytes) {
+  if (!open_) {
+    return;
+  }
+  unsent_bytes_ += bytes->size();
+  if (unsent_bytes_ > kMaxUnsentBytes + bytes->size()) {
+    End("peer does not read");
+    return;
+  }
+  unsent_.push_back(std::move(bytes));
+  if (sending_.empty()) {
+    Write();
+  }
+}
+
+void frame_stream::Write() {
+  sending_ = std::exchange(unsent_, {});
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(sending_.size());
+  for (const auto& bytes : sending_) {
+    buffers.push_back(asio::buffer(*bytes));
+  }
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](error_code error, std::size_t written) {
+        if (!self->open_) {
+          return;
+        }
+        if (error) {
+          self->End(error.message());
+          return;
+        }
+        self->unsent_bytes_ -= written;
+        self->sending_.clear();
+        if (!self->unsent_.empty()) {
+          self->Write();
+        }
+      });
+}
+
+void frame_stream::End(std::string_view why) {
+  const on_end end = on_end_;
+  Close();
+  if (end) {
+    end(why);
+  }
+}
+
+void frame_stream::Close() {
+  if (!std::exchange(open_, false)) {
+    return;
+  }
+  error_code ignored;
+  socket_.close(ignored);
+  // The callbacks may be running: they are dropped when those return.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->on_frame_ = nullptr;
+    self->on_end_ = nullptr;
+  });
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/frame_stream.h
@@ -0,0 +1,62 @@
+// frame_stream: one TCP connection between daemons as a stream of frames.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "include/base/time.h"
+#include "src/peer/peer_frame.h"
+
+namespace pistachioweir {
+
+// Largest frame that is taken: the largest body of a call, and its headers.
+inline constexpr std::size_t kMaxFrameBytes = (64 << 20) + (1 << 20);
+// A peer that doesn't read would make this daemon keep all that it is sent.
+// Beyond this the connection ends; what was on it is asked for again.
+inline constexpr std::size_t kMaxUnsentBytes = 16 << 20;
+
+// Owns the socket; kept alive by its pending operations until it is closed.
+// Used on its socket's thread only. Hears no more after Close().
+class frame_stream : public std::enable_shared_from_this<frame_stream> {
+ public:
+  using on_frame = std::function<void(const frame_view&)>;
+  // The connection ended, or broke the protocol.
+  using on_end = std::function<void(std::string_view why)>;
+
+  explicit frame_stream(boost::asio::ip::tcp::socket socket);
+
+  void Start(on_frame frame, on_end end);
+  void Send(std::string bytes);
+  void Send(std::shared_ptr<const std::string> bytes);
+  void Close();
+
+  [[nodiscard]] bool open() const { return open_; }
+  // When the last bytes came.
+  [[nodiscard]] time_point last_heard() const { return last_heard_; }
+
+ private:
+  void Read();
+  void Digest();
+  void Write();
+  void End(std::string_view why);
+
+  boost::asio::ip::tcp::socket socket_;
+  on_frame on_frame_;
+  on_end on_end_;
+  std::array<char, 16384> chunk_{};
+  std::string received_;  // Without the frames that were handed over.
+  std::vector<std::shared_ptr<const std::string>> unsent_;
+  std::vector<std::shared_ptr<const std::string>> sending_;
+  std::size_t unsent_bytes_ = 0;  // Of both.
+  time_point last_heard_;
+  bool open_ = true;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_frame.cc
@@ -0,0 +1,322 @@
+// MessagePack codec of the frames.
+#include "src/peer/peer_frame.h"
+
+#include <msgpack.hpp>
+
+#include <algorithm>
+
+#include "include/call/msgpack_reader.h"
+
+namespace pistachioweir {
+namespace {
+
+constexpr std::uint32_t kHelloFields = 3;
+constexpr std::uint32_t kWelcomeFields = 7;
+constexpr std::uint32_t kCallFields = 15;
+constexpr std::uint32_t kAnswerFields = 14;
+constexpr std::uint32_t kPongFields = 5;
+// A deadline further away than this is a broken message.
+constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
+constexpr microseconds kMaxMeasured = std::chrono::hours(24);
+// Suspects of one frame; more are of no use, see quarantine_options.
+constexpr std::uint32_t kMaxSuspects = 1024;
+constexpr std::uint32_t kFieldsPerSuspect =
+    3 + static_cast<std::uint32_t>(quarantine_options::kCrashes);
+
+using packer_type = msgpack::packer<msgpack::sbuffer>;
+
+// Leaves room for the head, which is known last.
+class frame_writer {
+ public:
+  explicit frame_writer(std::uint32_t fields) : packer_(buffer_) {
+    buffer_.write("\0\0\0\0\0", kFrameHeadBytes);
+    packer_.pack_array(fields);
+  }
+
+  template <typename Value>
+  frame_writer& Put(const Value& value) {
+    packer_.pack(value);
+    return *this;
+  }
+
+  frame_writer& Put(const load_report& load) {
+    return Put(load.admission_level)
+        .Put(load.in_flight)
+        .Put(load.queued)
+        .Put(load.limit);
+  }
+
+  [[nodiscard]] std::string Finish(frame_kind kind) const {
+    std::string bytes(buffer_.data(), buffer_.size());
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    for (int i = 0; i < 4; ++i) {
+      bytes[static_cast<std::size_t>(i)] =
+          static_cast<char>(length >> (8 * (3 - i)));
+    }
+    bytes[4] = static_cast<char>(kind);
+    return bytes;
+  }
+
+ private:
+  msgpack::sbuffer buffer_;
+  packer_type packer_;
+};
+
+load_report ReadLoad(msgpack_reader& reader) {
+  load_report load;
+  load.admission_level = reader.Unsigned32();
+  load.in_flight = reader.Unsigned32();
+  load.queued = reader.Unsigned32();
+  load.limit = reader.Unsigned32();
+  return load;
+}
+
+std::uint64_t Count(milliseconds time) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+std::uint64_t Count(microseconds time) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+milliseconds ReadMilliseconds(msgpack_reader& reader) {
+  return milliseconds(
+      reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxRemaining.count())));
+}
+
+microseconds ReadMicroseconds(msgpack_reader& reader) {
+  return microseconds(
+      reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxMeasured.count())));
+}
+
+}  // namespace
+
+std::string Encode(const hello_frame& frame) {
+  return frame_writer(kHelloFields)
+      .Put(kPeerProtocolVersion)
+      .Put(static_cast<std::uint64_t>(frame.sender))
+      .Put(frame.vm)
+      .Finish(frame_kind::kHello);
+}
+
+std::string Encode(const welcome_frame& frame) {
+  return frame_writer(kWelcomeFields)
+      .Put(kPeerProtocolVersion)
+      .Put(static_cast<std::uint64_t>(frame.receiver))
+      .Put(frame.leaving)
+      .Put(frame.load)
+      .Finish(frame_kind::kWelcome);
+}
+
+std::string Encode(const call_frame& frame) {
+  return frame_writer(kCallFields)
+      .Put(frame.number)
+      .Put(frame.settled_below)
+      .Put(frame.target_id)
+      .Put(frame.route)
+      .Put(frame.rank)
+      .Put(static_cast<std::uint32_t>(frame.ticket))
+      .Put(static_cast<std::uint32_t>(frame.repeats))
+      .Put(Count(frame.remaining))
+      .Put(Count(frame.objective_left))
+      .Put(frame.caller_service)
+      .Put(frame.request_id)
+      .Put(frame.request.verb)
+      .Put(frame.request.target)
+      .Put(frame.request.header_block)
+      .Put(frame.request.body)
+      .Finish(frame_kind::kCall);
+}
+
+std::string Encode(const answer_frame& frame) {
+  return frame_writer(kAnswerFields)
+      .Put(frame.number)
+      .Put(static_cast<std::uint32_t>(frame.kind))
+      .Put(static_cast<std::uint32_t>(frame.why))
+      .Put(Count(frame.retry_after))
+      .Put(frame.reached_target)
+      .Put(static_cast<std::uint32_t>(frame.response.status))
+      .Put(frame.response.header_block)
+      .Put(frame.response.body)
+      .Put(frame.load)
+      .Put(Count(frame.queued))
+      .Put(Count(frame.served))
+      .Finish(frame_kind::kAnswer);
+}
+
+std::string Encode(const pong_frame& frame) {
+  return frame_writer(kPongFields)
+      .Put(frame.leaving)
+      .Put(frame.load)
+      .Finish(frame_kind::kPong);
+}
+
+std::string Encode(const suspects_frame& frame) {
+  const auto count = static_cast<std::uint32_t>(
+      std::min<std::size_t>(frame.entries.size(), kMaxSuspects));
+  frame_writer writer(count * kFieldsPerSuspect);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const quarantine_entry& entry = frame.entries[i];
+    writer.Put(entry.fingerprint.high).Put(entry.fingerprint.low);
+    for (const crash_id crash : entry.crashes) {
+      writer.Put(static_cast<std::uint64_t>(crash));
+    }
+    writer.Put(Count(entry.remaining));
+  }
+  return writer.Finish(frame_kind::kSuspects);
+}
+
+std::string EncodeNumbered(frame_kind kind, std::uint64_t number) {
+  return frame_writer(1).Put(number).Finish(kind);
+}
+
+std::string EncodeEmpty(frame_kind kind) {
+  return frame_writer(0).Finish(kind);
+}
+
+std::optional<hello_frame> DecodeHello(std::string_view payload) {
+  msgpack_reader reader(payload, kHelloFields);
+  if (reader.Unsigned32() != kPeerProtocolVersion) {
+    return std::nullopt;
+  }
+  hello_frame frame;
+  frame.sender = incarnation_id{reader.Unsigned()};
+  frame.vm = reader.String();
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
+std::optional<welcome_frame> DecodeWelcome(std::string_view payload) {
+  msgpack_reader reader(payload, kWelcomeFields);
+  if (reader.Unsigned32() != kPeerProtocolVersion) {
+    return std::nullopt;
+  }
+  welcome_frame frame;
+  frame.receiver = incarnation_id{reader.Unsigned()};
+  frame.leaving = reader.Bool();
+  frame.load = ReadLoad(reader);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
+std::optional<call_frame> DecodeCallFrame(std::string_view payload) {
+  msgpack_reader reader(payload, kCallFields);
+  call_frame frame;
+  frame.number = reader.Unsigned();
+  frame.settled_below = reader.Unsigned();
+  frame.target_id = reader.String();
+  frame.route = reader.String();
+  frame.rank = reader.Unsigned32();
+  frame.ticket = static_cast<std::uint8_t>(reader.UnsignedUpTo(255));
+  const auto repeats =
+      decltype(kRepeatPolicyNames)::FromNumber(reader.Unsigned32());
+  frame.remaining = ReadMilliseconds(reader);
+  frame.objective_left = ReadMilliseconds(reader);
+  frame.caller_service = reader.String();
+  frame.request_id = reader.String();
+  frame.request.verb = reader.String();
+  frame.request.target = reader.String();
+  frame.request.header_block = reader.String();
+  frame.request.body = reader.String();
+  if (!reader.ok() || !repeats) {
+    return std::nullopt;
+  }
+  frame.repeats = *repeats;
+  return frame;
+}
+
+std::optional<answer_frame> DecodeAnswerFrame(std::string_view payload) {
+  msgpack_reader reader(payload, kAnswerFields);
+  answer_frame frame;
+  frame.number = reader.Unsigned();
+  const auto kind =
+      decltype(kOutcomeKindNames)::FromNumber(reader.Unsigned32());
+  const auto why = decltype(kReasonNames)::FromNumber(reader.Unsigned32());
+  frame.retry_after = ReadMilliseconds(reader);
+  frame.reached_target = reader.Bool();
+  frame.response.status = static_cast<int>(reader.UnsignedUpTo(999));
+  frame.response.header_block = reader.String();
+  frame.response.body = reader.String();
+  frame.load = ReadLoad(reader);
+  frame.queued = ReadMicroseconds(reader);
+  frame.served = ReadMicroseconds(reader);
+  if (!reader.ok() || !kind || !why) {
+    return std::nullopt;
+  }
+  frame.kind = *kind;
+  frame.why = *why;
+  return frame;
+}
+
+std::optional<pong_frame> DecodePong(std::string_view payload) {
+  msgpack_reader reader(payload, kPongFields);
+  pong_frame frame;
+  frame.leaving = reader.Bool();
+  frame.load = ReadLoad(reader);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
+std::optional<suspects_frame> DecodeSuspectsFrame(std::string_view payload) {
+  auto reader = msgpack_reader::UpTo(payload, kMaxSuspects * kFieldsPerSuspect);
+  if (!reader.ok() || reader.size() % kFieldsPerSuspect != 0) {
+    return std::nullopt;
+  }
+  const std::uint32_t count = reader.size() / kFieldsPerSuspect;
+  suspects_frame frame;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    quarantine_entry entry;
+    entry.fingerprint.high = reader.Unsigned();
+    entry.fingerprint.low = reader.Unsigned();
+    for (crash_id& crash : entry.crashes) {
+      crash = crash_id{reader.Unsigned()};
+    }
+    entry.remaining = ReadMilliseconds(reader);
+    frame.entries.push_back(entry);
+  }
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
+std::optional<std::uint64_t> DecodeNumber(std::string_view payload) {
+  msgpack_reader reader(payload, 1);
+  const std::uint64_t number = reader.Unsigned();
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+frame_state NextFrame(std::string_view bytes,
+                      std::size_t max_bytes,
+                      frame_view* frame) {
+  if (bytes.size() < kFrameHeadBytes) {
+    return frame_state::kMore;
+  }
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < 4; ++i) {
+    length = length << 8 | static_cast<unsigned char>(bytes[i]);
+  }
+  const auto kind = decltype(kFrameKindNames)::FromNumber(
+      static_cast<unsigned char>(bytes[4]));
+  if (length < kFrameHeadBytes || length > max_bytes || !kind) {
+    return frame_state::kBroken;
+  }
+  if (bytes.size() < length) {
+    return frame_state::kMore;
+  }
+  *frame = {.kind = *kind,
+            .payload = bytes.substr(kFrameHeadBytes, length - kFrameHeadBytes),
+            .bytes = length};
+  return frame_state::kWhole;
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_frame.h
@@ -0,0 +1,135 @@
+// peer_frame: the messages between daemons, and their bytes.
+//
+// A frame is five bytes, its length and kind, and a MessagePack array. Many
+// calls share one connection; answers come in any order.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/admit/admission_controller.h"
+#include "include/base/enum_table.h"
+#include "include/base/ids.h"
+#include "include/base/outcome.h"
+#include "include/base/time.h"
+#include "include/quarantine/quarantine.h"
+#include "include/route/route_table.h"
+#include "src/net/relayed_message.h"
+
+namespace pistachioweir {
+
+enum class frame_kind : std::uint8_t {
+  kHello,     // The sender's first frame on a connection.
+  kWelcome,   // The answer to it.
+  kCall,      // An attempt.
+  kAnswer,    // Its end.
+  kCancel,    // The caller of an attempt has gone.
+  kAsk,       // What became of an attempt that was sent before?
+  kPing,      // Is this connection alive?
+  kPong,      // It is; with the load of the target.
+  kLeaving,   // The receiver of calls is stopping: send it no new ones.
+  kSuspects,  // Requests that may have crashed a target.
+};
+
+inline constexpr enum_table<frame_kind, 10> kFrameKindNames(
+    {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
+     "leaving", "suspects"});
+
+// Frames of another version are refused: the connection ends.
+inline constexpr std::uint32_t kPeerProtocolVersion = 1;
+inline constexpr std::size_t kFrameHeadBytes = 5;
+
+struct hello_frame {
+  incarnation_id sender{};
+  std::string vm;
+};
+
+struct welcome_frame {
+  incarnation_id receiver{};
+  bool leaving = false;
+  load_report load;
+};
+
+struct call_frame {
+  std::uint64_t number = 0;
+  // The sender has answers to all its attempts below this number.
+  std::uint64_t settled_below = 0;
+  std::string target_id;  // The start of the target that is meant.
+  std::string route;      // Names the kind of work.
+  std::uint32_t rank = 0;
+  std::uint8_t ticket = 0;
+  repeat_policy repeats = repeat_policy::kAtMostOnce;
+  milliseconds remaining{0};
+  milliseconds objective_left{0};  // Of the latency objective.
+  std::string caller_service;
+  std::string request_id;
+  relayed_request request;
+};
+
+struct answer_frame {
+  std::uint64_t number = 0;
+  outcome_kind kind = outcome_kind::kUnknown;
+  reason why = reason::kNone;
+  milliseconds retry_after{0};
+  // Something of the request has reached the target, which may have turned it
+  // away. It then counts as a send of the retry budget.
+  bool reached_target = false;
+  relayed_response response;  // Only with kCompleted.
+  load_report load;
+  microseconds queued{0};  // Time in the queue.
+  microseconds served{0};  // Time at the target.
+};
+
+struct pong_frame {
+  bool leaving = false;
+  load_report load;
+};
+
+struct suspects_frame {
+  std::vector<quarantine_entry> entries;
+};
+
+[[nodiscard]] std::string Encode(const hello_frame& frame);
+[[nodiscard]] std::string Encode(const welcome_frame& frame);
+[[nodiscard]] std::string Encode(const call_frame& frame);
+[[nodiscard]] std::string Encode(const answer_frame& frame);
+[[nodiscard]] std::string Encode(const pong_frame& frame);
+[[nodiscard]] std::string Encode(const suspects_frame& frame);
+// kCancel and kAsk carry the number of the attempt, kPing and kLeaving nothing.
+[[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
+[[nodiscard]] std::string EncodeEmpty(frame_kind kind);
+
+// Nothing if `payload` isn't exactly one frame of that kind.
+[[nodiscard]] std::optional<hello_frame> DecodeHello(std::string_view payload);
+[[nodiscard]] std::optional<welcome_frame> DecodeWelcome(
+    std::string_view payload);
+[[nodiscard]] std::optional<call_frame> DecodeCallFrame(
+    std::string_view payload);
+[[nodiscard]] std::optional<answer_frame> DecodeAnswerFrame(
+    std::string_view payload);
+[[nodiscard]] std::optional<pong_frame> DecodePong(std::string_view payload);
+[[nodiscard]] std::optional<suspects_frame> DecodeSuspectsFrame(
+    std::string_view payload);
+[[nodiscard]] std::optional<std::uint64_t> DecodeNumber(
+    std::string_view payload);
+
+// The frame in front of a stream of bytes.
+struct frame_view {
+  frame_kind kind = frame_kind::kPing;
+  std::string_view payload;
+  std::size_t bytes = 0;  // Head and payload.
+};
+
+enum class frame_state : std::uint8_t { kMore, kWhole, kBroken };
+
+// kBroken for an unknown kind or more than `max_bytes`: whatever follows can't
+// be told apart any more.
+[[nodiscard]] frame_state NextFrame(std::string_view bytes,
+                                    std::size_t max_bytes,
+                                    frame_view* frame);
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_link.cc
@@ -0,0 +1,435 @@
+// Connections to one peer, and the calls on them.
+#include "src/peer/peer_link.h"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "include/base/log.h"
+#include "src/net/tcp_options.h"
+
+namespace pistachioweir {
+namespace {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+// While calls wait for answers, the connection is looked at this often.
+constexpr milliseconds kBusyInterval{50};
+// An idle connection is tried this often, so that one that has gone silent is
+// found before a call is sent into it.
+constexpr milliseconds kIdleInterval{1000};
+// Between attempts to reach a peer.
+constexpr milliseconds kRetryInterval{100};
+// How long the kernel tries to bring bytes to a peer.
+constexpr milliseconds kPeerSilence{2000};
+
+milliseconds Left(time_point deadline, time_point now) {
+  return std::max(milliseconds(0),
+                  std::chrono::duration_cast<milliseconds>(deadline - now));
+}
+
+}  // namespace
+
+peer_link::peer_link(boost::asio::io_context& context,
+                     peer_link_options options,
+                     peer_link_events events)
+    : context_(context),
+      options_(std::move(options)),
+      events_(std::move(events)),
+      timer_(context),
+      connect_timer_(context),
+      last_used_(monotonic_clock::now()) {}
+
+link_state peer_link::state() const {
+  if (current_ != nullptr) {
+    return link_state::kUp;
+  }
+  const bool trying = connecting_ != nullptr || candidate_ != nullptr;
+  return trying ? link_state::kConnecting : link_state::kDown;
+}
+
+std::uint64_t peer_link::SettledBelow() const {
+  return calls_.empty() ? next_number_ : calls_.begin()->first;
+}
+
+std::uint64_t peer_link::Send(call_frame call, callback done) {
+  const time_point now = monotonic_clock::now();
+  const std::uint64_t number = next_number_++;
+  call.number = number;
+  last_used_ = now;
+  const time_point deadline = now + call.remaining;
+  call_record& record =
+      calls_
+          .emplace(number, call_record{.call = std::move(call),
+                                       .deadline = deadline,
+                                       .done = std::move(done)})
+          .first->second;
+  if (current_ != nullptr) {
+    Write(record);
+  } else if (state() == link_state::kDown) {
+    Connect();
+  }
+  ArmTimer();
+  return number;
+}
+
+void peer_link::Write(call_record& record) {
+  const time_point now = monotonic_clock::now();
+  const milliseconds waited =
+      record.call.remaining - Left(record.deadline, now);
+  record.call.remaining -= waited;
+  record.call.objective_left =
+      std::max(milliseconds(0), record.call.objective_left - waited);
+  record.call.settled_below = SettledBelow();
+  record.sent_to = receiver_;
+  current_->Send(Encode(record.call));
+}
+
+void peer_link::Cancel(std::uint64_t number) {
+  const auto found = calls_.find(number);
+  if (found == calls_.end()) {
+    return;
+  }
+  const bool sent = found->second.sent_to == receiver_ &&
+                    receiver_ != incarnation_id{} && current_ != nullptr;
+  calls_.erase(found);
+  if (sent) {
+    current_->Send(EncodeNumbered(frame_kind::kCancel, number));
+  }
+}
+
+void peer_link::SendSuspects(const suspects_frame& suspects) {
+  if (current_ != nullptr) {
+    current_->Send(Encode(suspects));
+  }
+}
+
+void peer_link::Probe() {
+  if (!closed_ && state() == link_state::kDown) {
+    Connect();
+    ArmTimer();
+  }
+}
+
+void peer_link::Close() {
+  closed_ = true;
+  timer_.cancel();
+  connect_timer_.cancel();
+  if (connecting_ != nullptr) {
+    error_code ignored;
+    connecting_->close(ignored);
+  }
+  for (const stream_ptr& stream : {current_, candidate_}) {
+    if (stream != nullptr) {
+      stream->Close();
+    }
+  }
+  current_ = nullptr;
+  candidate_ = nullptr;
+  connecting_ = nullptr;
+}
+
+void peer_link::Connect() {
+  const std::uint64_t attempt = ++connect_attempt_;
+  auto socket = std::make_shared<tcp::socket>(context_);
+  connecting_ = socket;
+  const tcp::endpoint remote(
+      boost::asio::ip::make_address(options_.address.ip),
+      options_.address.port);
+  connect_timer_.expires_after(options_.connect_timeout);
+  connect_timer_.async_wait(
+      [self = weak_from_this(), attempt](error_code error) {
+        const auto link = self.lock();
+        if (!error && link != nullptr) {
+          link->OnConnectFailed(attempt, "timeout");
+        }
+      });
+  socket->async_connect(
+      remote, [self = weak_from_this(), socket, attempt](error_code error) {
+        const auto link = self.lock();
+        if (link == nullptr || link->connect_attempt_ != attempt ||
+            link->connecting_ == nullptr) {
+          return;
+        }
+        if (error) {
+          link->OnConnectFailed(attempt, error.message());
+        } else {
+          link->OnConnected(socket);
+        }
+      });
+}
+
+void peer_link::OnConnected(const socket_ptr& socket) {
+  SetUpConnection(*socket, kPeerSilence);
+  connecting_ = nullptr;
+  candidate_ = std::make_shared<frame_stream>(std::move(*socket));
+  const std::weak_ptr<frame_stream> stream = candidate_;
+  candidate_->Start(
+      [self = weak_from_this(), stream](const frame_view& frame) {
+        const auto link = self.lock();
+        const auto from = stream.lock();
+        if (link != nullptr && from != nullptr) {
+          link->OnFrame(from, frame);
+        }
+      },
+      [self = weak_from_this(), stream](std::string_view why) {
+        const auto link = self.lock();
+        const auto ended = stream.lock();
+        if (link != nullptr && ended != nullptr) {
+          link->OnStreamEnd(ended, why);
+        }
+      });
+  candidate_->Send(Encode(
+      hello_frame{.sender = options_.self, .vm = options_.vm}));
+}
+
+void peer_link::OnConnectFailed(std::uint64_t attempt, std::string_view why) {
+  if (closed_ || connect_attempt_ != attempt) {
+    return;
+  }
+  connect_timer_.cancel();
+  if (connecting_ != nullptr) {
+    error_code ignored;
+    connecting_->close(ignored);
+    connecting_ = nullptr;
+  }
+  if (candidate_ != nullptr) {
+    candidate_->Close();
+    candidate_ = nullptr;
+  }
+  if (current_ == nullptr) {
+    SetReachable(false, why);
+  }
+  ArmTimer();
+}
+
+void peer_link::OnFrame(const stream_ptr& stream, const frame_view& frame) {
+  switch (frame.kind) {
+    case frame_kind::kWelcome:
+      if (const auto welcome = DecodeWelcome(frame.payload)) {
+        OnWelcome(stream, *welcome);
+        return;
+      }
+      break;
+    case frame_kind::kAnswer:
+      if (auto answer = DecodeAnswerFrame(frame.payload)) {
+        OnAnswer(*std::move(answer));
+        return;
+      }
+      break;
+    case frame_kind::kPong:
+      if (const auto pong = DecodePong(frame.payload)) {
+        events_.on_load(pong->load);
+        return;
+      }
+      break;
+    case frame_kind::kLeaving:
+      events_.on_leaving(true);
+      return;
+    case frame_kind::kSuspects:
+      if (const auto suspects = DecodeSuspectsFrame(frame.payload)) {
+        events_.on_suspects(*suspects);
+        return;
+      }
+      break;
+    default:
+      break;
+  }
+  OnBroken(stream, frame.kind);
+}
+
+void peer_link::OnBroken(const stream_ptr& stream, frame_kind kind) {
+  LogWarning("peer_frame_refused",
+             {{.name = "peer", .value = ToString(options_.address)},
+              {.name = "kind", .value = std::string(kFrameKindNames.Name(kind))}});
+  stream->Close();
+  OnStreamEnd(stream, "unexpected frame");
+}
+
+void peer_link::OnWelcome(const stream_ptr& stream,
+                          const welcome_frame& welcome) {
+  if (stream != candidate_) {
+    return;
+  }
+  connect_timer_.cancel();
+  if (current_ != nullptr) {
+    current_->Close();
+  }
+  current_ = std::exchange(candidate_, nullptr);
+  SetReachable(true, "welcome");
+  events_.on_leaving(welcome.leaving);
+  events_.on_load(welcome.load);
+  Resume(welcome.receiver);
+}
+
+// What was sent to the incarnation that answers is asked for; what was sent to
+// an earlier one can't be known any more.
+void peer_link::Resume(incarnation_id receiver) {
+  const incarnation_id before = std::exchange(receiver_, receiver);
+  std::vector<std::uint64_t> lost;
+  for (auto& [number, record] : calls_) {
+    if (record.sent_to == incarnation_id{}) {
+      Write(record);
+    } else if (record.sent_to == receiver) {
+      last_asked_ = monotonic_clock::now();
+      current_->Send(EncodeNumbered(frame_kind::kAsk, number));
+    } else {
+      lost.push_back(number);
+    }
+  }
+  if (before != incarnation_id{} && before != receiver) {
+    LogEvent("peer_restarted",
+             {{.name = "peer", .value = ToString(options_.address)},
+              {.name = "calls_lost", .value = std::to_string(lost.size())}});
+  }
+  for (const std::uint64_t number : lost) {
+    EndCall(number, outcome_kind::kUnknown, reason::kConnectionLost);
+  }
+}
+
+void peer_link::OnAnswer(answer_frame answer) {
+  const auto found = calls_.find(answer.number);
+  if (found == calls_.end()) {
+    return;  // Cancelled, or a second answer after the call was asked for.
+  }
+  const callback done = std::move(found->second.done);
+  calls_.erase(found);
+  done({.answer = std::move(answer), .heard = true});
+}
+
+void peer_link::OnStreamEnd(const stream_ptr& stream, std::string_view why) {
+  if (closed_) {
+    return;
+  }
+  if (stream == candidate_) {
+    OnConnectFailed(connect_attempt_, why);
+    return;
+  }
+  if (stream != current_) {
+    return;
+  }
+  current_ = nullptr;
+  LogEvent("peer_connection_lost",
+           {{.name = "peer", .value = ToString(options_.address)},
+            {.name = "why", .value = std::string(why)},
+            {.name = "calls", .value = std::to_string(calls_.size())}});
+  if (state() == link_state::kDown) {
+    Connect();
+  }
+  ArmTimer();
+}
+
+void peer_link::SetReachable(bool reachable, std::string_view why) {
+  if (reachable) {
+    unreachable_since_ = time_point::max();
+  } else if (unreachable_since_ == time_point::max()) {
+    unreachable_since_ = monotonic_clock::now();
+  }
+  const bool changed = std::exchange(reachable_, reachable) != reachable;
+  if (changed) {
+    events_.on_reachable(reachable, why);
+  }
+  if (!reachable) {
+    GiveUpMovable();
+  }
+}
+
+// Calls that have not left may go elsewhere, and so may those that may run
+// twice, once the peer has been out of reach for a while. The others wait: the
+// peer may still tell what became of them.
+void peer_link::GiveUpMovable() {
+  const bool patient =
+      monotonic_clock::now() - unreachable_since_ < options_.patience;
+  std::vector<std::pair<std::uint64_t, outcome_kind>> ended;
+  for (const auto& [number, record] : calls_) {
+    if (record.sent_to == incarnation_id{}) {
+      ended.emplace_back(number, outcome_kind::kNotExecuted);
+    } else if (!patient && record.call.repeats == repeat_policy::kIdempotent) {
+      ended.emplace_back(number, outcome_kind::kUnknown);
+    }
+  }
+  for (const auto& [number, kind] : ended) {
+    EndCall(number, kind,
+            kind == outcome_kind::kUnknown ? reason::kConnectionLost
+                                           : reason::kNotReady);
+  }
+}
+
+void peer_link::EndCall(std::uint64_t number, outcome_kind kind, reason why) {
+  const auto found = calls_.find(number);
+  if (found == calls_.end()) {
+    return;
+  }
+  const callback done = std::move(found->second.done);
+  calls_.erase(found);
+  peer_answer given_up;
+  given_up.answer.number = number;
+  given_up.answer.kind = kind;
+  given_up.answer.why = why;
+  done(std::move(given_up));
+}
+
+void peer_link::ArmTimer() {
+  if (closed_) {
+    return;
+  }
+  const bool idle = calls_.empty() && reachable_;
+  const time_point due =
+      monotonic_clock::now() + (idle ? kIdleInterval : kBusyInterval);
+  if (timer_armed_ && timer_due_ <= due) {
+    return;
+  }
+  timer_armed_ = true;
+  timer_due_ = due;
+  timer_.expires_at(due);
+  timer_.async_wait([self = weak_from_this(), due](error_code error) {
+    const auto link = self.lock();
+    if (error || link == nullptr || link->timer_due_ != due || link->closed_) {
+      return;
+    }
+    link->timer_armed_ = false;
+    link->OnTimer();
+  });
+}
+
+void peer_link::OnTimer() {
+  const time_point now = monotonic_clock::now();
+  if (current_ == nullptr) {
+    if (!calls_.empty()) {
+      GiveUpMovable();
+    }
+    const bool due = now - unreachable_since_ >= kRetryInterval;
+    if (state() == link_state::kDown && (due || !calls_.empty())) {
+      Connect();
+    }
+    if (!calls_.empty() || !reachable_) {
+      ArmTimer();
+    }
+    return;
+  }
+  // The time is judged from when something was asked: a connection that nobody
+  // used may have been quiet for long and still be well.
+  const time_point heard = current_->last_heard();
+  const bool waits = last_asked_ > heard;
+  if (waits && now - last_asked_ >= options_.silence) {
+    if (connecting_ == nullptr && candidate_ == nullptr) {
+      Connect();
+    }
+    if (now - last_asked_ >= options_.silence + options_.patience) {
+      // Nothing on the old connection and no new one: as good as down.
+      current_->Close();
+      current_ = nullptr;
+      SetReachable(false, "silent");
+    }
+  } else if (!waits &&
+             (now - heard >= kIdleInterval ||
+              (!calls_.empty() && now - heard >= options_.silence / 2))) {
+    last_asked_ = now;
+    current_->Send(EncodeEmpty(frame_kind::kPing));
+  }
+  ArmTimer();
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_link.h
@@ -0,0 +1,143 @@
+// peer_link: sends calls to the daemon beside one target, and finds out what
+// became of each, also when connections are reset or go silent on the way.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/config/settings.h"
+#include "src/peer/frame_stream.h"
+#include "src/peer/peer_frame.h"
+
+namespace pistachioweir {
+
+struct peer_link_options {
+  endpoint address;
+  incarnation_id self{};
+  vm_id vm;  // This daemon's.
+  // A connection on which nothing came for this long, although something was
+  // asked, is doubted and a second one opened. Short against the shortest usual
+  // latency objective (300 ms), and longer than a machine that shares its
+  // processor is held up (100 ms).
+  milliseconds silence{150};
+  // A peer that can't be reached for this long is given up for calls that may
+  // go elsewhere.
+  milliseconds patience{250};
+  milliseconds connect_timeout{300};
+};
+
+enum class link_state : std::uint8_t { kDown, kConnecting, kUp };
+
+inline constexpr enum_table<link_state, 3> kLinkStateNames(
+    {"down", "connecting", "up"});
+
+// Hears what a link learns of its peer.
+struct peer_link_events {
+  // The peer can be reached, or can't; why.
+  std::function<void(bool reachable, std::string_view why)> on_reachable;
+  std::function<void(bool leaving)> on_leaving;
+  std::function<void(const load_report&)> on_load;
+  std::function<void(const suspects_frame&)> on_suspects;
+};
+
+// A call that was sent. `heard` tells whether the answer came from the peer;
+// if not, the link made it up: not executed if no byte of the call left, else
+// unknown.
+struct peer_answer {
+  answer_frame answer;
+  bool heard = false;
+};
+
+// Numbers the calls of one peer and keeps each until it has an answer. After a
+// reconnection it asks for those that were sent: the same incarnation of the
+// peer tells what became of them, another one can't.
+//
+// Used on its context's thread only.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+ public:
+  using callback = std::function<void(peer_answer)>;
+
+  peer_link(boost::asio::io_context& context,
+            peer_link_options options,
+            peer_link_events events);
+
+  // Sends the call and calls `done` once, later. Returns its number, which the
+  // link fills in.
+  std::uint64_t Send(call_frame call, callback done);
+  // The caller has gone: `done` is not called any more.
+  void Cancel(std::uint64_t number);
+  void SendSuspects(const suspects_frame& suspects);
+  // Tries to reach the peer although there is nothing to send.
+  void Probe();
+  void Close();
+
+  [[nodiscard]] link_state state() const;
+  [[nodiscard]] const endpoint& address() const { return options_.address; }
+  [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
+  // Since when nothing was asked of the peer.
+  [[nodiscard]] time_point last_used() const { return last_used_; }
+
+ private:
+  using stream_ptr = std::shared_ptr<frame_stream>;
+  using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
+  struct call_record {
+    call_frame call;
+    time_point deadline;
+    callback done;
+    // The peer's incarnation that it was sent to; zero if it wasn't.
+    incarnation_id sent_to{};
+  };
+
+  void Connect();
+  void OnConnected(const socket_ptr& socket);
+  void OnConnectFailed(std::uint64_t attempt, std::string_view why);
+  void OnFrame(const stream_ptr& stream, const frame_view& frame);
+  void OnWelcome(const stream_ptr& stream, const welcome_frame& welcome);
+  void OnAnswer(answer_frame answer);
+  void OnStreamEnd(const stream_ptr& stream, std::string_view why);
+  void OnBroken(const stream_ptr& stream, frame_kind kind);
+  void Resume(incarnation_id receiver);
+  void Write(call_record& record);
+  void EndCall(std::uint64_t number, outcome_kind kind, reason why);
+  void GiveUpMovable();
+  void ArmTimer();
+  void OnTimer();
+  void SetReachable(bool reachable, std::string_view why);
+  [[nodiscard]] std::uint64_t SettledBelow() const;
+
+  boost::asio::io_context& context_;
+  const peer_link_options options_;
+  const peer_link_events events_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer connect_timer_;
+
+  std::map<std::uint64_t, call_record> calls_;  // Without an answer.
+  std::uint64_t next_number_ = 1;
+  stream_ptr current_;    // Welcomed, or nullptr.
+  stream_ptr candidate_;  // Connected, not welcomed yet.
+  socket_ptr connecting_;
+  std::uint64_t connect_attempt_ = 0;
+  incarnation_id receiver_{};  // Of the last welcome.
+  time_point last_asked_;      // When something was sent that is answered at
+                               // once.
+  time_point last_used_;
+  time_point unreachable_since_ = time_point::max();
+  bool reachable_ = true;
+  time_point timer_due_;
+  bool timer_armed_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_server.cc
@@ -0,0 +1,296 @@
+// Connections from other daemons.
+#include "src/peer/peer_server.h"
+
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/socket_base.hpp>
+
+#include <string>
+
+#include "include/base/log.h"
+#include "src/forward/executor.h"
+#include "src/net/tcp_options.h"
+
+namespace pistachioweir {
+namespace {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+constexpr milliseconds kPeerSilence{2000};
+
+std::uint64_t KeyOf(incarnation_id sender) {
+  return static_cast<std::uint64_t>(sender);
+}
+
+}  // namespace
+
+// One connection.
+class peer_server::session
+    : public std::enable_shared_from_this<peer_server::session> {
+ public:
+  session(peer_server& server, tcp::socket socket)
+      : server_(server),
+        stream_(std::make_shared<frame_stream>(std::move(socket))) {}
+
+  void Start() {
+    const std::weak_ptr<session> self = weak_from_this();
+    stream_->Start(
+        [self](const frame_view& frame) {
+          if (const auto found = self.lock()) {
+            found->OnFrame(frame);
+          }
+        },
+        // The stream keeps its session until it ends.
+        [kept = shared_from_this()](std::string_view /*why*/) {
+          kept->server_.OnEnd(kept);
+        });
+  }
+
+  void Send(std::string bytes) { stream_->Send(std::move(bytes)); }
+  void Send(std::shared_ptr<const std::string> bytes) {
+    stream_->Send(std::move(bytes));
+  }
+  void Close() { stream_->Close(); }
+
+  [[nodiscard]] incarnation_id sender() const { return sender_; }
+
+ private:
+  void OnFrame(const frame_view& frame) {
+    if (!Handle(frame)) {
+      LogWarning(
+          "peer_frame_refused",
+          {{.name = "kind", .value = std::string(kFrameKindNames.Name(frame.kind))}});
+      stream_->Close();
+      server_.OnEnd(shared_from_this());
+    }
+  }
+
+  // False if the frame makes no sense here.
+  bool Handle(const frame_view& frame) {
+    if (frame.kind == frame_kind::kHello) {
+      const auto hello = DecodeHello(frame.payload);
+      if (!hello) {
+        return false;
+      }
+      sender_ = hello->sender;
+      server_.OnHello(shared_from_this(), *hello);
+      return true;
+    }
+    if (sender_ == incarnation_id{}) {
+      return false;
+    }
+    return HandleKnown(frame);
+  }
+
+  bool HandleKnown(const frame_view& frame) {
+    switch (frame.kind) {
+      case frame_kind::kCall: {
+        auto call = DecodeCallFrame(frame.payload);
+        if (call) {
+          server_.OnCall(*this, *std::move(call));
+        }
+        return call.has_value();
+      }
+      case frame_kind::kAsk: {
+        const auto number = DecodeNumber(frame.payload);
+        if (number) {
+          server_.OnAsk(*this, *number);
+        }
+        return number.has_value();
+      }
+      case frame_kind::kCancel: {
+        const auto number = DecodeNumber(frame.payload);
+        if (number) {
+          server_.OnCancel(*this, *number);
+        }
+        return number.has_value();
+      }
+      case frame_kind::kPing:
+        Send(Encode(pong_frame{.leaving = server_.calls_.draining(),
+                               .load = server_.calls_.Load()}));
+        return true;
+      case frame_kind::kSuspects: {
+        const auto suspects = DecodeSuspectsFrame(frame.payload);
+        if (suspects && server_.options_.on_suspects) {
+          server_.options_.on_suspects(*suspects);
+        }
+        return suspects.has_value();
+      }
+      default:
+        return false;
+    }
+  }
+
+  peer_server& server_;
+  std::shared_ptr<frame_stream> stream_;
+  incarnation_id sender_{};  // Zero until its hello.
+};
+
+peer_server::peer_server(boost::asio::io_context& context,
+                         peer_server_options options,
+                         executor& calls)
+    : context_(context),
+      options_(std::move(options)),
+      calls_(calls),
+      acceptor_(context) {
+  const tcp::endpoint local(
+      boost::asio::ip::make_address(options_.address.ip),
+      options_.address.port);
+  acceptor_.open(local.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(local);
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+  Accept();
+}
+
+peer_server::~peer_server() = default;
+
+void peer_server::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      SetUpConnection(socket, kPeerSilence);
+      std::make_shared<session>(*this, std::move(socket))->Start();
+    }
+    Accept();
+  });
+}
+
+peer_server::session* peer_server::Find(incarnation_id sender) {
+  const auto found = by_sender_.find(KeyOf(sender));
+  return found == by_sender_.end() ? nullptr : found->second.get();
+}
+
+// A second connection of one sender means that it doubts the first.
+void peer_server::OnHello(const std::shared_ptr<session>& from,
+                          const hello_frame& hello) {
+  std::shared_ptr<session>& current = by_sender_[KeyOf(hello.sender)];
+  if (current != nullptr && current != from) {
+    current->Close();
+  }
+  current = from;
+  attempts_.OnConnected(hello.sender);
+  from->Send(Encode(welcome_frame{.receiver = options_.self,
+                                  .leaving = calls_.draining(),
+                                  .load = calls_.Load()}));
+}
+
+void peer_server::OnEnd(const std::shared_ptr<session>& ended) {
+  const auto found = by_sender_.find(KeyOf(ended->sender()));
+  if (found == by_sender_.end() || found->second != ended) {
+    return;
+  }
+  attempts_.OnDisconnected(ended->sender(), monotonic_clock::now());
+  by_sender_.erase(found);
+}
+
+void peer_server::OnCall(session& from, call_frame call) {
+  const attempt_key attempt{.sender = from.sender(), .number = call.number};
+  attempts_.Settle(from.sender(), call.settled_below);
+  switch (attempts_.Begin(attempt)) {
+    case attempt_verdict::kStart:
+      break;
+    case attempt_verdict::kRunning:
+      return;
+    case attempt_verdict::kFinished:
+      from.Send(attempts_.AnswerOf(attempt));
+      return;
+    case attempt_verdict::kRefused:
+      SendRefusal(from, call.number);
+      return;
+  }
+  // The executor may answer before Serve() returns.
+  const auto answered = std::make_shared<bool>(false);
+  const std::uint64_t id =
+      calls_.Serve(std::move(call), [this, attempt, answered](
+                                        const answer_frame& answer) {
+        *answered = true;
+        OnAnswer(attempt, answer);
+      });
+  if (!*answered) {
+    running_[KeyOf(attempt.sender)][attempt.number] = id;
+  }
+}
+
+void peer_server::OnAnswer(const attempt_key& attempt,
+                           const answer_frame& answer) {
+  const auto of_sender = running_.find(KeyOf(attempt.sender));
+  if (of_sender != running_.end()) {
+    of_sender->second.erase(attempt.number);
+    if (of_sender->second.empty()) {
+      running_.erase(of_sender);
+    }
+  }
+  const auto bytes = std::make_shared<const std::string>(Encode(answer));
+  if (!attempts_.Finish(attempt, bytes)) {
+    return;  // Its sender has given it up.
+  }
+  if (session* const to = Find(attempt.sender)) {
+    to->Send(bytes);
+  }
+}
+
+void peer_server::SendRefusal(session& to, std::uint64_t number) {
+  answer_frame answer;
+  answer.number = number;
+  answer.kind = outcome_kind::kNotExecuted;
+  answer.why = reason::kConnectionLost;
+  answer.load = calls_.Load();
+  to.Send(Encode(answer));
+}
+
+void peer_server::OnAsk(session& from, std::uint64_t number) {
+  const attempt_key attempt{.sender = from.sender(), .number = number};
+  const attempt_verdict verdict = attempts_.Ask(attempt);
+  LogEvent("attempt_asked_for",
+           {{.name = "number", .value = std::to_string(number)},
+            {.name = "verdict",
+             .value = std::string(kAttemptVerdictNames.Name(verdict))}});
+  switch (verdict) {
+    case attempt_verdict::kStart:
+    case attempt_verdict::kRefused:
+      SendRefusal(from, number);
+      return;
+    case attempt_verdict::kFinished:
+      from.Send(attempts_.AnswerOf(attempt));
+      return;
+    case attempt_verdict::kRunning:
+      from.Send(Encode(pong_frame{.leaving = calls_.draining(),
+                                  .load = calls_.Load()}));
+      return;
+  }
+}
+
+void peer_server::OnCancel(const session& from, std::uint64_t number) {
+  const auto of_sender = running_.find(KeyOf(from.sender()));
+  if (of_sender == running_.end()) {
+    return;
+  }
+  const auto found = of_sender->second.find(number);
+  if (found != of_sender->second.end()) {
+    calls_.Cancel(found->second);
+  }
+}
+
+void peer_server::Drain() {
+  for (const auto& [sender, to] : by_sender_) {
+    to->Send(EncodeEmpty(frame_kind::kLeaving));
+  }
+}
+
+void peer_server::Tell(const suspects_frame& suspects) {
+  const auto bytes = std::make_shared<const std::string>(Encode(suspects));
+  for (const auto& [sender, to] : by_sender_) {
+    to->Send(bytes);
+  }
+}
+
+void peer_server::Tick(time_point now) {
+  attempts_.Expire(now);
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/peer/peer_server.h
@@ -0,0 +1,77 @@
+// peer_server: takes calls from other daemons and hands them to the executor,
+// each once.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/config/settings.h"
+#include "include/once/attempt_table.h"
+#include "src/peer/frame_stream.h"
+#include "src/peer/peer_frame.h"
+
+namespace pistachioweir {
+
+class executor;
+
+struct peer_server_options {
+  endpoint address;
+  incarnation_id self{};
+  // Called with what another daemon told of requests that crash targets.
+  std::function<void(const suspects_frame&)> on_suspects;
+};
+
+// Owns the listening socket, the connections, and the record of attempts. An
+// answer goes out over whichever connection its sender has then. Used on its
+// context's thread only.
+class peer_server {
+ public:
+  // Binds and listens. Throws boost::system::system_error if it can't.
+  peer_server(boost::asio::io_context& context,
+              peer_server_options options,
+              executor& calls);
+  ~peer_server();
+
+  // Tells all senders that this daemon is stopping.
+  void Drain();
+  // Tells all senders of requests that may have crashed a target.
+  void Tell(const suspects_frame& suspects);
+  // Once a second.
+  void Tick(time_point now);
+
+  [[nodiscard]] std::size_t sessions() const { return by_sender_.size(); }
+
+ private:
+  class session;
+
+  void Accept();
+  void OnHello(const std::shared_ptr<session>& from, const hello_frame& hello);
+  void OnCall(session& from, call_frame call);
+  void OnAsk(session& from, std::uint64_t number);
+  void OnCancel(const session& from, std::uint64_t number);
+  void OnEnd(const std::shared_ptr<session>& ended);
+  void OnAnswer(const attempt_key& attempt, const answer_frame& answer);
+  void SendRefusal(session& to, std::uint64_t number);
+  [[nodiscard]] session* Find(incarnation_id sender);
+
+  boost::asio::io_context& context_;
+  const peer_server_options options_;
+  executor& calls_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  attempt_table attempts_;
+  // The newest connection of each sender.
+  std::unordered_map<std::uint64_t, std::shared_ptr<session>> by_sender_;
+  // Names at the executor of attempts in progress, by sender and number.
+  std::unordered_map<std::uint64_t,
+                     std::unordered_map<std::uint64_t, std::uint64_t>>
+      running_;
+};
+
+}  // namespace pistachioweir
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -127,8 +127,47 @@
   }
 }
 
+void balancer::SetReachable(target_ref ref, bool reachable) {
+  if (target* const found = Find(ref)) {
+    found->unreachable = !reachable;
+  }
+}
+
+void balancer::SetStopping(target_ref ref, bool stopping) {
+  if (target* const found = Find(ref)) {
+    found->stopping = stopping;
+  }
+}
+
+void balancer::NoteLoad(target_ref ref,
+                        const load_report& report,
+                        time_point now) {
+  if (target* const found = Find(ref)) {
+    SetLoad(*found, report);
+    for (learnt_level& level : found->levels) {
+      level = {.level = report.admission_level, .heard = now};
+    }
+  }
+}
+
+void balancer::SetLoad(target& of, const load_report& report) {
+  const double there = report.in_flight + report.queued;
+  of.others = std::max(0.0, there - of.in_flight);
+  of.limit = report.limit;
+}
+
+std::optional<target_ref> balancer::RefOf(std::string_view vm) const {
+  for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i].listed && targets_[i].info.vm == vm) {
+      return target_ref{i, targets_[i].generation};
+    }
+  }
+  return std::nullopt;
+}
+
 bool balancer::Usable(const target& candidate, time_point now) const {
-  return candidate.listed && !candidate.leaving &&
+  return candidate.listed && !candidate.leaving && !candidate.stopping &&
+         !candidate.unreachable &&
          (!options_.use_ejection || candidate.ejected_until <= now);
 }
 
@@ -334,9 +373,7 @@
   if (report == nullptr) {
     return;
   }
-  const double there = report->in_flight + report->queued;
-  found->others = std::max(0.0, there - found->in_flight);
-  found->limit = report->limit;
+  SetLoad(*found, *report);
   if (method >= found->levels.size()) {
     found->levels.resize(method + 1);
   }
