Calls to a peer keep counting up over all links to it

Cause: a target's entry ran out while its VM was cut off and came back; its link was closed and made anew, and counted its calls from one again.

Ruled out: answers of targets matched wrongly; the traces show no such request at any target.

Change: one counter for all links of a daemon's incarnation.

Before: ANewLinkToTheSamePeerGetsItsOwnAnswers fails with a counter a link.

--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -160,6 +160,8 @@
   std::unordered_map<std::string, service_state> services_;
   std::unordered_map<std::string, weighted_split> splits_;  // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP number.
+  const std::shared_ptr<std::uint64_t> last_number_ =
+      std::make_shared<std::uint64_t>(0);  // Of calls on all links.
   std::unordered_map<call_id, call_ptr> calls_;
   call_id next_id_ = 1;
   origin_counters counters_;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -6,6 +6,9 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
+#include <cassert>
+
 #include "include/base/log.h"
 #include "src/net/tcp_options.h"
 
@@ -40,7 +43,9 @@
       events_(std::move(events)),
       timer_(context),
       connect_timer_(context),
-      last_used_(monotonic_clock::now()) {}
+      last_used_(monotonic_clock::now()) {
+  assert(options_.last_number != nullptr);
+}
 
 link_state peer_link::state() const {
   if (current_ != nullptr) {
@@ -51,12 +56,12 @@
 }
 
 std::uint64_t peer_link::SettledBelow() const {
-  return calls_.empty() ? next_number_ : calls_.begin()->first;
+  return calls_.empty() ? *options_.last_number + 1 : calls_.begin()->first;
 }
 
 std::uint64_t peer_link::Send(call_frame call, callback done) {
   const time_point now = monotonic_clock::now();
-  const std::uint64_t number = next_number_++;
+  const std::uint64_t number = ++*options_.last_number;
   call.number = number;
   last_used_ = now;
   const time_point deadline = now + call.remaining;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -35,6 +35,11 @@
   // go elsewhere.
   milliseconds patience{250};
   milliseconds connect_timeout{300};
+  // The last number given to a call by this incarnation of the daemon, shared
+  // by all its links. A link that is closed and made anew for the same peer
+  // must not count from the beginning again: the peer would take its calls for
+  // those of before, and answer them with what it had kept for those.
+  std::shared_ptr<std::uint64_t> last_number;
 };
 
 enum class link_state : std::uint8_t { kDown, kConnecting, kUp };
@@ -124,7 +129,6 @@
   boost::asio::steady_timer connect_timer_;
 
   std::map<std::uint64_t, call_record> calls_;  // Without an answer.
-  std::uint64_t next_number_ = 1;
   stream_ptr current_;    // Welcomed, or nullptr.
   stream_ptr candidate_;  // Connected, not welcomed yet.
   socket_ptr connecting_;
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -160,6 +160,11 @@
   });
 }
 
+endpoint peer_server::address() const {
+  const tcp::endpoint local = acceptor_.local_endpoint();
+  return {.ip = local.address().to_string(), .port = local.port()};
+}
+
 peer_server::session* peer_server::Find(incarnation_id sender) {
   const auto found = by_sender_.find(KeyOf(sender));
   return found == by_sender_.end() ? nullptr : found->second.get();
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -46,6 +46,8 @@
   // Once a second.
   void Tick(time_point now);
 
+  // Where it listens; with port 0 in the options, the port that was given.
+  [[nodiscard]] endpoint address() const;
   [[nodiscard]] std::size_t sessions() const { return by_sender_.size(); }
 
  private:
--- /dev/null
+++ b/tests/peer_link_test.cc
@@ -0,0 +1,423 @@
+// Calls between two daemons over real connections on loopback, with a target
+// that the test answers for.
+#include "src/peer/peer_link.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/call_log.h"
+#include "src/forward/executor.h"
+#include "src/peer/peer_server.h"
+
+namespace pistachioweir {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+// Only ends a test that hangs.
+constexpr milliseconds kPatience{20000};
+
+call_frame CallNamed(const std::string& id,
+                     repeat_policy repeats = repeat_policy::kAtMostOnce) {
+  return {.target_id = "target-1",
+          .route = "sign",
+          .repeats = repeats,
+          .remaining = milliseconds(15000),
+          .request_id = id,
+          .request = {.verb = "POST", .target = "/sign/" + id}};
+}
+
+// The receiving daemon: its target's runs wait until the test ends them.
+class receiver {
+ public:
+  receiver(boost::asio::io_context& context,
+           incarnation_id self,
+           std::uint16_t port)
+      : calls(
+            context,
+            [this](target_run run, std::function<void(run_result)> done) {
+              runs.push_back(std::move(run));
+              ends.push_back(std::move(done));
+              return [this] { ++given_up; };
+            },
+            log),
+        server(context,
+               {.address = {.ip = "127.0.0.1", .port = port}, .self = self},
+               calls) {
+    calls.SetSlots(8);
+  }
+
+  void AnswerNext(const std::string& body) {
+    const auto done = std::move(ends.front());
+    ends.pop_front();
+    run_result result{.end = run_end::kAnswered};
+    result.response = {.status = 200, .body = body};
+    done(std::move(result));
+  }
+
+  call_log log{{}};
+  std::deque<target_run> runs;  // All that were begun.
+  std::deque<std::function<void(run_result)>> ends;
+  int given_up = 0;
+  executor calls;
+  peer_server server;
+};
+
+// Passes bytes between a link and a receiver, and can lose them.
+class cut_proxy {
+ public:
+  cut_proxy(boost::asio::io_context& context, const endpoint& to)
+      : context_(context),
+        to_(boost::asio::ip::make_address(to.ip), to.port),
+        acceptor_(context,
+                  tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    Accept();
+  }
+
+  [[nodiscard]] endpoint address() const {
+    return {.ip = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
+  }
+
+  // From now on the connections that there are pass nothing on, without any
+  // sign of it; new ones work.
+  void SilenceOpen() {
+    for (const auto& pair : pairs_) {
+      pair->silent = true;
+    }
+  }
+
+  // Likewise, but only for what the receiver sends.
+  void SilenceAnswers() {
+    for (const auto& pair : pairs_) {
+      pair->silent_back = true;
+    }
+  }
+
+  void ResetOpen() {
+    for (const auto& pair : pairs_) {
+      pair->Close();
+    }
+    pairs_.clear();
+  }
+
+ private:
+  struct pair : std::enable_shared_from_this<pair> {
+    explicit pair(boost::asio::io_context& context)
+        : left(context), right(context) {}
+
+    void Close() {
+      boost::system::error_code ignored;
+      left.close(ignored);
+      right.close(ignored);
+    }
+
+    void Pump(tcp::socket& from, tcp::socket& to, bool back) {
+      auto buffer = std::make_shared<std::array<char, 4096>>();
+      from.async_read_some(
+          boost::asio::buffer(*buffer),
+          [self = shared_from_this(), &from, &to, back, buffer](
+              boost::system::error_code error, std::size_t bytes) {
+            if (error) {
+              if (!self->silent) {
+                self->Close();
+              }
+              return;
+            }
+            if (!self->silent && !(back && self->silent_back)) {
+              boost::system::error_code ignored;
+              boost::asio::write(to, boost::asio::buffer(*buffer, bytes),
+                                 ignored);
+            }
+            self->Pump(from, to, back);
+          });
+    }
+
+    tcp::socket left;
+    tcp::socket right;
+    bool silent = false;
+    bool silent_back = false;
+  };
+
+  void Accept() {
+    auto next = std::make_shared<pair>(context_);
+    acceptor_.async_accept(
+        next->left, [this, next](boost::system::error_code error) {
+          if (error) {
+            return;
+          }
+          boost::system::error_code failed;
+          next->right.connect(to_, failed);
+          if (failed) {
+            next->Close();
+          } else {
+            pairs_.push_back(next);
+            next->Pump(next->left, next->right, false);
+            next->Pump(next->right, next->left, true);
+          }
+          Accept();
+        });
+  }
+
+  boost::asio::io_context& context_;
+  const tcp::endpoint to_;
+  tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<pair>> pairs_;
+};
+
+class PeerLinkTest : public testing::Test {
+ protected:
+  ~PeerLinkTest() override {
+    if (link_ != nullptr) {
+      link_->Close();
+    }
+  }
+
+  std::shared_ptr<peer_link> LinkTo(const endpoint& address) {
+    if (link_ != nullptr) {
+      link_->Close();
+    }
+    link_ = std::make_shared<peer_link>(
+        context_,
+        peer_link_options{.address = address,
+                          .self = incarnation_id{7},
+                          .vm = "vm-1",
+                          .last_number = last_number_},
+        peer_link_events{
+            .on_reachable = [this](bool up, std::string_view) { up_ = up; },
+            .on_leaving = [this](bool leaving) { leaving_ = leaving; },
+            .on_load = [](const load_report&) {},
+            .on_suspects = [](const suspects_frame&) {}});
+    return link_;
+  }
+
+  std::uint64_t Send(const std::string& id,
+                     repeat_policy repeats = repeat_policy::kAtMostOnce) {
+    return link_->Send(CallNamed(id, repeats), [this, id](peer_answer answer) {
+      answers_[id].push_back(std::move(answer));
+    });
+  }
+
+  // Runs until `done` holds.
+  ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
+    const time_point end = monotonic_clock::now() + kPatience;
+    while (!done()) {
+      if (monotonic_clock::now() > end) {
+        return ::testing::AssertionFailure() << "nothing happened";
+      }
+      context_.restart();
+      context_.run_one_for(milliseconds(20));
+    }
+    return ::testing::AssertionSuccess();
+  }
+
+  // Lets everything that is on its way arrive.
+  void RunFor(milliseconds time) {
+    const time_point end = monotonic_clock::now() + time;
+    RunUntil([&] { return monotonic_clock::now() >= end; });
+  }
+
+  bool Answered(const std::string& id) { return !answers_[id].empty(); }
+  const peer_answer& AnswerTo(const std::string& id) {
+    return answers_[id].front();
+  }
+
+  boost::asio::io_context context_;
+  const std::shared_ptr<std::uint64_t> last_number_ =
+      std::make_shared<std::uint64_t>(0);
+  std::shared_ptr<peer_link> link_;
+  std::map<std::string, std::vector<peer_answer>> answers_;
+  std::optional<bool> up_;
+  std::optional<bool> leaving_;
+};
+
+TEST_F(PeerLinkTest, CarriesACallAndItsAnswer) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  EXPECT_EQ(far.runs.front().request.target, "/sign/a");
+  far.AnswerNext("done");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_TRUE(AnswerTo("a").heard);
+  EXPECT_EQ(AnswerTo("a").answer.kind, outcome_kind::kCompleted);
+  EXPECT_EQ(AnswerTo("a").answer.response.body, "done");
+}
+
+// A target's entry runs out while its VM is cut off and comes back; the daemon
+// closes its link and makes a new one to the same peer. The new link counted
+// its calls from one again, so the peer took them for the first calls of the
+// old link, and callers were given answers to other callers' requests.
+TEST_F(PeerLinkTest, ANewLinkToTheSamePeerGetsItsOwnAnswers) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address());
+  Send("first");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  far.AnswerNext("of the first");
+  ASSERT_TRUE(RunUntil([&] { return Answered("first"); }));
+  LinkTo(far.server.address());
+  Send("second");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 2; }));
+  far.AnswerNext("of the second");
+  ASSERT_TRUE(RunUntil([&] { return Answered("second"); }));
+  EXPECT_EQ(AnswerTo("second").answer.response.body, "of the second");
+}
+
+// The connection is reset while the target works on a signature. Its sender
+// can't know whether the call arrived; it asks over a new connection, and the
+// caller gets the answer of the one run.
+TEST_F(PeerLinkTest, AskedForAfterAResetTheAnswerComesAndNothingRunsTwice) {
+  receiver far(context_, incarnation_id{9}, 0);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  proxy.ResetOpen();
+  RunFor(milliseconds(200));
+  far.AnswerNext("once");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_EQ(AnswerTo("a").answer.response.body, "once");
+  EXPECT_EQ(far.runs.size(), 1U);
+}
+
+// Something between the daemons loses track of the connection, without a reset:
+// whatever is sent on it vanishes, while new connections work. A caller would
+// wait for its whole deadline.
+TEST_F(PeerLinkTest, ASilentConnectionIsReplacedAndTheAnswerComes) {
+  receiver far(context_, incarnation_id{9}, 0);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  proxy.SilenceOpen();
+  far.AnswerNext("once");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_TRUE(AnswerTo("a").heard);
+  EXPECT_EQ(AnswerTo("a").answer.response.body, "once");
+  EXPECT_EQ(far.runs.size(), 1U);
+}
+
+// The call vanishes in a connection that went silent before. The peer doesn't
+// know it and says so; it must then not run, even if its bytes arrive later.
+TEST_F(PeerLinkTest, ACallThatNeverArrivedIsToldAsNotExecuted) {
+  receiver far(context_, incarnation_id{9}, 0);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address());
+  Send("warm");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  far.AnswerNext("warm");
+  ASSERT_TRUE(RunUntil([&] { return Answered("warm"); }));
+  proxy.SilenceOpen();
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_TRUE(AnswerTo("a").heard);
+  EXPECT_EQ(AnswerTo("a").answer.kind, outcome_kind::kNotExecuted);
+  EXPECT_EQ(far.runs.size(), 1U);
+}
+
+// The peer's daemon is killed while its target works, and started again. The
+// new one knows nothing of the call: it may have run, so its caller is told
+// neither an answer nor that it hasn't.
+TEST_F(PeerLinkTest, AnotherIncarnationMakesSentCallsUnknown) {
+  auto far = std::make_unique<receiver>(context_, incarnation_id{9}, 0);
+  const endpoint address = far->server.address();
+  cut_proxy proxy(context_, address);
+  LinkTo(proxy.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far->runs.size() == 1; }));
+  far.reset();
+  receiver restarted(context_, incarnation_id{10}, address.port);
+  proxy.ResetOpen();
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_EQ(AnswerTo("a").answer.kind, outcome_kind::kUnknown);
+  EXPECT_TRUE(restarted.runs.empty());
+}
+
+// Nobody listens at the peer's address: nothing has left, so the call may go
+// elsewhere and its caller may be told that it hasn't run.
+TEST_F(PeerLinkTest, ACallThatCouldNotLeaveIsNotExecuted) {
+  endpoint nobody;
+  {
+    receiver far(context_, incarnation_id{9}, 0);
+    nobody = far.server.address();
+  }
+  LinkTo(nobody);
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_FALSE(AnswerTo("a").heard);
+  EXPECT_EQ(AnswerTo("a").answer.kind, outcome_kind::kNotExecuted);
+  EXPECT_EQ(up_, false);
+}
+
+// A caller leaves. What may run again is stopped at the target; a signature
+// that has begun goes on to its end.
+TEST_F(PeerLinkTest, CancelStopsOnlyWhatMayRunAgain) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address());
+  const auto lookup = Send("lookup", repeat_policy::kIdempotent);
+  const auto signature = Send("signature");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 2; }));
+  link_->Cancel(signature);
+  link_->Cancel(lookup);
+  ASSERT_TRUE(RunUntil([&] { return far.given_up == 1; }));
+  RunFor(milliseconds(50));
+  EXPECT_EQ(far.given_up, 1);
+  EXPECT_FALSE(Answered("lookup"));
+}
+
+// The daemon beside the target stops. It tells its peers at once, so that they
+// send new calls elsewhere; the call in progress gets its answer.
+TEST_F(PeerLinkTest, AStoppingPeerTellsAndFinishes) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  far.calls.Drain();
+  far.server.Drain();
+  ASSERT_TRUE(RunUntil([&] { return leaving_ == true; }));
+  Send("late");
+  ASSERT_TRUE(RunUntil([&] { return Answered("late"); }));
+  EXPECT_EQ(AnswerTo("late").answer.why, reason::kDraining);
+  far.AnswerNext("done");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_EQ(AnswerTo("a").answer.response.body, "done");
+}
+
+// Bytes that are no frame arrive at the peer's port: the connection ends, the
+// daemon goes on.
+TEST_F(PeerLinkTest, NonsenseEndsItsConnectionOnly) {
+  receiver far(context_, incarnation_id{9}, 0);
+  tcp::socket stranger(context_);
+  const endpoint at = far.server.address();
+  stranger.connect(
+      tcp::endpoint(boost::asio::ip::make_address(at.ip), at.port));
+  boost::asio::write(stranger, boost::asio::buffer(std::string(
+                                   "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+  std::array<char, 16> buffer{};
+  bool ended = false;
+  stranger.async_read_some(
+      boost::asio::buffer(buffer),
+      [&](boost::system::error_code error, std::size_t) {
+        ended = static_cast<bool>(error);
+      });
+  ASSERT_TRUE(RunUntil([&] { return ended; }));
+  LinkTo(at);
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+}
+
+}  // namespace
+}  // namespace pistachioweir
