A stopping daemon takes no requests that it could not finish

Change: new requests are refused, with the truth that nothing has run, from 2.5 s after the signal, or half of a shorter time to stop.

Before: TakesNothingThatItCouldNotFinish had nothing to test. After: passes.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -51,6 +51,9 @@
   // Each connection ends behind its next answer; new ones are still taken.
   void Drain() { state_->draining = true; }
 
+  // Requests are refused from now on; those in progress go on.
+  void RefuseNew() { state_->refusing = true; }
+
   // Takes no more connections and ends those that are idle.
   void Close() {
     boost::system::error_code ignored;
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -41,12 +41,17 @@
   std::size_t open_requests = 0;
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
-  bool draining = false;
+  bool draining = false;  // Each connection ends behind its next answer.
+  bool refusing = false;  // Requests are refused, nothing of them runs.
 };
 
 // Requests of one connection that are served at the same time. More wait in the
 // socket.
 inline constexpr std::size_t kMaxPipelined = 32;
+// When to come back where too many bodies are held: requests end in about that
+// time. And where the daemon is stopping: others are there already.
+inline constexpr milliseconds kFullRetryAfter{1000};
+inline constexpr milliseconds kDrainingRetryAfter{100};
 // A caller that takes none of its answer's bytes for this long is cut off.
 inline constexpr milliseconds kWriteTimeout{15000};
 
@@ -204,9 +209,11 @@
     state_->held_bytes += begun->held;
     NoteProgress();
     if (state_->held_bytes > state_->max_held_bytes) {
-      Answer(begun, {.kind = outcome_kind::kNotExecuted,
-                     .why = reason::kTableFull,
-                     .retry_after = milliseconds(1000)});
+      Refuse(begun, reason::kTableFull, kFullRetryAfter);
+      return;
+    }
+    if (state_->refusing) {
+      Refuse(begun, reason::kDraining, kDrainingRetryAfter);
       return;
     }
     relayed_call call =
@@ -219,6 +226,12 @@
     begun->call = id;
   }
 
+  void Refuse(const exchange_ptr& refused, reason why, milliseconds after) {
+    Answer(refused, {.kind = outcome_kind::kNotExecuted,
+                     .why = why,
+                     .retry_after = after});
+  }
+
   void RefuseUnreadable(read_problem problem) {
     ++state_->malformed;
     LogWarning("caller_unreadable",
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -232,7 +232,11 @@
         .requests_read = callers_.state().requests,
         .open_requests = callers_.state().open_requests,
         .runs = executor_.in_progress()};
-    if (stop_plan_.IsOver(progress, monotonic_clock::now())) {
+    const time_point now = monotonic_clock::now();
+    if (!stop_plan_.TakesNew(now)) {
+      callers_.RefuseNew();
+    }
+    if (stop_plan_.IsOver(progress, now)) {
       Stop();
       return;
     }
--- a/src/forward/stop_plan.h
+++ b/src/forward/stop_plan.h
@@ -29,6 +29,10 @@
   // and their answers' way.
   static constexpr milliseconds kLeastLinger{2300};
   static constexpr milliseconds kQuiet{300};
+  // New requests are refused from then on: what is taken later could still be
+  // in progress at the end, and would be cut off. Callers that heard of the
+  // stop have gone by then.
+  static constexpr milliseconds kTakesNew{2500};
   // Left for ending itself before the kill.
   static constexpr milliseconds kReserve{400};
 
@@ -40,6 +44,12 @@
   }
 
   [[nodiscard]] bool stopping() const { return stopping_; }
+  // Whether new requests are still served; half of a short time to stop is
+  // left for those in progress.
+  [[nodiscard]] bool TakesNew(time_point now) const {
+    return !stopping_ ||
+           now < since_ + std::min<duration>(kTakesNew, (until_ - since_) / 2);
+  }
 
   // Call often while stopping.
   [[nodiscard]] bool IsOver(const stop_progress& progress, time_point now) {
