The queue is bounded by the latency objective, without admission levels

And work ran that could only be late, in slots that others needed.

Ruled out: short slots alone; the refusals came with free slots as well (level 706, running 30 of 36).

Change: the daemon beside a target keeps no level; a request that can't end within its objective is refused at once, so that it can come back in time; the least important class has an assured fifth of the work.

--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -39,6 +39,11 @@
   // Whether priorities and deadlines order and bound the queue; else it is a
   // plain bounded FIFO.
   bool use_deadlines = true;
+  // Part of the started work, by its expected duration, that less important
+  // requests get while more important ones wait too; zero for strict order. A
+  // service that more important work can fill for long would else not serve its
+  // least important callers at all.
+  double assured_share = 0;
 };
 
 // Names one offered request until it ends.
@@ -206,7 +211,8 @@
   void GiveUpLowerThan(std::size_t queue);
   void GiveUp(std::uint32_t index, reason why);
   void GiveUpInfeasible(time_point now);
-  std::uint32_t PickQueued() const;
+  [[nodiscard]] std::uint32_t PickQueued() const;
+  void EarnAssuredShare(std::size_t queue, duration work);
   std::uint32_t Allocate(const admission_request& request, time_point now);
   void Release(std::uint32_t index);
   void Start(std::uint32_t index, time_point now);
@@ -218,6 +224,9 @@
   std::vector<item> items_;  // A fixed pool; never grows while serving.
   std::uint32_t first_free_ = kNone;
   std::array<item_list, kPriorityCount> queues_;  // Most important first.
+  // Work that each class may start ahead of more important ones; zero for those
+  // with nothing queued.
+  std::array<duration, kPriorityCount> assured_{};
   item_list given_up_;                            // Not yet told by TakeNext().
   std::uint32_t queued_ = 0;   // Items in `queues_`; at most max_queue.
   std::uint32_t running_ = 0;  // At most the limit that held when started.
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -60,7 +60,14 @@
   for (std::size_t i = 0; i <= queue; ++i) {
     work += queues_[i].work;
   }
-  return work / limit();
+  const duration wait = work / limit();
+  if (options_.assured_share <= 0) {
+    return wait;
+  }
+  // At worst it gets its assured part of the slots.
+  const double own = static_cast<double>(queues_[queue].work.count()) /
+                     (options_.assured_share * limit());
+  return std::min(wait, duration(static_cast<duration::rep>(own)));
 }
 
 bool admission_controller::CanFinish(const item& entry,
@@ -134,6 +141,7 @@
     }
     Remove(queues_[queue], index);
     --queued_;
+    EarnAssuredShare(queue, chosen.expected);
     Start(index, now);
     return admission_event{.cookie = chosen.request.cookie,
                            .decision = {.action = admission_action::kRun,
@@ -325,7 +333,32 @@
   }
 }
 
+// Started work of one class lets the less important ones that wait earn their
+// part. What is started of a class is taken off what it had earned.
+void admission_controller::EarnAssuredShare(std::size_t queue, duration work) {
+  if (options_.assured_share <= 0) {
+    return;
+  }
+  assured_[queue] = std::max(duration(0), assured_[queue] - work);
+  const auto earned = duration(static_cast<duration::rep>(
+      options_.assured_share * static_cast<double>(work.count())));
+  for (std::size_t lower = queue + 1; lower < kPriorityCount; ++lower) {
+    if (queues_[lower].first == kNone) {
+      assured_[lower] = duration(0);
+    } else {
+      assured_[lower] += earned;
+    }
+  }
+}
+
 std::uint32_t admission_controller::PickQueued() const {
+  for (std::size_t lower = kPriorityCount; lower-- > 1;) {
+    const std::uint32_t first = queues_[lower].first;
+    if (first != kNone && assured_[lower] > duration(0) &&
+        assured_[lower] >= items_[first].expected) {
+      return first;
+    }
+  }
   for (const item_list& list : queues_) {
     if (list.first != kNone) {
       return list.first;
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -15,6 +15,10 @@
 
 // Requests that wait at one target. Deadlines bound the wait long before.
 constexpr std::uint32_t kMaxQueue = 1024;
+// Of a full target's work, what less important requests get. Half of what the
+// least important kind of the known deployments asks for; all of it would cost
+// more important ones as much.
+constexpr double kAssuredShare = 0.2;
 // A target that nobody listens at is tried again after this while, with the
 // next call. Shorter than its restart takes, and long enough that callers are
 // sent elsewhere in between.
@@ -63,7 +67,11 @@
       admission_({.slots = 1,
                   .methods = kind_index::kMost,
                   .max_queue = kMaxQueue,
-                  .learn_limit = false}) {}
+                  .learn_limit = false,
+                  // Levels refuse a share of each kind, calls of targets too,
+                  // whose requests are then lost whole.
+                  .use_level = false,
+                  .assured_share = kAssuredShare}) {}
 
 void executor::SetSlots(std::uint32_t slots) {
   slots_known_ = true;
@@ -88,6 +96,15 @@
   return now < target_down_until_;
 }
 
+// A request that would end behind its latency objective is refused while there
+// is still time for it to come back and be served within; run late, it would
+// earn its caller a part only and take a slot from one that is in time. One that
+// has no objective left is late already, and its deadline decides.
+time_point executor::StartBy(const served_call& served, time_point now) {
+  return served.objective > now ? std::min(served.objective, served.deadline)
+                                : served.deadline;
+}
+
 // What refuses the call before there is any question of room.
 reason executor::RefusalOf(const served_call& served, time_point now) {
   if (draining_) {
@@ -113,6 +130,7 @@
   served.arrived = now;
   served.deadline = now + served.call.remaining;
   served.kind = kinds_.IndexOf(served.call.route);
+  served.objective = now + served.call.objective_left;
   log_.Add(id, served.call.request_id, "executor_received",
            {{.name = "route", .value = served.call.route},
             {.name = "target", .value = served.call.target_id},
@@ -130,7 +148,7 @@
       admission_.Offer({.level = PriorityOf(served.call.rank),
                         .ticket = served.call.ticket,
                         .method = served.kind,
-                        .deadline = served.deadline,
+                        .deadline = StartBy(served, now),
                         .cookie = id},
                        now, RandomBits32());
   served.admitted = decision.handle;
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -70,6 +70,7 @@
     time_point arrived;
     time_point started;
     time_point deadline;
+    time_point objective;    // Within which an answer is worth most.
     std::uint32_t kind = 0;  // Of work, for the estimates of its duration.
     admission_handle admitted;
     std::function<void()> give_up;  // Only while it runs.
@@ -84,6 +85,8 @@
 
   using call_map = std::unordered_map<std::uint64_t, served_call>;
 
+  [[nodiscard]] static time_point StartBy(const served_call& served,
+                                          time_point now);
   [[nodiscard]] reason RefusalOf(const served_call& served, time_point now);
   void Start(std::uint64_t id);
   void OnRunEnd(std::uint64_t id, run_result result);
--- a/tests/admission_controller_test.cc
+++ b/tests/admission_controller_test.cc
@@ -40,6 +40,38 @@
   EXPECT_EQ(decision.why, reason::kDeadlinePassed);
 }
 
+// More important work fills the target for long. In strict order the least
+// important callers would get nothing at all in that time; with an assured
+// share they get about that part of the work.
+TEST(AdmissionControllerTest, LessImportantWorkGetsItsAssuredShare) {
+  admission_controller controller(
+      {.slots = 1, .learn_limit = false, .use_level = false,
+       .assured_share = 0.2});
+  time_point now = kStart;
+  std::map<std::uint64_t, int> started;
+  const auto offer = [&](priority level, std::uint64_t kind) {
+    return controller.Offer({.level = level,
+                             .deadline = now + seconds(3),
+                             .cookie = kind},
+                            now, 0);
+  };
+  admission_handle running = offer(priority::kCritical, 0).handle;
+  for (int i = 0; i < 2000; ++i) {
+    offer(priority::kCritical, 0);
+    offer(priority::kNormal, 1);
+    now += milliseconds(10);
+    controller.Finish(running, {}, now);
+    while (const auto event = controller.TakeNext(now, 0)) {
+      if (event->decision.action == admission_action::kRun) {
+        running = event->decision.handle;
+        ++started[event->cookie];
+      }
+    }
+  }
+  EXPECT_GT(started[1], 2000 / 10);
+  EXPECT_LT(started[1], 2000 / 4);
+}
+
 // Plays a random schedule and checks after each step what must always hold.
 RC_GTEST_PROP(AdmissionControllerTest,
               EveryRequestEndsOnceAndNoMoreRunThanTheLimit,
