--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -20,6 +20,11 @@
 // end well, it rises step by step. A target that fails part of its requests for
 // a reason of its own sheds load in the same way, onto others.
 //
+// Kinds that matter less give way first, without a word between daemons: they
+// all see about the same part of their runs fail, since the calls that are
+// refused are the same. The less a kind matters, the smaller the part that
+// lowers its share; the others find room again before theirs is reached.
+//
 // Not for calls that other targets make: refusing those is the very waste.
 // Pure logic; the owner keeps one for each kind of work.
 class waste_guard {
@@ -27,8 +32,11 @@
   // How often the share is set. Runs take some 100 ms; a shorter period would
   // lower the share again before the last lowering shows in what ends.
   static constexpr milliseconds kPeriod{200};
-  // A share of failed runs that is taken as usual.
-  static constexpr double kUsual = 0.05;
+  // Part of failed runs that is borne without letting in less, for the most
+  // important kinds, those behind them, and all others. The last is just above
+  // the failures that targets have anyway (0.1% to 0.4%) and chance. Each of
+  // the others is as far from the one behind it as failures swing.
+  static constexpr std::array<double, 3> kBorne{0.3, 0.15, 0.04};
   // Ends that a period needs to be judged; a few could fail by chance.
   static constexpr std::uint32_t kFewest = 5;
   // What part of the failed share is taken off at once. Failures grow faster
@@ -39,6 +47,11 @@
   // Some always come in, or nothing would show that the cause has gone.
   static constexpr double kLeastShare = 0.1;
 
+  explicit waste_guard(std::uint32_t rank = 0) { SetRank(rank); }
+
+  // How much the kind matters; 0 is most.
+  void SetRank(std::uint32_t rank);
+
   // Whether the next request is to be let in. Evenly spaced: a random choice
   // lets in more than fits in one moment and less in the next, and what is too
   // much fails. With two thirds of the calls fitting, 60 of 100 requests end
@@ -52,6 +65,7 @@
  private:
   void EndPeriod();
 
+  double borne_ = kBorne.front();
   double share_ = 1;   // Between kLeastShare and 1.
   double credit_ = 1;  // Below 2; each request adds the share, one let in
                        // takes 1.
--- a/src/admit/waste_guard.cc
+++ b/src/admit/waste_guard.cc
@@ -5,6 +5,10 @@
 
 namespace pistachioweir {
 
+void waste_guard::SetRank(std::uint32_t rank) {
+  borne_ = kBorne[std::min<std::size_t>(rank, kBorne.size() - 1)];
+}
+
 bool waste_guard::Admit() {
   credit_ += share_;
   if (credit_ < 1) {
@@ -26,7 +30,7 @@
 
 void waste_guard::EndPeriod() {
   const double failed = static_cast<double>(failed_) / ended_;
-  if (failed > kUsual) {
+  if (failed > borne_) {
     share_ = std::max(kLeastShare, share_ * (1 - kDecrease * failed));
   } else {
     share_ = std::min(1.0, share_ + kIncrease);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -115,6 +115,7 @@
   }
   kind_state& kind = by_kind_[served.kind];
   kind.callers.Add(served.call.caller_service);
+  kind.waste.SetRank(served.call.rank);
   if (!kind.callers.IsMadeByTargets() && !kind.waste.Admit()) {
     return reason::kWasted;
   }
--- a/tests/waste_guard_test.cc
+++ b/tests/waste_guard_test.cc
@@ -16,7 +16,7 @@
 const time_point kStart{seconds(1000)};
 
 TEST(WasteGuardTest, LetsEverythingInWhileRunsEndWell) {
-  waste_guard guard;
+  waste_guard guard(2);
   for (int i = 0; i < 1000; ++i) {
     EXPECT_TRUE(guard.Admit());
     guard.OnEnd(true, kStart + milliseconds(10 * i));
@@ -31,7 +31,7 @@
   constexpr int kRequestsPerStep = 10;
   constexpr int kCallsEach = 4;
   constexpr int kSteps = 600;  // Of 50 ms.
-  waste_guard guard;
+  waste_guard guard(2);
   std::mt19937 random(7);
   std::uniform_real_distribution<double> chance(0, 1);
   int served = 0;
@@ -70,10 +70,47 @@
   EXPECT_GT(ServedOfHundred(1.0, true), 99);
 }
 
+// Registrations and listings, as many of each, make the same calls, and there
+// is room for three quarters of them. Were both refused alike, every fourth
+// registration would be lost although enough listings could give way.
+TEST(WasteGuardTest, WhatMattersLessGivesWayFirst) {
+  constexpr int kEachPerStep = 10;
+  constexpr int kCallsEach = 4;
+  constexpr double kFit = 2 * kEachPerStep * kCallsEach * 0.75;
+  std::array<waste_guard, 2> guards{waste_guard(0), waste_guard(2)};
+  std::array<int, 2> served{};
+  std::mt19937 random(7);
+  std::uniform_real_distribution<double> chance(0, 1);
+  constexpr int kSteps = 600;  // Of 50 ms.
+  for (int step = 0; step < kSteps; ++step) {
+    std::array<int, 2> admitted{};
+    for (std::size_t kind = 0; kind < guards.size(); ++kind) {
+      for (int i = 0; i < kEachPerStep; ++i) {
+        admitted[kind] += guards[kind].Admit() ? 1 : 0;
+      }
+    }
+    const double wanted = (admitted[0] + admitted[1]) * kCallsEach;
+    const double accepted = wanted <= kFit ? 1 : kFit / wanted;
+    for (std::size_t kind = 0; kind < guards.size(); ++kind) {
+      for (int i = 0; i < admitted[kind]; ++i) {
+        bool well = true;
+        for (int call = 0; call < kCallsEach; ++call) {
+          well = well && chance(random) < accepted;
+        }
+        guards[kind].OnEnd(well, kStart + milliseconds(50 * step));
+        served[kind] += step >= kSteps / 2 && well ? 1 : 0;
+      }
+    }
+  }
+  constexpr int kAsked = kEachPerStep * kSteps / 2;
+  EXPECT_GT(served[0], kAsked * 85 / 100);
+  EXPECT_GT(served[1], kAsked * 35 / 100);
+}
+
 // The called service has room again. What was kept out comes back within
 // seconds, since some requests are always let in and end well.
 TEST(WasteGuardTest, OpensAgainWhenRunsEndWell) {
-  waste_guard guard;
+  waste_guard guard(2);
   time_point now = kStart;
   for (int i = 0; i < 400; ++i) {
     guard.OnEnd(false, now += milliseconds(20));
@@ -86,7 +123,7 @@
 }
 
 TEST(WasteGuardTest, OneFailureAmongFewRunsIsNoReason) {
-  waste_guard guard;
+  waste_guard guard(2);
   time_point now = kStart;
   for (int i = 0; i < 100; ++i) {
     guard.OnEnd(i % 25 != 0, now += milliseconds(300));
