A new entry at an address replaces the old one; kinds kept out are back sooner

Cause: after all machines lost power, targets register under new ids while the old entries stay for three seconds.

Ruled out: slow start of the daemons (ready 0.05 s after their start) and cold targets.

--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -42,8 +42,11 @@
   // What part of the failed share is taken off at once. Failures grow faster
   // than the excess that causes them, so all of it would be too much.
   static constexpr double kDecrease = 0.5;
-  // What is added in a period without failures.
+  // What is added in a period in which enough ended well; doubled with each
+  // further one up to the second figure, so that kinds that were kept out are
+  // back within about two seconds once the cause has gone.
   static constexpr double kIncrease = 0.03;
+  static constexpr double kMostIncrease = 0.24;
   // Some always come in, or nothing would show that the cause has gone.
   static constexpr double kLeastShare = 0.1;
 
@@ -69,6 +72,7 @@
   double share_ = 1;   // Between kLeastShare and 1.
   double credit_ = 1;  // Below 2; each request adds the share, one let in
                        // takes 1.
+  double increase_ = kIncrease;  // Of the next period that ends well.
   std::uint32_t ended_ = 0;
   std::uint32_t failed_ = 0;
   time_point period_end_;
--- a/src/admit/waste_guard.cc
+++ b/src/admit/waste_guard.cc
@@ -32,8 +32,10 @@
   const double failed = static_cast<double>(failed_) / ended_;
   if (failed > borne_) {
     share_ = std::max(kLeastShare, share_ * (1 - kDecrease * failed));
+    increase_ = kIncrease;
   } else {
-    share_ = std::min(1.0, share_ + kIncrease);
+    share_ = std::min(1.0, share_ + increase_);
+    increase_ = std::min(kMostIncrease, 2 * increase_);
   }
   ended_ = 0;
   failed_ = 0;
--- /dev/null
+++ b/tests/view_builder_test.cc
@@ -0,0 +1,213 @@
+// Views from what the store holds, among them documents that can't be used.
+#include "platform/view_builder.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "platform/document_decoder.h"
+
+namespace pistachioweir::platform {
+namespace {
+
+const time_point kStart{seconds(1000)};
+
+std::string Config(const std::string& version,
+                   const std::string& service = "registry") {
+  return R"({"version":")" + version + R"(","routes":{"columns":["name","host",
+"prefix","kind","timeout","target-latency","priority","traffic-split",
+"max-attempts","service"],"rows":[["look","a.example","/look/","safe","1000ms",
+"1.5s",2,null,2,")" +
+         service + R"("],["sign","a.example","/sign/","non_idempotent","1200ms",
+"1500ms",0,[{"service":"registry","weight":90},{"service":"archive",
+"weight":10}],1]]},"services":{"columns":["name","max-connections"],
+"rows":[["registry",358],["archive",null]]},"limits":{"max-header-bytes":8192,
+"max-body-bytes":1000000,"header-timeout":"3000ms","idle-timeout":"15s"}})";
+}
+
+std::string Target(const std::string& address,
+                   const std::string& state = "ready") {
+  return R"({"address":")" + address +
+         R"(","info":{"service":"registry","version":"v1","zone":"waw-a",
+"slots":43},"status":{"state":")" +
+         state + R"(","sequence":4,"warmup-left":"500ms"}})";
+}
+
+TEST(DocumentDecoderTest, ReadsAConfiguration) {
+  std::string problem;
+  const auto config = DecodeConfig(Config("r12"), &problem);
+  ASSERT_TRUE(config.has_value()) << problem;
+  EXPECT_EQ(config->version, 12U);
+  const route* const look = config->routes.Find("a.example", "/look/x?y");
+  ASSERT_NE(look, nullptr);
+  EXPECT_EQ(look->repeats, repeat_policy::kIdempotent);
+  EXPECT_EQ(look->timeout, milliseconds(1000));
+  EXPECT_EQ(look->latency_objective, milliseconds(1500));
+  EXPECT_EQ(look->max_targets, 2U);
+  EXPECT_EQ(look->rank, 2U);
+  const route* const sign = config->routes.Find("a.example", "/sign/x");
+  ASSERT_NE(sign, nullptr);
+  EXPECT_EQ(sign->repeats, repeat_policy::kAtMostOnce);
+  ASSERT_EQ(sign->parts.size(), 2U);
+  EXPECT_EQ(sign->parts[1].weight, 10U);
+  EXPECT_EQ(config->limits.max_head_bytes, 8192U);
+  EXPECT_EQ(config->limits.idle_timeout, seconds(15));
+}
+
+TEST(DocumentDecoderTest, RefusesWhatNamesAMissingService) {
+  std::string problem;
+  EXPECT_FALSE(DecodeConfig(Config("r12", "nowhere"), &problem).has_value());
+  EXPECT_NE(problem.find("nowhere"), problem.npos) << problem;
+}
+
+TEST(DocumentDecoderTest, RefusesCutShortAndNonsense) {
+  const std::string whole = Config("r12");
+  for (std::size_t length = 0; length < whole.size(); length += 7) {
+    std::string problem;
+    EXPECT_FALSE(DecodeConfig(whole.substr(0, length), &problem).has_value());
+    EXPECT_FALSE(problem.empty());
+  }
+  for (const char* text : {"[]", "7", "null", "{}", R"({"version":"r1"})",
+                           R"({"version":"12","routes":{},"services":{}})",
+                           R"({"version":"r1","routes":[],"services":[]})"}) {
+    std::string problem;
+    EXPECT_FALSE(DecodeConfig(text, &problem).has_value()) << text;
+  }
+}
+
+TEST(DocumentDecoderTest, ReadsATarget) {
+  std::string problem;
+  const auto entry = DecodeTarget("i-1", Target("10.0.0.1:80"), &problem);
+  ASSERT_TRUE(entry.has_value()) << problem;
+  EXPECT_EQ(entry->service, "registry");
+  EXPECT_EQ(entry->data_centre, "waw-a");
+  EXPECT_EQ(entry->slots, 43U);
+  EXPECT_EQ(entry->warm_up_left, milliseconds(500));
+  EXPECT_EQ(entry->state, target_state::kReady);
+}
+
+TEST(DocumentDecoderTest, RefusesATargetWithoutAddressOrSlots) {
+  std::string problem;
+  EXPECT_FALSE(DecodeTarget("i-1", Target("somewhere"), &problem).has_value());
+  EXPECT_FALSE(DecodeTarget("i-1",
+                            R"({"address":"10.0.0.1:80","info":{"service":"a",
+"slots":null},"status":{}})",
+                            &problem)
+                   .has_value());
+  EXPECT_FALSE(
+      DecodeTarget("i-1", R"({"address":"10.0.0.1:80"})", &problem).has_value());
+}
+
+TEST(DocumentDecoderTest, ReadsBase64) {
+  EXPECT_EQ(DecodeBase64("bm9kZS0x"), "node-1");
+  EXPECT_EQ(DecodeBase64("bm9kZQ=="), "node");
+  EXPECT_EQ(DecodeBase64(""), "");
+  EXPECT_FALSE(DecodeBase64("bm9").has_value());
+  EXPECT_FALSE(DecodeBase64("b?9k").has_value());
+}
+
+class ViewBuilderTest : public testing::Test {
+ protected:
+  void PutConfig(const std::string& version, std::uint64_t revision) {
+    builder_.Put("op/config", Config(version), 1, revision);
+  }
+  void PutTarget(const std::string& id,
+                 const std::string& address,
+                 std::uint64_t created) {
+    builder_.Put("servers/" + id, Target(address), created, created);
+  }
+
+  view_builder builder_;
+};
+
+TEST_F(ViewBuilderTest, ChangesOnlyWhenSomethingChanges) {
+  EXPECT_EQ(builder_.TakeChanged(), nullptr);
+  PutConfig("r1", 5);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  const auto view = builder_.TakeChanged();
+  ASSERT_NE(view, nullptr);
+  EXPECT_EQ(view->config->version, 1U);
+  EXPECT_EQ(view->targets.size(), 1U);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  EXPECT_EQ(builder_.TakeChanged(), nullptr);
+}
+
+// The operator writes a configuration that can't be used, or an older one comes
+// late: the last good one stays in force, and callers notice nothing.
+TEST_F(ViewBuilderTest, KeepsTheLastGoodConfiguration) {
+  PutConfig("r7", 5);
+  ASSERT_NE(builder_.TakeChanged(), nullptr);
+  builder_.Put("op/config", "{\"version\":\"r8\"", 1, 6);
+  PutConfig("r6", 7);
+  EXPECT_EQ(builder_.TakeChanged(), nullptr);
+  PutConfig("r9", 8);
+  EXPECT_EQ(builder_.TakeChanged()->config->version, 9U);
+}
+
+TEST_F(ViewBuilderTest, ARemovedTargetIsGoneAtOnce) {
+  builder_.NoteAnswer(kStart);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  builder_.TakeChanged();
+  builder_.Remove("servers/i-1", 7, kStart);
+  EXPECT_TRUE(builder_.TakeChanged()->targets.empty());
+}
+
+// The store was away for long, so that all targets' entries ran out although
+// the targets live. They are back within two seconds; would the daemon drop
+// them at once, it would refuse everything in that time.
+TEST_F(ViewBuilderTest, EntriesThatRanOutWithTheStoreAwayMayComeBack) {
+  builder_.NoteAnswer(kStart);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  PutTarget("i-2", "10.0.0.2:80", 7);
+  builder_.TakeChanged();
+  const time_point back = kStart + seconds(9);
+  builder_.NoteAnswer(back);
+  builder_.BeginSnapshot();
+  builder_.EndSnapshot(back);
+  EXPECT_EQ(builder_.TakeChanged(), nullptr);
+  ASSERT_TRUE(builder_.next_removal().has_value());
+  builder_.Put("servers/i-2", Target("10.0.0.2:80"), 20, 20);
+  builder_.Advance(back + milliseconds(1900));
+  EXPECT_EQ(builder_.TakeChanged(), nullptr);
+  builder_.Advance(back + view_builder::kReturnTime);
+  const auto view = builder_.TakeChanged();
+  ASSERT_NE(view, nullptr);
+  ASSERT_EQ(view->targets.size(), 1U);
+  EXPECT_EQ(view->targets[0].id, "i-2");
+}
+
+// A watch without changes takes longer than a usual answer. It is no absence of
+// the store, and must not delay removals.
+TEST_F(ViewBuilderTest, AQuietWatchIsNoAbsence) {
+  builder_.NoteAnswer(kStart);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  builder_.TakeChanged();
+  builder_.NoteAnswer(kStart + milliseconds(1600));
+  builder_.Remove("servers/i-1", 7, kStart + milliseconds(1600));
+  EXPECT_NE(builder_.TakeChanged(), nullptr);
+}
+
+// All machines lose power and come back. Their targets register anew, under new
+// ids at the same addresses, while the old entries stay until they run out
+// seconds later. Half of all calls were sent to the old ids, which nobody has
+// any more, and after three such tries their callers were refused.
+TEST_F(ViewBuilderTest, ANewEntryAtAnAddressReplacesTheOldOne) {
+  PutTarget("i-old", "10.0.0.1:80", 6);
+  PutTarget("i-other", "10.0.0.2:80", 7);
+  builder_.TakeChanged();
+  PutTarget("i-new", "10.0.0.1:80", 20);
+  auto view = builder_.TakeChanged();
+  ASSERT_NE(view, nullptr);
+  ASSERT_EQ(view->targets.size(), 2U);
+  EXPECT_EQ(view->targets[0].id, "i-new");
+  // The old one's entry changes once more before it runs out.
+  builder_.Put("servers/i-old", Target("10.0.0.1:80", "draining"), 6, 21);
+  view = builder_.TakeChanged();
+  EXPECT_EQ(view->targets[0].id, "i-new");
+  builder_.Remove("servers/i-old", 22, kStart);
+  view = builder_.TakeChanged();
+  ASSERT_EQ(view->targets.size(), 2U);
+}
+
+}  // namespace
+}  // namespace pistachioweir::platform
