Tests of the way of a request, and a model of attempts between daemons

Cause: the new modules had tests of four of their parts only.

Change: tests of routes, splits, the budget of repeats, the record of attempts, reading of HTTP (also such that is meant to be misunderstood), and of the whole way through one daemon over real sockets: order of pipelined answers, doubled, cut, unframed and early answers, refusals, leaving callers, stopping. spec/peer_attempts.pml is the protocol of asking for attempts after a lost connection.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -65,6 +65,12 @@
     }
   }
 
+  // Where it listens; with port 0 in the options, the port that was given.
+  [[nodiscard]] endpoint address() const {
+    const tcp::endpoint local = acceptor_.local_endpoint();
+    return {.ip = local.address().to_string(), .port = local.port()};
+  }
+
   [[nodiscard]] const caller_port_state& state() const { return *state_; }
 
  private:
--- a/src/once/attempt_table.cc
+++ b/src/once/attempt_table.cc
@@ -12,6 +12,7 @@
 
 }  // namespace
 
+// Guards SETTLED_BELOW and ATTEMPT_DEDUP in spec/peer_attempts.pml.
 attempt_verdict attempt_table::Begin(const attempt_key& attempt) {
   sender& from = senders_[KeyOf(attempt.sender)];
   if (attempt.number < from.settled_below) {
@@ -32,6 +33,8 @@
   return attempt_verdict::kRefused;
 }
 
+// Guard ASK_TOMBSTONE in spec/peer_attempts.pml: what is denied here must not
+// start when its bytes arrive later.
 attempt_verdict attempt_table::Ask(const attempt_key& attempt) {
   const attempt_verdict verdict = Begin(attempt);
   if (verdict != attempt_verdict::kStart) {
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -270,7 +270,8 @@
 }
 
 // What was sent to the incarnation that answers is asked for; what was sent to
-// an earlier one can't be known any more.
+// an earlier one can't be known any more (guard RECEIVER_INCARNATION in
+// spec/peer_attempts.pml).
 void peer_link::Resume(incarnation_id receiver) {
   const incarnation_id before = std::exchange(receiver_, receiver);
   std::vector<std::uint64_t> lost;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -38,7 +38,8 @@
   // The last number given to a call by this incarnation of the daemon, shared
   // by all its links. A link that is closed and made anew for the same peer
   // must not count from the beginning again: the peer would take its calls for
-  // those of before, and answer them with what it had kept for those.
+  // those of before, and answer them with what it had kept for those (guard
+  // SHARED_NUMBERS in spec/peer_attempts.pml).
   std::shared_ptr<std::uint64_t> last_number;
 };
 
--- /dev/null
+++ b/tests/forward_path_test.cc
@@ -0,0 +1,545 @@
+// The way of a request through one daemon, from its caller's connection to its
+// target's and back, over real sockets. Both protocols are the platform's.
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/call_log.h"
+#include "include/forward/service_view.h"
+#include "platform/caller_protocol.h"
+#include "platform/target_protocol.h"
+#include "src/forward/caller_server.h"
+#include "src/forward/executor.h"
+#include "src/forward/origin.h"
+#include "src/forward/target_pool.h"
+#include "tests/support/fake_http_target.h"
+
+namespace pistachioweir {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using connection_ptr = fake_http_target::connection_ptr;
+
+// Only ends a test that hangs.
+constexpr milliseconds kPatience{20000};
+
+class forward_path {
+ public:
+  forward_path()
+      : target(context),
+        pool(context, target.address(), {}),
+        calls(
+            context,
+            [this](target_run run, std::function<void(run_result)> done) {
+              const auto handle = pool.Run(std::move(run), std::move(done));
+              return [handle] {
+                target_pool<platform::targets>::Cancel(handle);
+              };
+            },
+            executor_log),
+        callers(context,
+                {.vm = "vm-1",
+                 .service = "registry",
+                 .data_centre = "waw-a",
+                 .own_target = target.address(),
+                 .self = incarnation_id{7}},
+                calls,
+                origin_log),
+        server(context,
+               {.address = {.ip = "127.0.0.1", .port = 0}},
+               callers) {}
+
+  void Configure(milliseconds timeout = milliseconds(5000)) {
+    std::vector<route> routes;
+    const auto add = [&](const std::string& name, repeat_policy repeats) {
+      routes.push_back({.name = name,
+                        .host = "a.example",
+                        .prefix = "/" + name + "/",
+                        .repeats = repeats,
+                        .timeout = timeout,
+                        .latency_objective = milliseconds(1000),
+                        .max_targets = 2,
+                        .parts = {{.service = "registry"}}});
+    };
+    add("look", repeat_policy::kIdempotent);
+    add("sign", repeat_policy::kAtMostOnce);
+    auto config = std::make_shared<service_config>();
+    config->version = 1;
+    std::string problem;
+    config->routes = *route_table::Make(std::move(routes), &problem);
+    auto view = std::make_shared<service_view>();
+    view->config = config;
+    view->targets = {{.id = "target-1",
+                      .service = "registry",
+                      .address = target.address(),
+                      .data_centre = "waw-a",
+                      .slots = 8}};
+    calls.SetSlots(8);
+    callers.SetView(view);
+  }
+
+  ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
+    const time_point end = monotonic_clock::now() + kPatience;
+    while (!done()) {
+      if (monotonic_clock::now() > end) {
+        return ::testing::AssertionFailure() << "nothing happened";
+      }
+      context.restart();
+      context.run_one_for(milliseconds(10));
+    }
+    return ::testing::AssertionSuccess();
+  }
+
+  void RunFor(milliseconds time) {
+    const time_point end = monotonic_clock::now() + time;
+    RunUntil([&] { return monotonic_clock::now() >= end; });
+  }
+
+  boost::asio::io_context context;
+  call_log origin_log{{}};
+  call_log executor_log{{}};
+  fake_http_target target;
+  target_pool<platform::targets> pool;
+  executor calls;
+  origin callers;
+  caller_server<platform::callers> server;
+};
+
+// A caller's connection.
+class caller {
+ public:
+  explicit caller(forward_path& path)
+      : path_(path), socket_(path.context) {
+    const endpoint at = path.server.address();
+    socket_.connect(
+        tcp::endpoint(boost::asio::ip::make_address(at.ip), at.port));
+    Read();
+  }
+
+  void Send(const std::string& bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+
+  void Request(const std::string& verb,
+               const std::string& target,
+               const std::string& id,
+               const std::string& body = "",
+               const std::string& more = "") {
+    std::string text = verb + " " + target +
+                       " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id +
+                       "\r\nDeadline-Ms: 4000\r\n" + more;
+    if (!body.empty() || verb != "GET") {
+      text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    Send(text + "\r\n" + body);
+  }
+
+  void Leave() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  // The next whole answer.
+  read_response Next() {
+    read_response next;
+    EXPECT_TRUE(path_.RunUntil([&] { return !answers.empty() || ended; }));
+    if (!answers.empty()) {
+      next = answers.front();
+      answers.erase(answers.begin());
+    }
+    return next;
+  }
+
+  std::vector<read_response> answers;
+  bool ended = false;
+
+ private:
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(chunk_),
+        [this](boost::system::error_code error, std::size_t bytes) {
+          if (error) {
+            ended = true;
+            return;
+          }
+          buffer_.append(chunk_.data(), bytes);
+          Digest();
+          Read();
+        });
+  }
+
+  void Digest() {
+    while (!buffer_.empty()) {
+      response_reader reader({}, false);
+      std::size_t taken = 0;
+      // An unfinished message is read again from its beginning.
+      if (reader.Feed(buffer_, &taken) != read_state::kDone) {
+        return;
+      }
+      buffer_.erase(0, taken);
+      answers.push_back(reader.Take());
+    }
+  }
+
+  forward_path& path_;
+  tcp::socket socket_;
+  std::array<char, 65536> chunk_{};
+  std::string buffer_;
+};
+
+std::string Header(const read_request& request, std::string_view name) {
+  return std::string(FindHeader(request.headers, name).value_or("(none)"));
+}
+
+class ForwardPathTest : public testing::Test {
+ protected:
+  // The target answers each request with its path.
+  void AnswerAll() {
+    path_.target.on_request = [](const read_request& request,
+                                 const connection_ptr& from) {
+      from->Send(fake_http_target::Answer(request, request.target));
+    };
+  }
+
+  forward_path path_;
+};
+
+TEST_F(ForwardPathTest, RelaysRequestAndAnswerUnchanged) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "made", 201,
+                                        "X-Made: yes\r\nConnection: X-Hop\r\n"
+                                        "X-Hop: 1\r\n"));
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/x?y=%20z", "id-1", "body",
+                 "X-Own: 1\r\nCaller-Service: forged\r\n"
+                 "Expected-Instance: forged\r\n");
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 201);
+  EXPECT_EQ(answer.body, "made");
+  EXPECT_EQ(FindHeader(answer.headers, "X-Made"), "yes");
+  EXPECT_EQ(FindHeader(answer.headers, "X-Hop"), std::nullopt);
+  EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
+  ASSERT_EQ(path_.target.requests.size(), 1U);
+  const read_request& seen = path_.target.requests[0];
+  EXPECT_EQ(seen.verb, "POST");
+  EXPECT_EQ(seen.target, "/sign/x?y=%20z");
+  EXPECT_EQ(seen.body, "body");
+  EXPECT_EQ(Header(seen, "Host"), "a.example");
+  EXPECT_EQ(Header(seen, "X-Own"), "1");
+  EXPECT_EQ(Header(seen, "Caller-Service"), "registry");
+  EXPECT_EQ(Header(seen, "Expected-Instance"), "target-1");
+  EXPECT_LE(std::stoi(Header(seen, "Deadline-Ms")), 4000);
+  EXPECT_GT(std::stoi(Header(seen, "Deadline-Ms")), 3000);
+}
+
+TEST_F(ForwardPathTest, SaysWhatItCannotServe) {
+  caller early(path_);
+  early.Request("GET", "/look/1", "id-1");
+  const read_response unready = early.Next();
+  EXPECT_EQ(unready.status, 503);
+  EXPECT_TRUE(FindHeader(unready.headers, "Retry-After").has_value());
+  path_.Configure();
+  early.Request("GET", "/nowhere/1", "id-2");
+  EXPECT_EQ(early.Next().status, 404);
+}
+
+// A caller sends three lookups at once and the target answers the last one
+// first. Answers in that order would be taken for those of other requests.
+TEST_F(ForwardPathTest, PipelinedRequestsAreAnsweredInTheirOrder) {
+  path_.Configure();
+  std::vector<std::pair<read_request, connection_ptr>> held;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    held.emplace_back(request, from);
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  client.Request("GET", "/look/2", "id-2");
+  client.Request("GET", "/look/3", "id-3");
+  ASSERT_TRUE(path_.RunUntil([&] { return held.size() == 3; }));
+  for (auto each = held.rbegin(); each != held.rend(); ++each) {
+    each->second->Send(
+        fake_http_target::Answer(each->first, each->first.target));
+    path_.RunFor(milliseconds(20));
+  }
+  EXPECT_EQ(client.Next().body, "/look/1");
+  EXPECT_EQ(client.Next().body, "/look/2");
+  EXPECT_EQ(client.Next().body, "/look/3");
+}
+
+// A signature comes behind a lookup that is not answered yet. If the answer of
+// the lookup ended the connection, the caller would take the signature as not
+// read and send it again; so it is not begun before.
+TEST_F(ForwardPathTest, ASignatureIsNotBegunBehindOtherRequests) {
+  path_.Configure();
+  std::vector<std::pair<read_request, connection_ptr>> held;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    held.emplace_back(request, from);
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  client.Request("POST", "/sign/1", "id-2", "x");
+  ASSERT_TRUE(path_.RunUntil([&] { return !held.empty(); }));
+  path_.RunFor(milliseconds(50));
+  ASSERT_EQ(held.size(), 1U);
+  held[0].second->Send(fake_http_target::Answer(held[0].first, "1"));
+  ASSERT_TRUE(path_.RunUntil([&] { return held.size() == 2; }));
+  EXPECT_EQ(held[1].first.target, "/sign/1");
+}
+
+// The target sends an answer twice. The second copy arrives where the answer to
+// the next request is expected; that request's caller must get its own.
+TEST_F(ForwardPathTest, ASecondAnswerBelongsToNoOtherRequest) {
+  path_.Configure();
+  int number = 0;
+  std::string first;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    if (++number == 1) {
+      first = fake_http_target::Answer(request, "first");
+      from->Send(first);
+      return;
+    }
+    from->Send(first + fake_http_target::Answer(request, "second"));
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  EXPECT_EQ(client.Next().body, "first");
+  client.Request("GET", "/look/2", "id-2");
+  EXPECT_EQ(client.Next().body, "second");
+  client.Request("GET", "/look/3", "id-3");
+  EXPECT_EQ(client.Next().body, "second");
+  // The connection on which something odd came was not used again.
+  EXPECT_EQ(path_.target.connections, 2);
+}
+
+// The same, but the second copy comes while nothing is asked.
+TEST_F(ForwardPathTest, BytesOnAnIdleConnectionEndIt) {
+  path_.Configure();
+  connection_ptr last;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, request.target));
+    last = from;
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  EXPECT_EQ(client.Next().body, "/look/1");
+  last->Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  path_.RunFor(milliseconds(30));
+  client.Request("GET", "/look/2", "id-2");
+  EXPECT_EQ(client.Next().body, "/look/2");
+  EXPECT_EQ(path_.target.connections, 2);
+}
+
+// The target's process ends in the middle of an answer to a signature. It may
+// have run: its caller gets neither half an answer nor a promise.
+TEST_F(ForwardPathTest, ACutAnswerIsAFailureThatPromisesNothing) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    const std::string whole = fake_http_target::Answer(request, "0123456789");
+    from->Send(whole.substr(0, whole.size() - 3));
+    from->Reset();
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.Next().status, 502);
+  EXPECT_EQ(path_.target.requests.size(), 1U);
+}
+
+TEST_F(ForwardPathTest, AnAnswerWithoutALengthIsWholeOnlyIfItEndsInOrder) {
+  path_.Configure();
+  bool in_order = true;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    from->Send("HTTP/1.1 200 OK\r\nRequest-Id: " +
+               Header(request, "Request-Id") + "\r\n\r\nhello");
+    if (in_order) {
+      from->Close();
+    } else {
+      path_.RunFor(milliseconds(0));
+      from->Reset();
+    }
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  const read_response whole = client.Next();
+  EXPECT_EQ(whole.status, 200);
+  EXPECT_EQ(whole.body, "hello");
+  in_order = false;
+  client.Request("POST", "/sign/2", "id-2", "x");
+  EXPECT_EQ(client.Next().status, 502);
+}
+
+// The target rejects a long body before it has read it and goes on reading. The
+// next request on that connection would be taken for the rest of the body.
+TEST_F(ForwardPathTest, AConnectionAnsweredEarlyIsNotUsedAgain) {
+  path_.Configure();
+  int number = 0;
+  path_.target.on_head = [&](fake_http_target::connection& from) {
+    if (++number == 1) {
+      from.Send(
+          "HTTP/1.1 413 Too Large\r\nRequest-Id: id-1\r\nContent-Length: 0"
+          "\r\n\r\n");
+    }
+  };
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    if (request.target != "/sign/1") {
+      from->Send(fake_http_target::Answer(request, "next"));
+    }
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", std::string(900000, 'x'));
+  EXPECT_EQ(client.Next().status, 413);
+  client.Request("POST", "/sign/2", "id-2", "y");
+  EXPECT_EQ(client.Next().body, "next");
+}
+
+// The target says that it hasn't run the request, and there is no other. The
+// caller is told so, and when to come back.
+TEST_F(ForwardPathTest, ARefusalOfTheTargetIsToldTruly) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "", 503,
+                                        "Not-Executed: 1\r\n"));
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_TRUE(FindHeader(answer.headers, "Retry-After").has_value());
+  EXPECT_FALSE(FindHeader(answer.headers, "Response-Signature").has_value());
+}
+
+// A target's own 503 without that word has run; passed on as it is, its
+// signature tells the caller whose it is.
+TEST_F(ForwardPathTest, ATargetsOwnFailureIsPassedOn) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "broken", 500));
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 500);
+  EXPECT_EQ(answer.body, "broken");
+  EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
+}
+
+TEST_F(ForwardPathTest, AnotherTargetAtTheAddressMeansNotExecuted) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "", 421,
+                                        "Instance-Id: other\r\n"));
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.Next().status, 503);
+}
+
+// The target does not answer. Its caller is told at the route's timeout that
+// nobody knows, long before its own deadline.
+TEST_F(ForwardPathTest, TheRoutesTimeoutIsKept) {
+  path_.Configure(milliseconds(200));
+  caller client(path_);
+  const time_point start = monotonic_clock::now();
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.Next().status, 504);
+  EXPECT_GE(monotonic_clock::now() - start, milliseconds(190));
+  EXPECT_LE(std::stoi(Header(path_.target.requests[0], "Deadline-Ms")), 200);
+}
+
+// A caller gives up a lookup. The target would go on with work that nobody
+// waits for; its connection is closed, which makes it stop.
+TEST_F(ForwardPathTest, ALookupWhoseCallerLeavesIsStopped) {
+  path_.Configure();
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  ASSERT_TRUE(path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
+  client.Leave();
+  ASSERT_TRUE(path_.RunUntil([&] { return path_.target.ended == 1; }));
+}
+
+// The target was restarted while connections to it were kept. The next lookup
+// must not be lost on one of those.
+TEST_F(ForwardPathTest, AConnectionThatEndedWhileIdleIsNotUsed) {
+  path_.Configure();
+  connection_ptr last;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "x"));
+    last = from;
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.Next().status, 200);
+  last->Reset();
+  path_.RunFor(milliseconds(30));
+  client.Request("POST", "/sign/2", "id-2", "x");
+  EXPECT_EQ(client.Next().status, 200);
+}
+
+TEST_F(ForwardPathTest, NobodyAtTheTargetMeansNotExecuted) {
+  path_.Configure();
+  path_.target.Die();
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.Next().status, 503);
+}
+
+// A stopping daemon ends each connection behind its answer, so that its callers
+// go elsewhere, and refuses what it could not finish.
+TEST_F(ForwardPathTest, AStoppingDaemonClosesBehindItsAnswers) {
+  path_.Configure();
+  AnswerAll();
+  caller client(path_);
+  path_.server.Drain();
+  client.Request("GET", "/look/1", "id-1");
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_FALSE(answer.keep_alive);
+  ASSERT_TRUE(path_.RunUntil([&] { return client.ended; }));
+  path_.server.RefuseNew();
+  caller late(path_);
+  late.Request("GET", "/look/2", "id-2");
+  EXPECT_EQ(late.Next().status, 503);
+  EXPECT_EQ(path_.target.requests.size(), 1U);
+}
+
+TEST_F(ForwardPathTest, AnswersNonsenseWithAClearRefusal) {
+  path_.Configure();
+  AnswerAll();
+  caller client(path_);
+  client.Send("POST /sign/1 HTTP/1.1\r\nHost: a.example\r\n"
+              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\n\r\nGET /look/1 HTTP/1.1\r\n\r\n");
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 400);
+  EXPECT_FALSE(answer.keep_alive);
+  ASSERT_TRUE(path_.RunUntil([&] { return client.ended; }));
+  EXPECT_TRUE(path_.target.requests.empty());
+  caller next(path_);
+  next.Request("GET", "/look/2", "id-2");
+  EXPECT_EQ(next.Next().status, 200);
+}
+
+}  // namespace
+}  // namespace pistachioweir
--- /dev/null
+++ b/tests/http_reader_test.cc
@@ -0,0 +1,177 @@
+// Reading HTTP messages, among them such that are meant to be misunderstood.
+#include "src/net/http_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace pistachioweir {
+namespace {
+
+struct outcome_of_reading {
+  read_state state = read_state::kMore;
+  read_problem problem = read_problem::kNone;
+  read_request request;
+  std::string rest;
+};
+
+// Feeds `text` in pieces of `step` bytes.
+outcome_of_reading Read(const std::string& text,
+                        std::size_t step = 1000000,
+                        const read_limits& limits = {}) {
+  outcome_of_reading outcome;
+  request_reader reader(limits);
+  std::string buffer;
+  std::size_t fed = 0;
+  while (outcome.state == read_state::kMore && fed < text.size()) {
+    buffer += text.substr(fed, step);
+    fed += step;
+    std::size_t taken = 0;
+    outcome.state = reader.Feed(buffer, &taken);
+    buffer.erase(0, taken);
+  }
+  outcome.problem = reader.problem();
+  if (outcome.state == read_state::kDone) {
+    outcome.request = reader.Take();
+    outcome.rest = buffer;
+  }
+  return outcome;
+}
+
+TEST(HttpReaderTest, ReadsARequestInPiecesOfAnySize) {
+  const std::string text =
+      "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nContent-Length: 5\r\n"
+      "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\nhello";
+  for (const std::size_t step : {1, 2, 3, 7, 50, 1000}) {
+    const auto outcome = Read(text, step);
+    ASSERT_EQ(outcome.state, read_state::kDone) << step;
+    EXPECT_EQ(outcome.request.target, "/a/b?c=d");
+    EXPECT_EQ(outcome.request.body, "hello");
+    EXPECT_EQ(ToBlock(outcome.request.headers),
+              "Host: x.example\r\nX-End: 2\r\n");
+  }
+}
+
+TEST(HttpReaderTest, ReadsChunksAndLeavesWhatFollows) {
+  const auto outcome = Read(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /next HTTP/1.1\r\n");
+  ASSERT_EQ(outcome.state, read_state::kDone);
+  EXPECT_EQ(outcome.request.body, "abcde");
+  EXPECT_EQ(outcome.rest, "GET /next HTTP/1.1\r\n");
+}
+
+// A request that two readers would cut at different places hides another one:
+// what one takes for a body, the next takes for a request that nobody checked.
+TEST(HttpReaderTest, RefusesRequestsThatCanBeCutInTwoWays) {
+  const std::vector<std::string> texts = {
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+      "Content-Length: 5\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+      "Content-Length: 6\r\n\r\nhello!",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5, 6\r\n\r\nhello!",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\nhello",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +5\r\n\r\nhello",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0x5\r\n\r\nhello",
+      "POST / HTTP/1.1\nHost: x\n\n",
+      "POST / HTTP/1.1\r\nHost: x\nX: y\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost : x\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "zz\r\nabc\r\n0\r\n\r\n",
+  };
+  for (const std::string& text : texts) {
+    const auto outcome = Read(text);
+    EXPECT_EQ(outcome.state, read_state::kFailed) << text;
+    EXPECT_EQ(outcome.problem, read_problem::kMalformed) << text;
+  }
+}
+
+// Bare line feeds between chunks end no line: the message is never whole, and
+// its sender runs out of time.
+TEST(HttpReaderTest, ChunksBehindBareLineFeedsAreNeverWhole) {
+  const auto outcome =
+      Read("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\nabc\n0\n\n");
+  EXPECT_NE(outcome.state, read_state::kDone);
+}
+
+TEST(HttpReaderTest, RefusesWhatIsTooLarge) {
+  const read_limits limits{.max_head_bytes = 200, .max_body_bytes = 10};
+  auto outcome = Read("GET / HTTP/1.1\r\nHost: x\r\nX: " +
+                          std::string(300, 'y') + "\r\n\r\n",
+                      50, limits);
+  EXPECT_EQ(outcome.problem, read_problem::kHeadTooLarge);
+  outcome = Read("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", 50, limits);
+  EXPECT_EQ(outcome.problem, read_problem::kBodyTooLarge);
+  outcome = Read(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "b\r\n01234567890\r\n0\r\n\r\n",
+      1000, limits);
+  EXPECT_EQ(outcome.problem, read_problem::kBodyTooLarge);
+}
+
+TEST(HttpReaderTest, ACutRequestIsNeverWhole) {
+  const std::string text =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    EXPECT_EQ(Read(text.substr(0, length)).state, read_state::kMore) << length;
+  }
+}
+
+read_state ReadAnswer(const std::string& text, bool ends, read_response* out) {
+  response_reader reader({}, false);
+  std::size_t taken = 0;
+  read_state state = reader.Feed(text, &taken);
+  if (state == read_state::kMore && ends) {
+    state = reader.FeedEnd();
+  }
+  if (state == read_state::kDone) {
+    *out = reader.Take();
+  }
+  return state;
+}
+
+TEST(HttpReaderTest, AnAnswerWithoutALengthEndsWithItsConnection) {
+  const std::string text = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nhello";
+  read_response response;
+  EXPECT_EQ(ReadAnswer(text, false, &response), read_state::kMore);
+  ASSERT_EQ(ReadAnswer(text, true, &response), read_state::kDone);
+  EXPECT_EQ(response.body, "hello");
+  EXPECT_FALSE(response.keep_alive);
+}
+
+// A target's process ends in the middle of an answer. What came must not be
+// taken for all of it.
+TEST(HttpReaderTest, AnAnswerThatEndsEarlyIsNotWhole) {
+  read_response response;
+  EXPECT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+                       true, &response),
+            read_state::kFailed);
+  EXPECT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "5\r\nhello\r\n",
+                       true, &response),
+            read_state::kFailed);
+  EXPECT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\nX:", true, &response),
+            read_state::kFailed);
+  EXPECT_EQ(ReadAnswer("", true, &response), read_state::kFailed);
+  EXPECT_EQ(ReadAnswer("nonsense\r\n\r\n", false, &response),
+            read_state::kFailed);
+}
+
+TEST(HttpReaderTest, HeadsCarryTheLengthOfTheBody) {
+  EXPECT_EQ(RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
+                        "C: d\r\n"),
+            "GET / HTTP/1.1\r\nA: b\r\nC: d\r\n\r\n");
+  EXPECT_EQ(RequestHead({.verb = "PUT", .target = "/", .body = "xy"}, ""),
+            "PUT / HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_EQ(ResponseHead(204, "", 0, true),
+            "HTTP/1.1 204 No Content\r\n\r\n");
+  EXPECT_EQ(ResponseHead(200, "", 3, false),
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
+}
+
+}  // namespace
+}  // namespace pistachioweir
