Pressure of called services rides on answers and holds back what calls them

Cause: the guard acts when runs have failed.

Ruled out: the order of refusals at the tenant records; calls come before direct listings there already.

Change: a daemon tells on its answers how long calls of targets would wait at its target, or further down, in parts of their objective. A kind that has failed under pressure lets in less as it rises, the less important kinds first.

--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -103,6 +103,9 @@
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
   std::uint32_t limit = 1;
+  // How near calls of targets, here or further down, are to being refused: in
+  // thousandths of the wait that they are meant to have at most.
+  std::uint32_t pressure = 0;
 };
 
 // Counts since the start, by priority where that matters.
@@ -156,6 +159,8 @@
 
   // When TakeNext() should be called even if nothing else happens.
   [[nodiscard]] time_point next_wakeup() const;
+  // How long a request of this importance would wait if it came now.
+  [[nodiscard]] duration Wait(priority level) const;
   [[nodiscard]] load_report Report(std::uint32_t method, time_point now) const;
   [[nodiscard]] const admission_counters& counters() const { return counters_; }
   // The level that this target sets itself, without those further down.
--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -25,6 +25,11 @@
 // refused are the same. The less a kind matters, the smaller the part that
 // lowers its share; the others find room again before theirs is reached.
 //
+// Where it can, it acts before anything fails: daemons tell on their answers how
+// long calls of targets wait, there or further down the chain. Once a kind has
+// been seen to fail under such pressure, it is known to make calls, and its
+// share follows the pressure. A kind that calls nothing is left alone.
+//
 // Not for calls that other targets make: refusing those is the very waste.
 // Pure logic; the owner keeps one for each kind of work.
 class waste_guard {
@@ -46,10 +51,19 @@
   // further one up to the second figure, so that kinds that were kept out are
   // back within about two seconds once the cause has gone.
   static constexpr double kIncrease = 0.03;
-  static constexpr double kMostIncrease = 0.24;
+  static constexpr double kMostIncrease = 0.12;
   // Some always come in, or nothing would show that the cause has gone.
   static constexpr double kLeastShare = 0.1;
 
+  // Pressure from which on a kind lets in less, by rank as above. At 1 calls
+  // wait half of their objective, at 2 they begin to be refused.
+  static constexpr std::array<double, 3> kBornePressure{1.0, 0.75, 0.5};
+  static constexpr milliseconds kPressurePeriod{100};
+  // What part of the share is taken off at twice the borne pressure or more.
+  static constexpr double kPressureDecrease = 0.2;
+  // Part of failed runs under pressure that shows that a kind makes calls.
+  static constexpr double kShowsCalls = 0.02;
+
   explicit waste_guard(std::uint32_t rank = 0) { SetRank(rank); }
 
   // How much the kind matters; 0 is most.
@@ -62,6 +76,9 @@
   [[nodiscard]] bool Admit();
   // A run has ended; `well` if the target didn't answer that it failed.
   void OnEnd(bool well, time_point now);
+  // The pressure on the services that the target calls. Tell it with every
+  // request.
+  void OnPressure(double pressure, time_point now);
 
   [[nodiscard]] double share() const { return share_; }
 
@@ -69,6 +86,10 @@
   void EndPeriod();
 
   double borne_ = kBorne.front();
+  double borne_pressure_ = kBornePressure.front();
+  double pressure_ = 0;
+  time_point pressure_period_end_;
+  bool makes_calls_ = false;
   double share_ = 1;   // Between kLeastShare and 1.
   double credit_ = 1;  // Below 2; each request adds the share, one let in
                        // takes 1.
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -144,6 +144,11 @@
   // The target's load was heard of apart from an answer.
   void NoteLoad(target_ref target, const load_report& report, time_point now);
 
+  // Mean pressure that the usable targets told of, from 0 on; what was told
+  // longer ago than kPressureHolds counts as none.
+  [[nodiscard]] double Pressure(time_point now) const;
+  static constexpr milliseconds kPressureHolds{500};
+
   // The present reference of a target, or nothing if it isn't listed.
   [[nodiscard]] std::optional<target_ref> RefOf(std::string_view vm) const;
 
@@ -186,6 +191,8 @@
     time_point ejected_until;
     time_point next_probe;
     std::vector<learnt_level> levels;  // By method.
+    double pressure = 0;
+    time_point pressure_heard;
   };
 
   struct candidate {
@@ -224,7 +231,7 @@
                                     time_point now) const;
   [[nodiscard]] static double Fullness(const target& of);
   void RecordFailure(target& failed, time_point now);
-  static void SetLoad(target& of, const load_report& report);
+  static void SetLoad(target& of, const load_report& report, time_point now);
   [[nodiscard]] bool MayEject(time_point now) const;
   [[nodiscard]] target* Find(target_ref ref);
   [[nodiscard]] const target* Find(target_ref ref) const;
--- a/include/route/kind_index.h
+++ b/include/route/kind_index.h
@@ -29,6 +29,11 @@
     return index;
   }
 
+  // Numbers that may have been given out are below this.
+  [[nodiscard]] std::uint32_t size() const {
+    return static_cast<std::uint32_t>(indices_.size()) + 1;
+  }
+
  private:
   std::unordered_map<std::string, std::uint32_t> indices_;
 };
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -70,6 +70,10 @@
   return std::min(wait, duration(static_cast<duration::rep>(own)));
 }
 
+duration admission_controller::Wait(priority level) const {
+  return queued_ == 0 ? duration(0) : WaitAhead(QueueOf(level));
+}
+
 bool admission_controller::CanFinish(const item& entry,
                                      duration wait,
                                      time_point now) const {
--- a/src/admit/waste_guard.cc
+++ b/src/admit/waste_guard.cc
@@ -6,7 +6,9 @@
 namespace pistachioweir {
 
 void waste_guard::SetRank(std::uint32_t rank) {
-  borne_ = kBorne[std::min<std::size_t>(rank, kBorne.size() - 1)];
+  const auto place = std::min<std::size_t>(rank, kBorne.size() - 1);
+  borne_ = kBorne[place];
+  borne_pressure_ = kBornePressure[place];
 }
 
 bool waste_guard::Admit() {
@@ -28,12 +30,29 @@
   period_end_ = now + kPeriod;
 }
 
+void waste_guard::OnPressure(double pressure, time_point now) {
+  pressure_ = pressure;
+  if (!makes_calls_ || now < pressure_period_end_) {
+    return;
+  }
+  pressure_period_end_ = now + kPressurePeriod;
+  const double above = (pressure - borne_pressure_) / borne_pressure_;
+  if (above > 0) {
+    share_ = std::max(kLeastShare,
+                      share_ * (1 - kPressureDecrease * std::min(1.0, above)));
+    increase_ = kIncrease;
+  }
+}
+
 void waste_guard::EndPeriod() {
   const double failed = static_cast<double>(failed_) / ended_;
+  const bool pressed = pressure_ > borne_pressure_;
+  makes_calls_ = makes_calls_ ||
+                 (failed > kShowsCalls && pressure_ > kBornePressure.back());
   if (failed > borne_) {
     share_ = std::max(kLeastShare, share_ * (1 - kDecrease * failed));
     increase_ = kIncrease;
-  } else {
+  } else if (!pressed || !makes_calls_) {
     share_ = std::min(1.0, share_ + increase_);
     increase_ = std::min(kMostIncrease, 2 * increase_);
   }
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -23,6 +23,9 @@
 // next call. Shorter than its restart takes, and long enough that callers are
 // sent elsewhere in between.
 constexpr milliseconds kTargetRetry{100};
+// What was heard of pressure longer ago than this counts no more; calls and
+// their answers come many times in it where there is any pressure.
+constexpr milliseconds kPressureMemory{1000};
 // When a caller that found no target here should come back.
 constexpr milliseconds kDownRetryAfter{500};
 constexpr milliseconds kDrainRetryAfter{50};
@@ -89,9 +92,47 @@
   if (draining_ || !slots_known_ || TargetDown(now)) {
     load.admission_level = kRankCount;
   }
+  constexpr double kThousandths = 1000;
+  constexpr double kMostPressure = 100;
+  const double pressure = std::max(OwnPressure(now), DownstreamPressure(now));
+  load.pressure = static_cast<std::uint32_t>(
+      kThousandths * std::min(kMostPressure, pressure));
   return load;
 }
 
+// How long calls of targets would wait here, against half of their objective.
+double executor::OwnPressure(time_point now) const {
+  constexpr double kHalf = 0.5;
+  double most = 0;
+  for (std::uint32_t i = 0; i < kinds_.size(); ++i) {
+    const kind_state& kind = by_kind_[i];
+    if (now - kind.came > kPressureMemory ||
+        kind.objective <= milliseconds(0) || !kind.callers.IsMadeByTargets()) {
+      continue;
+    }
+    const std::chrono::duration<double> wait = admission_.Wait(kind.level);
+    const std::chrono::duration<double> objective = kind.objective;
+    most = std::max(most, wait / (kHalf * objective));
+  }
+  return most;
+}
+
+void executor::NoteDownstream(const std::string& service,
+                              double pressure,
+                              time_point now) {
+  downstream_[service] = {.pressure = pressure, .heard = now};
+}
+
+double executor::DownstreamPressure(time_point now) const {
+  double most = 0;
+  for (const auto& [service, below] : downstream_) {
+    if (now - below.heard <= kPressureMemory) {
+      most = std::max(most, below.pressure);
+    }
+  }
+  return most;
+}
+
 bool executor::TargetDown(time_point now) const {
   return now < target_down_until_;
 }
@@ -116,6 +157,10 @@
   kind_state& kind = by_kind_[served.kind];
   kind.callers.Add(served.call.caller_service);
   kind.waste.SetRank(served.call.rank);
+  kind.waste.OnPressure(DownstreamPressure(now), now);
+  kind.level = PriorityOf(served.call.rank);
+  kind.objective = served.call.objective_left;
+  kind.came = now;
   if (!kind.callers.IsMadeByTargets() && !kind.waste.Admit()) {
     return reason::kWasted;
   }
@@ -284,6 +329,7 @@
   calls_.erase(found);
   answer.number = served.call.number;
   answer.load = Load();
+  answer.by_targets = by_kind_[served.kind].callers.IsMadeByTargets();
   ++(answer.kind == outcome_kind::kCompleted     ? counters_.completed
      : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
                                                  : counters_.unknown);
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -51,6 +51,11 @@
 
   // Runs the call and calls `done` once, now or later. Returns a name for it.
   std::uint64_t Serve(call_frame call, callback done);
+  // Calls that the target makes find this pressure at a service.
+  void NoteDownstream(const std::string& service,
+                      double pressure,
+                      time_point now);
+
   // The caller has gone. A call that waits ends, one that may run again is
   // stopped at the target. One that may run only once goes on to its end: half
   // of it may be done, and its effect is wanted whole or not at all.
@@ -81,6 +86,15 @@
   struct kind_state {
     waste_guard waste;
     caller_mix callers;
+    // Of the last call of the kind.
+    priority level = priority::kNormal;
+    milliseconds objective{0};
+    time_point came;
+  };
+
+  struct downstream_service {
+    double pressure = 0;
+    time_point heard;
   };
 
   using call_map = std::unordered_map<std::uint64_t, served_call>;
@@ -94,6 +108,8 @@
   void Answer(std::uint64_t id, answer_frame answer);
   void CarryEvents();
   void ArmWakeup();
+  [[nodiscard]] double DownstreamPressure(time_point now) const;
+  [[nodiscard]] double OwnPressure(time_point now) const;
   void NoteTarget(const run_result& result, time_point now);
   [[nodiscard]] bool TargetDown(time_point now) const;
 
@@ -105,6 +121,7 @@
   admission_controller admission_;
   kind_index kinds_;
   std::array<kind_state, kind_index::kMost> by_kind_;
+  std::unordered_map<std::string, downstream_service> downstream_;
   call_map calls_;
   std::uint64_t next_id_ = 1;
   time_point target_down_until_;
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -296,6 +296,10 @@
       .targets.Finish(call.target, call.placing.method, ResultOf(answer),
                       answer.answer.served,
                       answer.heard ? &answer.answer.load : nullptr, now);
+  if (answer.answer.by_targets) {
+    local_.NoteDownstream(call.service,
+                          StateOf(call.service).targets.Pressure(now), now);
+  }
   if (answer.answer.why == reason::kDraining) {
     StateOf(call.service).targets.SetStopping(call.target, true);
   }
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -11,10 +11,10 @@
 namespace {
 
 constexpr std::uint32_t kHelloFields = 3;
-constexpr std::uint32_t kWelcomeFields = 7;
+constexpr std::uint32_t kWelcomeFields = 8;
 constexpr std::uint32_t kCallFields = 15;
-constexpr std::uint32_t kAnswerFields = 14;
-constexpr std::uint32_t kPongFields = 5;
+constexpr std::uint32_t kAnswerFields = 16;
+constexpr std::uint32_t kPongFields = 6;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
 constexpr microseconds kMaxMeasured = std::chrono::hours(24);
@@ -43,7 +43,8 @@
     return Put(load.admission_level)
         .Put(load.in_flight)
         .Put(load.queued)
-        .Put(load.limit);
+        .Put(load.limit)
+        .Put(load.pressure);
   }
 
   [[nodiscard]] std::string Finish(frame_kind kind) const {
@@ -68,6 +69,7 @@
   load.in_flight = reader.Unsigned32();
   load.queued = reader.Unsigned32();
   load.limit = reader.Unsigned32();
+  load.pressure = reader.Unsigned32();
   return load;
 }
 
@@ -139,6 +141,7 @@
       .Put(frame.response.header_block)
       .Put(frame.response.body)
       .Put(frame.load)
+      .Put(frame.by_targets)
       .Put(Count(frame.queued))
       .Put(Count(frame.served))
       .Finish(frame_kind::kAnswer);
@@ -242,6 +245,7 @@
   frame.response.header_block = reader.String();
   frame.response.body = reader.String();
   frame.load = ReadLoad(reader);
+  frame.by_targets = reader.Bool();
   frame.queued = ReadMicroseconds(reader);
   frame.served = ReadMicroseconds(reader);
   if (!reader.ok() || !kind || !why) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -80,6 +80,8 @@
   bool reached_target = false;
   relayed_response response;  // Only with kCompleted.
   load_report load;
+  // Calls on this route are made by targets, not by callers outside.
+  bool by_targets = false;
   microseconds queued{0};  // Time in the queue.
   microseconds served{0};  // Time at the target.
 };
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -150,14 +150,30 @@
                         const load_report& report,
                         time_point now) {
   if (target* const found = Find(ref)) {
-    SetLoad(*found, report);
+    SetLoad(*found, report, now);
     for (learnt_level& level : found->levels) {
       level = {.level = report.admission_level, .heard = now};
     }
   }
 }
 
-void balancer::SetLoad(target& of, const load_report& report) {
+double balancer::Pressure(time_point now) const {
+  double sum = 0;
+  std::uint32_t count = 0;
+  for (const target& each : targets_) {
+    if (!Usable(each, now)) {
+      continue;
+    }
+    ++count;
+    sum += now - each.pressure_heard < kPressureHolds ? each.pressure : 0;
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+void balancer::SetLoad(target& of, const load_report& report, time_point now) {
+  constexpr double kThousandths = 1000;
+  of.pressure = report.pressure / kThousandths;
+  of.pressure_heard = now;
   const double there = report.in_flight + report.queued;
   of.others = std::max(0.0, there - of.in_flight);
   of.limit = report.limit;
@@ -391,7 +407,7 @@
   if (report == nullptr) {
     return;
   }
-  SetLoad(*found, *report);
+  SetLoad(*found, *report, now);
   if (method >= found->levels.size()) {
     found->levels.resize(method + 1);
   }
--- a/tests/waste_guard_test.cc
+++ b/tests/waste_guard_test.cc
@@ -107,6 +107,32 @@
   EXPECT_GT(served[1], kAsked * 35 / 100);
 }
 
+// Calls wait longer and longer at a service further down. A kind that has once
+// failed under such pressure lets in less before its calls are refused; one that
+// makes no calls is left alone, whatever the pressure.
+TEST(WasteGuardTest, PressureHoldsBackOnlyWhatMakesCalls) {
+  waste_guard calling(2);
+  waste_guard leaf(2);
+  time_point now = kStart;
+  const auto play = [&](int periods, double pressure, bool calling_fails) {
+    for (int i = 0; i < periods * 10; ++i) {
+      now += milliseconds(20);
+      calling.OnPressure(pressure, now);
+      leaf.OnPressure(pressure, now);
+      calling.OnEnd(!calling_fails || i % 10 != 0, now);
+      leaf.OnEnd(true, now);
+    }
+  };
+  play(10, 3, true);
+  play(10, 0, false);
+  EXPECT_EQ(calling.share(), 1);
+  play(10, 1.5, false);
+  EXPECT_LT(calling.share(), 0.3);
+  EXPECT_EQ(leaf.share(), 1);
+  play(20, 0, false);
+  EXPECT_EQ(calling.share(), 1);
+}
+
 // The called service has room again. What was kept out comes back within
 // seconds, since some requests are always let in and end well.
 TEST(WasteGuardTest, OpensAgainWhenRunsEndWell) {
