New files in the formatter's form

Ruled out: a change of its rules. Change: clang-format over the files that this work added or changed; no other line differs.

--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -232,7 +232,7 @@
   // Work that each class may start ahead of more important ones; zero for those
   // with nothing queued.
   std::array<duration, kPriorityCount> assured_{};
-  item_list given_up_;                            // Not yet told by TakeNext().
+  item_list given_up_;         // Not yet told by TakeNext().
   std::uint32_t queued_ = 0;   // Items in `queues_`; at most max_queue.
   std::uint32_t running_ = 0;  // At most the limit that held when started.
   time_point next_sweep_;
--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -25,9 +25,9 @@
 // refused are the same. The less a kind matters, the smaller the part that
 // lowers its share; the others find room again before theirs is reached.
 //
-// Where it can, it acts before anything fails: daemons tell on their answers how
-// long calls of targets wait, there or further down the chain. Once a kind has
-// been seen to fail under such pressure, it is known to make calls, and its
+// Where it can, it acts before anything fails: daemons tell on their answers
+// how long calls of targets wait, there or further down the chain. Once a kind
+// has been seen to fail under such pressure, it is known to make calls, and its
 // share follows the pressure. A kind that calls nothing is left alone.
 //
 // Not for calls that other targets make: refusing those is the very waste.
--- a/include/forward/service_view.h
+++ b/include/forward/service_view.h
@@ -20,8 +20,8 @@
 
 enum class target_state : std::uint8_t { kReady, kLeaving };
 
-inline constexpr enum_table<target_state, 2> kTargetStateNames(
-    {"ready", "leaving"});
+inline constexpr enum_table<target_state, 2> kTargetStateNames({"ready",
+                                                                "leaving"});
 
 // One start of one target, as it registered itself.
 struct target_entry {
--- a/include/retry/repeat_budget.h
+++ b/include/retry/repeat_budget.h
@@ -51,9 +51,9 @@
   void Forget(time_point now);
 
   repeat_budget_options options_;
-  std::deque<slot> slots_;         // Oldest first, none older than the window.
-  std::uint64_t requests_ = 0;     // Sum over `slots_`.
-  std::deque<time_point> spent_;   // Likewise.
+  std::deque<slot> slots_;        // Oldest first, none older than the window.
+  std::uint64_t requests_ = 0;    // Sum over `slots_`.
+  std::deque<time_point> spent_;  // Likewise.
 };
 
 }  // namespace pistachioweir
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -178,11 +178,11 @@
     bool leaving = false;
     bool stopping = false;     // Its daemon says so.
     bool unreachable = false;  // Its daemon can't be connected to.
-    bool local = false;  // In the caller's own data centre.
+    bool local = false;        // In the caller's own data centre.
     std::uint32_t in_flight = 0;
     // In flight and queued there for other callers, when last heard.
     double others = 0;
-    double limit = 1;  // Until its load is known.
+    double limit = 1;    // Until its load is known.
     double latency = 0;  // Nanoseconds; recent average.
     time_point heard;    // When `latency` was last measured.
     time_point warm_from;
@@ -237,7 +237,7 @@
   [[nodiscard]] const target* Find(target_ref ref) const;
 
   balancer_options options_;
-  target_estimates estimates_;    // By place in `targets_`.
+  target_estimates estimates_;   // By place in `targets_`.
   std::vector<target> targets_;  // Places are reused, never erased.
   std::uint32_t listed_ = 0;
   // Places in `targets_` that are listed; all, and by data centre.
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -91,9 +91,8 @@
           .count();
   constexpr std::int64_t kPerSecond = 1000;
   std::array<char, 8> fraction{};
-  const int length =
-      std::snprintf(fraction.data(), fraction.size(), ".%03d",
-                    static_cast<int>(count % kPerSecond));
+  const int length = std::snprintf(fraction.data(), fraction.size(), ".%03d",
+                                   static_cast<int>(count % kPerSecond));
   line->append("time=").append(SecondText(count / kPerSecond));
   line->append(fraction.data(), static_cast<std::size_t>(length));
 }
@@ -117,8 +116,8 @@
   config.setGlobally(el::ConfigurationType::ToFile, "false");
   config.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(config);
-  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
-      "DefaultLogDispatchCallback");
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<buffer_dispatch>("buffer");
 }
 
--- a/src/call/msgpack_reader.cc
+++ b/src/call/msgpack_reader.cc
@@ -25,8 +25,7 @@
     std::size_t offset = 0;
     handle_ = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr,
                               nullptr, limit);
-    ok_ = offset == bytes.size() &&
-          handle_.get().type == msgpack::type::ARRAY;
+    ok_ = offset == bytes.size() && handle_.get().type == msgpack::type::ARRAY;
   } catch (const std::exception&) {
     ok_ = false;
   }
--- a/src/config/json_document.h
+++ b/src/config/json_document.h
@@ -16,7 +16,8 @@
 inline constexpr int kMaxJsonDepth = 32;
 // A value of the platform is at most 1 MiB; more can only be a mistake.
 inline constexpr std::size_t kMaxJsonBytes = 1 << 20;
-// An answer of a platform's store: values of a page, in base64, with their keys.
+// An answer of a platform's store: values of a page, in base64, with their
+// keys.
 inline constexpr std::size_t kMaxStoredBytes = 4 << 20;
 
 struct json_document {
--- a/src/config/value_parsers.cc
+++ b/src/config/value_parsers.cc
@@ -117,8 +117,8 @@
   text.remove_suffix(in_milliseconds ? 2 : 1);
   double count = 0;
   const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, count,
-                                             std::chars_format::fixed);
+  const auto [stop, error] =
+      std::from_chars(text.data(), end, count, std::chars_format::fixed);
   if (error != std::errc() || stop != end || !(count >= 0) ||
       count > kMostSeconds * 1000) {
     return std::nullopt;
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -34,11 +34,11 @@
                 origin& calls)
       : options_(options),
         acceptor_(context),
-        state_(std::make_shared<caller_port_state>(caller_port_state{
-            .calls = calls, .max_held_bytes = options.max_held_bytes})) {
-    const tcp::endpoint local(
-        boost::asio::ip::make_address(options.address.ip),
-        options.address.port);
+        state_(std::make_shared<caller_port_state>(
+            caller_port_state{.calls = calls,
+                              .max_held_bytes = options.max_held_bytes})) {
+    const tcp::endpoint local(boost::asio::ip::make_address(options.address.ip),
+                              options.address.port);
     acceptor_.open(local.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(local);
@@ -84,8 +84,7 @@
             return;
           }
           if (!error && state_->sessions < options_.max_connections) {
-            auto opened =
-                std::make_shared<session>(state_, std::move(socket));
+            auto opened = std::make_shared<session>(state_, std::move(socket));
             Remember(opened);
             opened->Start();
           }
@@ -96,8 +95,7 @@
   void Remember(const std::shared_ptr<session>& opened) {
     // Ended ones are cleared once they may be half of all.
     if (sessions_.size() > 2 * state_->sessions + kFewSessions) {
-      std::erase_if(sessions_,
-                    [](const auto& weak) { return weak.expired(); });
+      std::erase_if(sessions_, [](const auto& weak) { return weak.expired(); });
     }
     sessions_.push_back(opened);
   }
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -98,8 +98,8 @@
     std::size_t held = 0;  // Bytes counted in held_bytes.
     bool safe = false;     // Further requests may be served meanwhile.
     bool answered = false;
-    bool close = false;    // The connection ends behind the answer.
-    std::string head;      // Of the answer, as the body.
+    bool close = false;  // The connection ends behind the answer.
+    std::string head;    // Of the answer, as the body.
     std::string body;
   };
 
@@ -148,9 +148,9 @@
     }
     while (!closed_ && !received_.empty() && MayTakeMore()) {
       if (!reader_) {
-        reader_.emplace(read_limits{
-            .max_head_bytes = state_->limits.max_head_bytes,
-            .max_body_bytes = state_->limits.max_body_bytes});
+        reader_.emplace(
+            read_limits{.max_head_bytes = state_->limits.max_head_bytes,
+                        .max_body_bytes = state_->limits.max_body_bytes});
         head_begun_ = monotonic_clock::now();
       }
       std::size_t taken = 0;
@@ -227,9 +227,9 @@
   }
 
   void Refuse(const exchange_ptr& refused, reason why, milliseconds after) {
-    Answer(refused, {.kind = outcome_kind::kNotExecuted,
-                     .why = why,
-                     .retry_after = after});
+    Answer(
+        refused,
+        {.kind = outcome_kind::kNotExecuted, .why = why, .retry_after = after});
   }
 
   void RefuseUnreadable(read_problem problem) {
@@ -243,11 +243,10 @@
     exchanges_.push_back(refused);
     ++state_->open_requests;
     received_.clear();
-    const reason why = problem == read_problem::kMalformed
-                           ? reason::kBadRequest
-                           : reason::kTooLarge;
-    relayed_response response = Protocol::Encode(
-        {.kind = outcome_kind::kNotExecuted, .why = why});
+    const reason why = problem == read_problem::kMalformed ? reason::kBadRequest
+                                                           : reason::kTooLarge;
+    relayed_response response =
+        Protocol::Encode({.kind = outcome_kind::kNotExecuted, .why = why});
     constexpr int kHeadTooLargeStatus = 431;
     if (problem == read_problem::kHeadTooLarge) {
       response.status = kHeadTooLargeStatus;
@@ -288,13 +287,12 @@
     const exchange_ptr& front = exchanges_.front();
     const std::array<boost::asio::const_buffer, 2> parts{
         boost::asio::buffer(front->head), boost::asio::buffer(front->body)};
-    boost::asio::async_write(
-        socket_, parts,
-        [self = this->shared_from_this(), front](error_code error,
-                                                 std::size_t) {
-          self->writing_ = false;
-          self->OnWritten(front, error);
-        });
+    boost::asio::async_write(socket_, parts,
+                             [self = this->shared_from_this(), front](
+                                 error_code error, std::size_t) {
+                               self->writing_ = false;
+                               self->OnWritten(front, error);
+                             });
   }
 
   void OnWritten(const exchange_ptr& written, error_code error) {
@@ -437,11 +435,11 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::array<char, 8192> chunk_{};
-  std::string received_;  // Not taken by the reader yet.
+  std::string received_;                  // Not taken by the reader yet.
   std::optional<request_reader> reader_;  // Of a request that isn't whole.
   // A whole request that is begun once those before it are answered.
   std::optional<read_request> waiting_;
-  std::deque<exchange_ptr> exchanges_;    // In the order of the requests.
+  std::deque<exchange_ptr> exchanges_;  // In the order of the requests.
   time_point last_progress_;
   time_point head_begun_;
   bool reading_ = false;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -36,21 +36,20 @@
 // Where views come from. Calls the sink on the context's thread, first as soon
 // as a configuration is known, then at each change.
 template <typename Source>
-concept view_source =
-    std::constructible_from<
-        Source,
-        boost::asio::io_context&,
-        const forward_settings&,
-        std::function<void(std::shared_ptr<const service_view>)>> &&
+concept view_source = std::constructible_from<
+    Source,
+    boost::asio::io_context&,
+    const forward_settings&,
+    std::function<void(std::shared_ptr<const service_view>)>> &&
     requires(Source source) {
-      source.Start();
-      source.Stop();
-    };
+  source.Start();
+  source.Stop();
+};
 
 template <typename Platform>
 concept forward_platform = caller_protocol<typename Platform::callers> &&
-                           target_protocol<typename Platform::targets> &&
-                           view_source<typename Platform::views>;
+    target_protocol<typename Platform::targets> &&
+    view_source<typename Platform::views>;
 
 // Owns all parts. They share one thread: a VM gives the daemon less than one
 // processor, and threads that take turns on it would only add hand-overs.
@@ -76,7 +75,9 @@
               return RunOnTarget(std::move(run), std::move(done));
             },
             executor_log_),
-        origin_(context_, OriginOptions(settings, incarnation_), executor_,
+        origin_(context_,
+                OriginOptions(settings, incarnation_),
+                executor_,
                 origin_log_),
         peers_(context_,
                {.address = settings.peer, .self = incarnation_},
@@ -100,13 +101,13 @@
 
   // Until it is stopped by a signal.
   void Run() {
-    LogEvent("started",
-             {{.name = "version", .value = PW_VERSION},
-              {.name = "vm", .value = settings_.vm},
-              {.name = "service", .value = settings_.service},
-              {.name = "incarnation",
-               .value = std::to_string(
-                   static_cast<std::uint64_t>(incarnation_))}});
+    LogEvent(
+        "started",
+        {{.name = "version", .value = PW_VERSION},
+         {.name = "vm", .value = settings_.vm},
+         {.name = "service", .value = settings_.service},
+         {.name = "incarnation",
+          .value = std::to_string(static_cast<std::uint64_t>(incarnation_))}});
     ScheduleLogFlush([this] { ArmFlush(); });
     AwaitSignal();
     Tick();
@@ -177,7 +178,8 @@
   std::function<void()> RunOnTarget(target_run run,
                                     std::function<void(run_result)> done) {
     const auto handle = targets_.Run(std::move(run), std::move(done));
-    return [handle] { target_pool<typename Platform::targets>::Cancel(handle); };
+    return
+        [handle] { target_pool<typename Platform::targets>::Cancel(handle); };
   }
 
   void OnView(std::shared_ptr<const service_view> view) {
@@ -216,11 +218,11 @@
       return;
     }
     stop_plan_.Begin(monotonic_clock::now(), settings_.stop_timeout);
-    LogEvent("stopping",
-             {{.name = "requests",
-               .value = std::to_string(callers_.state().open_requests)},
-              {.name = "runs",
-               .value = std::to_string(executor_.in_progress())}});
+    LogEvent(
+        "stopping",
+        {{.name = "requests",
+          .value = std::to_string(callers_.state().open_requests)},
+         {.name = "runs", .value = std::to_string(executor_.in_progress())}});
     executor_.Drain();
     peers_.Drain();
     callers_.Drain();
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -112,19 +112,19 @@
   if (found != services_.end()) {
     return found->second;
   }
-  const double reserve = kReserveShare * options_.repeat_reserve /
-                         static_cast<double>(daemons_);
+  const double reserve =
+      kReserveShare * options_.repeat_reserve / static_cast<double>(daemons_);
   return services_
-      .try_emplace(service,
-                   balancer_options{.data_centre = options_.data_centre,
-                                    .policy = placement_policy::kExpectedEnd,
-                                    .methods = kind_index::kMost,
-                                    .max_tries = kMaxSends},
-                   repeat_budget_options{
-                       .window = options_.repeat_window,
-                       .ratio = options_.repeat_ratio,
-                       .reserve = std::max(
-                           1U, static_cast<std::uint32_t>(reserve))})
+      .try_emplace(
+          service,
+          balancer_options{.data_centre = options_.data_centre,
+                           .policy = placement_policy::kExpectedEnd,
+                           .methods = kind_index::kMost,
+                           .max_tries = kMaxSends},
+          repeat_budget_options{
+              .window = options_.repeat_window,
+              .ratio = options_.repeat_ratio,
+              .reserve = std::max(1U, static_cast<std::uint32_t>(reserve))})
       .first->second;
 }
 
@@ -182,14 +182,13 @@
     timeout = kDefaultTimeout;
   }
   placed->deadline = placed->call.received + timeout;
-  placed->placing = {
-      .method = state.kinds.IndexOf(matched.name),
-      .level = PriorityOf(matched.rank),
-      .ticket = static_cast<std::uint8_t>(RandomBits32()),
-      .objective = matched.latency_objective > milliseconds(0)
-                       ? matched.latency_objective
-                       : timeout,
-      .once = matched.repeats == repeat_policy::kAtMostOnce};
+  placed->placing = {.method = state.kinds.IndexOf(matched.name),
+                     .level = PriorityOf(matched.rank),
+                     .ticket = static_cast<std::uint8_t>(RandomBits32()),
+                     .objective = matched.latency_objective > milliseconds(0)
+                                      ? matched.latency_objective
+                                      : timeout,
+                     .once = matched.repeats == repeat_policy::kAtMostOnce};
   log_.Add(id, name, "routed",
            {{.name = "route", .value = matched.name},
             {.name = "service", .value = placed->service},
@@ -216,9 +215,10 @@
   if (!placed.placed) {
     call->why = placed.why;
     call->retry_after = placed.retry_after;
-    log_.Add(id, call->call.id, "not_placed",
-             {{.name = "why", .value = std::string(kReasonNames.Name(placed.why))},
-              {.name = "usable", .value = Text(state.targets.usable(now))}});
+    log_.Add(
+        id, call->call.id, "not_placed",
+        {{.name = "why", .value = std::string(kReasonNames.Name(placed.why))},
+         {.name = "usable", .value = Text(state.targets.usable(now))}});
     FinishWithoutAnswer(id);
     return;
   }
@@ -283,10 +283,10 @@
     return;
   }
   call->link = LinkTo(target.address.ip);
-  call->number = call->link->Send(
-      std::move(frame), [this, id, generation](peer_answer answer) {
-        OnAnswer(id, generation, std::move(answer));
-      });
+  call->number = call->link->Send(std::move(frame),
+                                  [this, id, generation](peer_answer answer) {
+                                    OnAnswer(id, generation, std::move(answer));
+                                  });
 }
 
 void origin::NoteAnswer(placed_call& call,
@@ -335,14 +335,15 @@
   log_.Add(
       id, call->call.id, "answer",
       {{.name = "target", .value = call->target_id},
-       {.name = "outcome", .value = std::string(kOutcomeKindNames.Name(told.kind))},
+       {.name = "outcome",
+        .value = std::string(kOutcomeKindNames.Name(told.kind))},
        {.name = "why", .value = std::string(kReasonNames.Name(told.why))},
        {.name = "status", .value = std::to_string(told.response.status)},
        {.name = "heard", .value = answer.heard ? "yes" : "no"},
        {.name = "took_us",
-        .value = std::to_string(std::chrono::duration_cast<microseconds>(
-                                    now - call->sent_at)
-                                    .count())},
+        .value = std::to_string(
+            std::chrono::duration_cast<microseconds>(now - call->sent_at)
+                .count())},
        {.name = "queued_us", .value = std::to_string(told.queued.count())},
        {.name = "served_us", .value = std::to_string(told.served.count())}});
   if (MayTryAgain(*call, told, now)) {
@@ -374,11 +375,10 @@
                     call.matched->repeats == repeat_policy::kAtMostOnce)) {
     return false;
   }
-  const bool may_run = !call.may_have_run ||
-                       call.matched->repeats == repeat_policy::kIdempotent;
+  const bool may_run =
+      !call.may_have_run || call.matched->repeats == repeat_policy::kIdempotent;
   service_state& state = StateOf(call.service);
-  if (!may_run || now >= call.deadline ||
-      answer.why == reason::kCancelled ||
+  if (!may_run || now >= call.deadline || answer.why == reason::kCancelled ||
       !state.targets.MayTryElsewhere(call.placing, now)) {
     return false;
   }
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -158,7 +158,7 @@
   std::unordered_map<std::string, std::size_t> targets_by_id_;  // In view_.
   std::size_t daemons_ = 1;  // That the view shows.
   std::unordered_map<std::string, service_state> services_;
-  std::unordered_map<std::string, weighted_split> splits_;  // By route.
+  std::unordered_map<std::string, weighted_split> splits_;   // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP number.
   const std::shared_ptr<std::uint64_t> last_number_ =
       std::make_shared<std::uint64_t>(0);  // Of calls on all links.
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -120,11 +120,11 @@
         self->End({.end = run_end::kNotSent});
       }
     });
-    socket_.async_connect(remote, [self = this->shared_from_this(),
-                                   timeout](error_code error) {
-      timeout->cancel();
-      self->OnConnected(error);
-    });
+    socket_.async_connect(
+        remote, [self = this->shared_from_this(), timeout](error_code error) {
+          timeout->cancel();
+          self->OnConnected(error);
+        });
   }
 
   void OnConnected(error_code error) {
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -53,11 +53,10 @@
                                             shared_->limits);
     }
     ++(reused ? shared_->counters.reused : shared_->counters.opened);
-    chosen->Run(std::move(run), std::move(done),
-                [pool = std::weak_ptr<shared>(shared_)](
-                    const std::shared_ptr<connection>& free) {
-                  Keep(pool, free);
-                });
+    chosen->Run(
+        std::move(run), std::move(done),
+        [pool = std::weak_ptr<shared>(shared_)](
+            const std::shared_ptr<connection>& free) { Keep(pool, free); });
     return chosen;
   }
 
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -58,11 +58,12 @@
 
 // How one platform speaks to targets, over HTTP/1.1.
 template <typename Protocol>
-concept target_protocol =
-    requires(const target_run& run, milliseconds left, const read_response& r) {
-      // Headers besides the caller's own, as a block.
-      { Protocol::Headers(run, left) } -> std::same_as<std::string>;
-      { Protocol::Classify(run, r) } -> std::same_as<target_answer>;
-    };
+concept target_protocol = requires(const target_run& run,
+                                   milliseconds left,
+                                   const read_response& r) {
+  // Headers besides the caller's own, as a block.
+  { Protocol::Headers(run, left) } -> std::same_as<std::string>;
+  { Protocol::Classify(run, r) } -> std::same_as<target_answer>;
+};
 
 }  // namespace pistachioweir
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -19,24 +19,23 @@
 // Headers that concern one connection only, besides those that Connection
 // names. The length is set anew from the body.
 constexpr std::array<std::string_view, 10> kHopByHop{
-    "Connection",       "Keep-Alive", "Proxy-Connection",
-    "TE",               "Trailer",    "Transfer-Encoding",
-    "Upgrade",          "Expect",     "Content-Length",
-    "Proxy-Authenticate"};
+    "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",        "Transfer-Encoding", "Upgrade",          "Expect",
+    "Content-Length", "Proxy-Authenticate"};
 
 std::string ToString(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
 
 bool Equals(boost::beast::string_view a, std::string_view b) {
-  return boost::beast::iequals(a, boost::beast::string_view(b.data(), b.size()));
+  return boost::beast::iequals(a,
+                               boost::beast::string_view(b.data(), b.size()));
 }
 
 template <typename Fields>
 bool IsHopByHop(const Fields& fields, boost::beast::string_view name) {
-  if (std::ranges::any_of(kHopByHop, [&](std::string_view hop) {
-        return Equals(name, hop);
-      })) {
+  if (std::ranges::any_of(
+          kHopByHop, [&](std::string_view hop) { return Equals(name, hop); })) {
     return true;
   }
   const auto named = fields[http::field::connection];
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -49,7 +49,7 @@
 
 struct read_response {
   int status = 0;
-  http_headers headers;    // End-to-end ones, as they came.
+  http_headers headers;           // End-to-end ones, as they came.
   std::string keep_alive_header;  // Value of Keep-Alive, if there is one.
   std::string body;
   bool keep_alive = true;  // Another request may be sent on the connection.
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -140,9 +140,8 @@
   const std::uint64_t attempt = ++connect_attempt_;
   auto socket = std::make_shared<tcp::socket>(context_);
   connecting_ = socket;
-  const tcp::endpoint remote(
-      boost::asio::ip::make_address(options_.address.ip),
-      options_.address.port);
+  const tcp::endpoint remote(boost::asio::ip::make_address(options_.address.ip),
+                             options_.address.port);
   connect_timer_.expires_after(options_.connect_timeout);
   connect_timer_.async_wait(
       [self = weak_from_this(), attempt](error_code error) {
@@ -186,8 +185,8 @@
           link->OnStreamEnd(ended, why);
         }
       });
-  candidate_->Send(Encode(
-      hello_frame{.sender = options_.self, .vm = options_.vm}));
+  candidate_->Send(
+      Encode(hello_frame{.sender = options_.self, .vm = options_.vm}));
 }
 
 void peer_link::OnConnectFailed(std::uint64_t attempt, std::string_view why) {
@@ -246,9 +245,10 @@
 }
 
 void peer_link::OnBroken(const stream_ptr& stream, frame_kind kind) {
-  LogWarning("peer_frame_refused",
-             {{.name = "peer", .value = ToString(options_.address)},
-              {.name = "kind", .value = std::string(kFrameKindNames.Name(kind))}});
+  LogWarning(
+      "peer_frame_refused",
+      {{.name = "peer", .value = ToString(options_.address)},
+       {.name = "kind", .value = std::string(kFrameKindNames.Name(kind))}});
   stream->Close();
   OnStreamEnd(stream, "unexpected frame");
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -45,8 +45,9 @@
 
 enum class link_state : std::uint8_t { kDown, kConnecting, kUp };
 
-inline constexpr enum_table<link_state, 3> kLinkStateNames(
-    {"down", "connecting", "up"});
+inline constexpr enum_table<link_state, 3> kLinkStateNames({"down",
+                                                            "connecting",
+                                                            "up"});
 
 // Hears what a link learns of its peer.
 struct peer_link_events {
@@ -130,8 +131,8 @@
   boost::asio::steady_timer connect_timer_;
 
   std::map<std::uint64_t, call_record> calls_;  // Without an answer.
-  stream_ptr current_;    // Welcomed, or nullptr.
-  stream_ptr candidate_;  // Connected, not welcomed yet.
+  stream_ptr current_;                          // Welcomed, or nullptr.
+  stream_ptr candidate_;                        // Connected, not welcomed yet.
   socket_ptr connecting_;
   std::uint64_t connect_attempt_ = 0;
   incarnation_id receiver_{};  // Of the last welcome.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -59,9 +59,9 @@
  private:
   void OnFrame(const frame_view& frame) {
     if (!Handle(frame)) {
-      LogWarning(
-          "peer_frame_refused",
-          {{.name = "kind", .value = std::string(kFrameKindNames.Name(frame.kind))}});
+      LogWarning("peer_frame_refused",
+                 {{.name = "kind",
+                   .value = std::string(kFrameKindNames.Name(frame.kind))}});
       stream_->Close();
       server_.OnEnd(shared_from_this());
     }
@@ -135,9 +135,8 @@
       options_(std::move(options)),
       calls_(calls),
       acceptor_(context) {
-  const tcp::endpoint local(
-      boost::asio::ip::make_address(options_.address.ip),
-      options_.address.port);
+  const tcp::endpoint local(boost::asio::ip::make_address(options_.address.ip),
+                            options_.address.port);
   acceptor_.open(local.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(local);
@@ -210,9 +209,8 @@
   }
   // The executor may answer before Serve() returns.
   const auto answered = std::make_shared<bool>(false);
-  const std::uint64_t id =
-      calls_.Serve(std::move(call), [this, attempt, answered](
-                                        const answer_frame& answer) {
+  const std::uint64_t id = calls_.Serve(
+      std::move(call), [this, attempt, answered](const answer_frame& answer) {
         *answered = true;
         OnAnswer(attempt, answer);
       });
@@ -264,8 +262,8 @@
       from.Send(attempts_.AnswerOf(attempt));
       return;
     case attempt_verdict::kRunning:
-      from.Send(Encode(pong_frame{.leaving = calls_.draining(),
-                                  .load = calls_.Load()}));
+      from.Send(Encode(
+          pong_frame{.leaving = calls_.draining(), .load = calls_.Load()}));
       return;
   }
 }
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -106,8 +106,7 @@
       if (info.warm_up_left > milliseconds(0)) {
         place->warm_from = now + info.warm_up_left;
       }
-      estimates_.Reset(
-          static_cast<std::uint32_t>(place - targets_.begin()));
+      estimates_.Reset(static_cast<std::uint32_t>(place - targets_.begin()));
     }
     const incarnation_id known = place->info.incarnation;
     place->info = info;
--- a/src/route/expected_end.cc
+++ b/src/route/expected_end.cc
@@ -18,8 +18,8 @@
 constexpr double kFailureCost = 2;
 constexpr double kLostCost = 6;
 // Failures below this part, and those that the best target has as well, are no
-// reason to go elsewhere: they swing by chance, and where a service further down
-// refuses, the targets of all data centres fail alike.
+// reason to go elsewhere: they swing by chance, and where a service further
+// down refuses, the targets of all data centres fail alike.
 constexpr double kCommonFailures = 0.15;
 // Targets whose expected ends differ by less than this part of the objective
 // are as good as each other, and the emptiest of them is taken. Else the
@@ -55,11 +55,12 @@
     run *= kColdFactor;
   }
   const double full = Fullness(of);
-  const double busy = std::clamp((full - kBusyFrom) / (1 - kBusyFrom), 0.0, 1.0);
+  const double busy =
+      std::clamp((full - kBusyFrom) / (1 - kBusyFrom), 0.0, 1.0);
   const double wait =
       std::max(0.0, full - 1) * Count(estimates_.UsualRunTime(index));
-  const double failed = std::max(
-      0.0, estimates_.FailedPart(index, now) - common_failures);
+  const double failed =
+      std::max(0.0, estimates_.FailedPart(index, now) - common_failures);
   return run * (1 + kBusySlowdown * busy) + wait +
          (of.local ? 0 : kRemoteCost * objective) +
          failed * objective * (request.once ? kLostCost : kFailureCost);
@@ -94,8 +95,8 @@
   for (std::size_t i = 0; i < options.size(); ++i) {
     const option& looked_at = options[(random + i) % options.size()];
     const bool emptier =
-        chosen == kNone || Fullness(targets_[looked_at.index]) <
-                               Fullness(targets_[chosen]);
+        chosen == kNone ||
+        Fullness(targets_[looked_at.index]) < Fullness(targets_[chosen]);
     if (looked_at.cost <= most && emptier) {
       chosen = looked_at.index;
     }
--- a/tests/admission_controller_test.cc
+++ b/tests/admission_controller_test.cc
@@ -44,16 +44,15 @@
 // important callers would get nothing at all in that time; with an assured
 // share they get about that part of the work.
 TEST(AdmissionControllerTest, LessImportantWorkGetsItsAssuredShare) {
-  admission_controller controller(
-      {.slots = 1, .learn_limit = false, .use_level = false,
-       .assured_share = 0.2});
+  admission_controller controller({.slots = 1,
+                                   .learn_limit = false,
+                                   .use_level = false,
+                                   .assured_share = 0.2});
   time_point now = kStart;
   std::map<std::uint64_t, int> started;
   const auto offer = [&](priority level, std::uint64_t kind) {
-    return controller.Offer({.level = level,
-                             .deadline = now + seconds(3),
-                             .cookie = kind},
-                            now, 0);
+    return controller.Offer(
+        {.level = level, .deadline = now + seconds(3), .cookie = kind}, now, 0);
   };
   admission_handle running = offer(priority::kCritical, 0).handle;
   for (int i = 0; i < 2000; ++i) {
--- a/tests/attempt_table_test.cc
+++ b/tests/attempt_table_test.cc
@@ -89,8 +89,7 @@
   const auto steps = *rc::gen::inRange(1, 300);
   for (int i = 0; i < steps; ++i) {
     const attempt_key attempt{
-        .sender = kSender,
-        .number = *rc::gen::inRange<std::uint64_t>(0, 30)};
+        .sender = kSender, .number = *rc::gen::inRange<std::uint64_t>(0, 30)};
     attempt_verdict verdict = attempt_verdict::kRunning;
     switch (*rc::gen::inRange(0, 5)) {
       case 0:
--- a/tests/expected_end_test.cc
+++ b/tests/expected_end_test.cc
@@ -68,8 +68,7 @@
   constexpr int kCalls = 400;
   for (int i = 0; i < kCalls; ++i) {
     now_ += milliseconds(5);
-    const placement placed =
-        chooser_.Place({.once = true}, now_, random_());
+    const placement placed = chooser_.Place({.once = true}, now_, random_());
     const bool near = chooser_.VmOf(placed.target) == "near";
     const bool fails = near && chance(random_) < 0.4;
     chooser_.Finish(placed.target, 0,
@@ -90,9 +89,8 @@
   for (int i = 0; i < kCalls; ++i) {
     now_ += milliseconds(5);
     const bool fails = chance(random_) < 0.5;
-    near += Call(milliseconds(50),
-                 fails ? call_result::kErrored : call_result::kAnswered) ==
-                    "near"
+    near += Call(milliseconds(50), fails ? call_result::kErrored
+                                         : call_result::kAnswered) == "near"
                 ? 1
                 : 0;
   }
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -41,9 +41,8 @@
             context,
             [this](target_run run, std::function<void(run_result)> done) {
               const auto handle = pool.Run(std::move(run), std::move(done));
-              return [handle] {
-                target_pool<platform::targets>::Cancel(handle);
-              };
+              return
+                  [handle] { target_pool<platform::targets>::Cancel(handle); };
             },
             executor_log),
         callers(context,
@@ -54,9 +53,7 @@
                  .self = incarnation_id{7}},
                 calls,
                 origin_log),
-        server(context,
-               {.address = {.ip = "127.0.0.1", .port = 0}},
-               callers) {}
+        server(context, {.address = {.ip = "127.0.0.1", .port = 0}}, callers) {}
 
   void Configure(milliseconds timeout = milliseconds(5000)) {
     std::vector<route> routes;
@@ -117,8 +114,7 @@
 // A caller's connection.
 class caller {
  public:
-  explicit caller(forward_path& path)
-      : path_(path), socket_(path.context) {
+  explicit caller(forward_path& path) : path_(path), socket_(path.context) {
     const endpoint at = path.server.address();
     socket_.connect(
         tcp::endpoint(boost::asio::ip::make_address(at.ip), at.port));
@@ -416,8 +412,8 @@
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
-    from->Send(fake_http_target::Answer(request, "", 503,
-                                        "Not-Executed: 1\r\n"));
+    from->Send(
+        fake_http_target::Answer(request, "", 503, "Not-Executed: 1\r\n"));
   };
   caller client(path_);
   client.Request("POST", "/sign/1", "id-1", "x");
@@ -447,8 +443,8 @@
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
-    from->Send(fake_http_target::Answer(request, "", 421,
-                                        "Instance-Id: other\r\n"));
+    from->Send(
+        fake_http_target::Answer(request, "", 421, "Instance-Id: other\r\n"));
   };
   caller client(path_);
   client.Request("POST", "/sign/1", "id-1", "x");
@@ -473,7 +469,8 @@
   path_.Configure();
   caller client(path_);
   client.Request("GET", "/look/1", "id-1");
-  ASSERT_TRUE(path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
+  ASSERT_TRUE(
+      path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
   client.Leave();
   ASSERT_TRUE(path_.RunUntil([&] { return path_.target.ended == 1; }));
 }
@@ -528,9 +525,10 @@
   path_.Configure();
   AnswerAll();
   caller client(path_);
-  client.Send("POST /sign/1 HTTP/1.1\r\nHost: a.example\r\n"
-              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-              "0\r\n\r\nGET /look/1 HTTP/1.1\r\n\r\n");
+  client.Send(
+      "POST /sign/1 HTTP/1.1\r\nHost: a.example\r\n"
+      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\nGET /look/1 HTTP/1.1\r\n\r\n");
   const read_response answer = client.Next();
   EXPECT_EQ(answer.status, 400);
   EXPECT_FALSE(answer.keep_alive);
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -92,17 +92,17 @@
 // Bare line feeds between chunks end no line: the message is never whole, and
 // its sender runs out of time.
 TEST(HttpReaderTest, ChunksBehindBareLineFeedsAreNeverWhole) {
-  const auto outcome =
-      Read("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-           "3\nabc\n0\n\n");
+  const auto outcome = Read(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\nabc\n0\n\n");
   EXPECT_NE(outcome.state, read_state::kDone);
 }
 
 TEST(HttpReaderTest, RefusesWhatIsTooLarge) {
   const read_limits limits{.max_head_bytes = 200, .max_body_bytes = 10};
-  auto outcome = Read("GET / HTTP/1.1\r\nHost: x\r\nX: " +
-                          std::string(300, 'y') + "\r\n\r\n",
-                      50, limits);
+  auto outcome = Read(
+      "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(300, 'y') + "\r\n\r\n",
+      50, limits);
   EXPECT_EQ(outcome.problem, read_problem::kHeadTooLarge);
   outcome = Read("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", 50, limits);
   EXPECT_EQ(outcome.problem, read_problem::kBodyTooLarge);
@@ -162,15 +162,16 @@
 }
 
 TEST(HttpReaderTest, HeadsCarryTheLengthOfTheBody) {
-  EXPECT_EQ(RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
-                        "C: d\r\n"),
-            "GET / HTTP/1.1\r\nA: b\r\nC: d\r\n\r\n");
+  EXPECT_EQ(
+      RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
+                  "C: d\r\n"),
+      "GET / HTTP/1.1\r\nA: b\r\nC: d\r\n\r\n");
   EXPECT_EQ(RequestHead({.verb = "PUT", .target = "/", .body = "xy"}, ""),
             "PUT / HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
-  EXPECT_EQ(ResponseHead(204, "", 0, true),
-            "HTTP/1.1 204 No Content\r\n\r\n");
-  EXPECT_EQ(ResponseHead(200, "", 3, false),
-            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(ResponseHead(204, "", 0, true), "HTTP/1.1 204 No Content\r\n\r\n");
+  EXPECT_EQ(
+      ResponseHead(200, "", 3, false),
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
 }
 
 }  // namespace
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -83,8 +83,9 @@
   cut_proxy(boost::asio::io_context& context, const endpoint& to)
       : context_(context),
         to_(boost::asio::ip::make_address(to.ip), to.port),
-        acceptor_(context,
-                  tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+        acceptor_(
+            context,
+            tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
     Accept();
   }
 
@@ -154,22 +155,22 @@
 
   void Accept() {
     auto next = std::make_shared<pair>(context_);
-    acceptor_.async_accept(
-        next->left, [this, next](boost::system::error_code error) {
-          if (error) {
-            return;
-          }
-          boost::system::error_code failed;
-          next->right.connect(to_, failed);
-          if (failed) {
-            next->Close();
-          } else {
-            pairs_.push_back(next);
-            next->Pump(next->left, next->right, false);
-            next->Pump(next->right, next->left, true);
-          }
-          Accept();
-        });
+    acceptor_.async_accept(next->left,
+                           [this, next](boost::system::error_code error) {
+                             if (error) {
+                               return;
+                             }
+                             boost::system::error_code failed;
+                             next->right.connect(to_, failed);
+                             if (failed) {
+                               next->Close();
+                             } else {
+                               pairs_.push_back(next);
+                               next->Pump(next->left, next->right, false);
+                               next->Pump(next->right, next->left, true);
+                             }
+                             Accept();
+                           });
   }
 
   boost::asio::io_context& context_;
@@ -404,15 +405,15 @@
   const endpoint at = far.server.address();
   stranger.connect(
       tcp::endpoint(boost::asio::ip::make_address(at.ip), at.port));
-  boost::asio::write(stranger, boost::asio::buffer(std::string(
-                                   "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+  boost::asio::write(
+      stranger,
+      boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
   std::array<char, 16> buffer{};
   bool ended = false;
-  stranger.async_read_some(
-      boost::asio::buffer(buffer),
-      [&](boost::system::error_code error, std::size_t) {
-        ended = static_cast<bool>(error);
-      });
+  stranger.async_read_some(boost::asio::buffer(buffer),
+                           [&](boost::system::error_code error, std::size_t) {
+                             ended = static_cast<bool>(error);
+                           });
   ASSERT_TRUE(RunUntil([&] { return ended; }));
   LinkTo(at);
   Send("a");
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -29,11 +29,10 @@
  protected:
   static route_table Table() {
     std::string problem;
-    auto table = route_table::Make({RouteTo("root", "a.example", "/"),
-                                    RouteTo("x", "a.example", "/x/"),
-                                    RouteTo("xy", "a.example", "/x/y/"),
-                                    RouteTo("b", "B.example", "/x/")},
-                                   &problem);
+    auto table = route_table::Make(
+        {RouteTo("root", "a.example", "/"), RouteTo("x", "a.example", "/x/"),
+         RouteTo("xy", "a.example", "/x/y/"), RouteTo("b", "B.example", "/x/")},
+        &problem);
     EXPECT_TRUE(table.has_value()) << problem;
     return *table;
   }
@@ -69,9 +68,8 @@
 
 TEST_F(RouteTableTest, RefusesWhatIsAmbiguousOrGoesNowhere) {
   std::string problem;
-  EXPECT_FALSE(route_table::Make({RouteTo("1", "a", "/x/"),
-                                  RouteTo("2", "A", "/x/")},
-                                 &problem));
+  EXPECT_FALSE(route_table::Make(
+      {RouteTo("1", "a", "/x/"), RouteTo("2", "A", "/x/")}, &problem));
   EXPECT_NE(problem.find("2"), problem.npos) << problem;
   EXPECT_FALSE(route_table::Make({RouteTo("1", "a", "x/")}, &problem));
   EXPECT_FALSE(route_table::Make({RouteTo("1", "a", "/x")}, &problem));
--- a/tests/support/fake_http_target.h
+++ b/tests/support/fake_http_target.h
@@ -101,9 +101,9 @@
   using connection_ptr = std::shared_ptr<connection>;
 
   explicit fake_http_target(boost::asio::io_context& context)
-      : acceptor_(context,
-                  tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                0)) {
+      : acceptor_(
+            context,
+            tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
     Accept();
   }
 
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -94,8 +94,8 @@
 "slots":null},"status":{}})",
                             &problem)
                    .has_value());
-  EXPECT_FALSE(
-      DecodeTarget("i-1", R"({"address":"10.0.0.1:80"})", &problem).has_value());
+  EXPECT_FALSE(DecodeTarget("i-1", R"({"address":"10.0.0.1:80"})", &problem)
+                   .has_value());
 }
 
 TEST(DocumentDecoderTest, ReadsBase64) {
--- a/tests/waste_guard_test.cc
+++ b/tests/waste_guard_test.cc
@@ -108,8 +108,8 @@
 }
 
 // Calls wait longer and longer at a service further down. A kind that has once
-// failed under such pressure lets in less before its calls are refused; one that
-// makes no calls is left alone, whatever the pressure.
+// failed under such pressure lets in less before its calls are refused; one
+// that makes no calls is left alone, whatever the pressure.
 TEST(WasteGuardTest, PressureHoldsBackOnlyWhatMakesCalls) {
   waste_guard calling(2);
   waste_guard leaf(2);
