--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -101,8 +101,8 @@
   constexpr double kThousandths = 1000;
   constexpr double kMostPressure = 100;
   const double pressure = std::max(OwnPressure(now), DownstreamPressure(now));
-  load.pressure = static_cast<std::uint32_t>(
-      kThousandths * std::min(kMostPressure, pressure));
+  load.pressure = static_cast<std::uint32_t>(kThousandths *
+                                             std::min(kMostPressure, pressure));
   return load;
 }
 
@@ -145,8 +145,8 @@
 
 // A request that would end behind its latency objective is refused while there
 // is still time for it to come back and be served within; run late, it would
-// earn its caller a part only and take a slot from one that is in time. One that
-// has no objective left is late already, and its deadline decides.
+// earn its caller a part only and take a slot from one that is in time. One
+// that has no objective left is late already, and its deadline decides.
 time_point executor::StartBy(const served_call& served, time_point now) {
   return served.objective > now ? std::min(served.objective, served.deadline)
                                 : served.deadline;
@@ -252,12 +252,12 @@
 void executor::Start(std::uint64_t id) {
   served_call& served = calls_.at(id);
   served.started = monotonic_clock::now();
-  log_.Add(id, served.call.request_id, "run_at_target",
-           {{.name = "queued_us",
-             .value = std::to_string(
-                 ToMicroseconds(served.started - served.arrived).count())},
-            {.name = "running",
-             .value = std::to_string(admission_.running())}});
+  log_.Add(
+      id, served.call.request_id, "run_at_target",
+      {{.name = "queued_us",
+        .value = std::to_string(
+            ToMicroseconds(served.started - served.arrived).count())},
+       {.name = "running", .value = std::to_string(admission_.running())}});
   target_run run{.request = std::move(served.call.request),
                  .request_id = served.call.request_id,
                  .target_id = served.call.target_id,
@@ -296,12 +296,13 @@
     by_kind_[served.kind].waste.OnEnd(!IsServerError(result.response.status),
                                       now);
   }
-  log_.Add(id, served.call.request_id, "run_ended",
-           {{.name = "end", .value = std::string(kRunEndNames.Name(result.end))},
-            {.name = "status", .value = std::to_string(result.response.status)},
-            {.name = "served_us",
-             .value = std::to_string(
-                 ToMicroseconds(now - served.started).count())}});
+  log_.Add(
+      id, served.call.request_id, "run_ended",
+      {{.name = "end", .value = std::string(kRunEndNames.Name(result.end))},
+       {.name = "status", .value = std::to_string(result.response.status)},
+       {.name = "served_us",
+        .value =
+            std::to_string(ToMicroseconds(now - served.started).count())}});
   answer_frame answer = AnswerOf(std::move(result));
   answer.queued = ToMicroseconds(served.started - served.arrived);
   answer.served = ToMicroseconds(now - served.started);
@@ -312,15 +313,15 @@
 void executor::Refuse(std::uint64_t id, reason why, milliseconds retry_after) {
   served_call& served = calls_.at(id);
   const duration waited = monotonic_clock::now() - served.arrived;
-  log_.Add(id, served.call.request_id, "executor_refused",
-           {{.name = "why", .value = std::string(kReasonNames.Name(why))},
-            {.name = "retry_after_ms",
-             .value = std::to_string(retry_after.count())},
-            {.name = "level", .value = std::to_string(admission_.own_level())},
-            {.name = "running", .value = std::to_string(admission_.running())},
-            {.name = "queued", .value = std::to_string(admission_.queued())},
-            {.name = "waited_ms",
-             .value = std::to_string(ToMilliseconds(waited).count())}});
+  log_.Add(
+      id, served.call.request_id, "executor_refused",
+      {{.name = "why", .value = std::string(kReasonNames.Name(why))},
+       {.name = "retry_after_ms", .value = std::to_string(retry_after.count())},
+       {.name = "level", .value = std::to_string(admission_.own_level())},
+       {.name = "running", .value = std::to_string(admission_.running())},
+       {.name = "queued", .value = std::to_string(admission_.queued())},
+       {.name = "waited_ms",
+        .value = std::to_string(ToMilliseconds(waited).count())}});
   answer_frame answer;
   answer.kind = outcome_kind::kNotExecuted;
   answer.why = why;
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -26,9 +26,9 @@
 class call_log;
 
 // Hands a request to the target; returns what gives it up.
-using target_runner = std::function<std::function<void()>(
-    target_run run,
-    std::function<void(run_result)> done)>;
+using target_runner =
+    std::function<std::function<void()>(target_run run,
+                                        std::function<void(run_result)> done)>;
 
 struct executor_counters {
   std::uint64_t completed = 0;
@@ -42,9 +42,7 @@
  public:
   using callback = std::function<void(answer_frame)>;
 
-  executor(boost::asio::io_context& context,
-           target_runner run,
-           call_log& log);
+  executor(boost::asio::io_context& context, target_runner run, call_log& log);
 
   // The target beside the daemon registered with so many slots.
   void SetSlots(std::uint32_t slots);
