A command that tells one request's story; log lines arrive whole

Ruled out: the buffer (log_buffer_test with a reader that stops: each line whole or counted) and killed processes (the lines were cut long before any kill).

Change: the log is written in whole lines of at most 4 KB at a time. `pistachioweir trace ID LOG...` prints a request's lines of all daemons in order.

--- a/src/base/log_buffer.cc
+++ b/src/base/log_buffer.cc
@@ -9,6 +9,9 @@
 namespace pistachioweir {
 namespace {
 
+// What a pipe takes whole.
+constexpr std::size_t kPiece = 4096;
+
 std::uint64_t CountLines(std::string_view lines) {
   return static_cast<std::uint64_t>(std::ranges::count(lines, '\n'));
 }
@@ -58,7 +61,7 @@
   std::size_t written = 0;
   while (written < bytes_.size()) {
     const ssize_t count =
-        write(descriptor_, bytes_.data() + written, bytes_.size() - written);
+        write(descriptor_, bytes_.data() + written, NextPiece(written));
     if (count <= 0) {
       break;  // Full, or nobody reads any more; the rest waits.
     }
@@ -67,6 +70,17 @@
   bytes_.erase(0, written);
 }
 
+// Whole lines of at most kPiece bytes: collectors are known that cut what is
+// written in larger pieces.
+std::size_t log_buffer::NextPiece(std::size_t begin) const {
+  const std::size_t left = bytes_.size() - begin;
+  if (left <= kPiece) {
+    return left;
+  }
+  const std::size_t end = bytes_.rfind('\n', begin + kPiece - 1);
+  return end == bytes_.npos || end < begin ? kPiece : end + 1 - begin;
+}
+
 std::uint64_t log_buffer::dropped() const {
   const std::lock_guard lock(mutex_);
   return dropped_;
--- a/src/base/log_buffer.h
+++ b/src/base/log_buffer.h
@@ -33,6 +33,7 @@
   // With the lock.
   void Write();
   void NoteDropped();
+  [[nodiscard]] std::size_t NextPiece(std::size_t begin) const;
 
   const int descriptor_;
   const std::size_t max_bytes_;
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -17,5 +17,7 @@
 void AddAuditCommand(CLI::App& app, int* status);
 // `explain`: why the last calls of a method were refused.
 void AddExplainCommand(CLI::App& app, int* status);
+// `trace`: one request's story from daemons' logs.
+void AddTraceCommand(CLI::App& app, int* status);
 
 }  // namespace pistachioweir
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -23,6 +23,7 @@
   pistachioweir::AddStatusCommand(app, &status);
   pistachioweir::AddAuditCommand(app, &status);
   pistachioweir::AddExplainCommand(app, &status);
+  pistachioweir::AddTraceCommand(app, &status);
   CLI11_PARSE(app, argc, argv);
   return status;
 }
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -264,7 +264,7 @@
                             : Protocol::Encode(result));
   }
 
-  void SetAnswer(const exchange_ptr& answered, relayed_response response) {
+  void SetAnswer(const exchange_ptr& answered, relayed_response&& response) {
     const bool close = answered->close || state_->draining;
     if (state_->draining && !answered->close) {
       answered->close = true;
