--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -88,10 +88,11 @@
     switch (frame.kind) {
       case frame_kind::kCall: {
         auto call = DecodeCallFrame(frame.payload);
-        if (call) {
+        const bool readable = call.has_value();
+        if (readable) {
           server_.OnCall(*this, *std::move(call));
         }
-        return call.has_value();
+        return readable;
       }
       case frame_kind::kAsk: {
         const auto number = DecodeNumber(frame.payload);
--- a/tests/expected_end_test.cc
+++ b/tests/expected_end_test.cc
@@ -13,9 +13,9 @@
 
 const time_point kStart{seconds(1000)};
 
-class ExpectedEndTest : public testing::Test {
+class expected_end_test : public testing::Test {
  protected:
-  explicit ExpectedEndTest()
+  expected_end_test()
       : chooser_({.data_centre = "waw-a",
                   .policy = placement_policy::kExpectedEnd,
                   .methods = 4}) {
@@ -31,7 +31,7 @@
                    placement_request request = {}) {
     const placement placed = chooser_.Place(request, now_, random_());
     EXPECT_TRUE(placed.placed);
-    const std::string vm(chooser_.VmOf(placed.target));
+    std::string vm(chooser_.VmOf(placed.target));
     chooser_.Finish(placed.target, request.method, how, time, nullptr, now_);
     return vm;
   }
@@ -41,13 +41,13 @@
   std::mt19937_64 random_{7};
 };
 
-TEST_F(ExpectedEndTest, StaysInItsDataCentreWhileNothingIsLate) {
+TEST_F(expected_end_test, StaysInItsDataCentreWhileNothingIsLate) {
   for (int i = 0; i < 100; ++i) {
     EXPECT_EQ(Call(milliseconds(100)), "near");
   }
 }
 
-TEST_F(ExpectedEndTest, OverflowsWhenTheNearTargetIsFull) {
+TEST_F(expected_end_test, OverflowsWhenTheNearTargetIsFull) {
   std::map<std::string, int> held;
   for (int i = 0; i < 27; ++i) {
     const placement placed = chooser_.Place({}, now_, random_());
@@ -62,7 +62,7 @@
 // One target of three loses two of five answers while its health looks well.
 // Calls that went on being sent there failed by the same part; registrations
 // can't even be sent again.
-TEST_F(ExpectedEndTest, AvoidsATargetThatFailsMoreThanTheOthers) {
+TEST_F(expected_end_test, AvoidsATargetThatFailsMoreThanTheOthers) {
   std::uniform_real_distribution<double> chance(0, 1);
   int to_failing = 0;
   constexpr int kCalls = 400;
@@ -82,7 +82,7 @@
 
 // A service further down refuses, and all targets answer that they failed. To
 // spread calls over the data centres because of that would help nobody.
-TEST_F(ExpectedEndTest, FailuresThatAllHaveMoveNothing) {
+TEST_F(expected_end_test, FailuresThatAllHaveMoveNothing) {
   std::uniform_real_distribution<double> chance(0, 1);
   int near = 0;
   constexpr int kCalls = 600;
@@ -99,7 +99,7 @@
 
 // A target has just joined. It was given the long kind of work first, looked
 // slow for seconds, and got nothing more of any kind.
-TEST_F(ExpectedEndTest, ATargetThatGotTheLongKindFirstIsNotTakenForSlow) {
+TEST_F(expected_end_test, ATargetThatGotTheLongKindFirstIsNotTakenForSlow) {
   for (int i = 0; i < 200; ++i) {
     now_ += milliseconds(5);
     const std::uint32_t kind = i % 2;
@@ -120,7 +120,7 @@
   EXPECT_GT(got["new"], 30);
 }
 
-TEST_F(ExpectedEndTest, AStoppingDaemonGetsNothingUntilAnotherServes) {
+TEST_F(expected_end_test, AStoppingDaemonGetsNothingUntilAnotherServes) {
   const auto near = chooser_.RefOf("near");
   ASSERT_TRUE(near.has_value());
   chooser_.SetStopping(*near, true);
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -196,7 +196,7 @@
   return std::string(FindHeader(request.headers, name).value_or("(none)"));
 }
 
-class ForwardPathTest : public testing::Test {
+class forward_path_test : public testing::Test {
  protected:
   // The target answers each request with its path.
   void AnswerAll() {
@@ -209,7 +209,7 @@
   forward_path path_;
 };
 
-TEST_F(ForwardPathTest, RelaysRequestAndAnswerUnchanged) {
+TEST_F(forward_path_test, RelaysRequestAndAnswerUnchanged) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
@@ -240,7 +240,7 @@
   EXPECT_GT(std::stoi(Header(seen, "Deadline-Ms")), 3000);
 }
 
-TEST_F(ForwardPathTest, SaysWhatItCannotServe) {
+TEST_F(forward_path_test, SaysWhatItCannotServe) {
   caller early(path_);
   early.Request("GET", "/look/1", "id-1");
   const read_response unready = early.Next();
@@ -253,7 +253,7 @@
 
 // A caller sends three lookups at once and the target answers the last one
 // first. Answers in that order would be taken for those of other requests.
-TEST_F(ForwardPathTest, PipelinedRequestsAreAnsweredInTheirOrder) {
+TEST_F(forward_path_test, PipelinedRequestsAreAnsweredInTheirOrder) {
   path_.Configure();
   std::vector<std::pair<read_request, connection_ptr>> held;
   path_.target.on_request = [&](const read_request& request,
@@ -278,7 +278,7 @@
 // A signature comes behind a lookup that is not answered yet. If the answer of
 // the lookup ended the connection, the caller would take the signature as not
 // read and send it again; so it is not begun before.
-TEST_F(ForwardPathTest, ASignatureIsNotBegunBehindOtherRequests) {
+TEST_F(forward_path_test, ASignatureIsNotBegunBehindOtherRequests) {
   path_.Configure();
   std::vector<std::pair<read_request, connection_ptr>> held;
   path_.target.on_request = [&](const read_request& request,
@@ -298,7 +298,7 @@
 
 // The target sends an answer twice. The second copy arrives where the answer to
 // the next request is expected; that request's caller must get its own.
-TEST_F(ForwardPathTest, ASecondAnswerBelongsToNoOtherRequest) {
+TEST_F(forward_path_test, ASecondAnswerBelongsToNoOtherRequest) {
   path_.Configure();
   int number = 0;
   std::string first;
@@ -323,7 +323,7 @@
 }
 
 // The same, but the second copy comes while nothing is asked.
-TEST_F(ForwardPathTest, BytesOnAnIdleConnectionEndIt) {
+TEST_F(forward_path_test, BytesOnAnIdleConnectionEndIt) {
   path_.Configure();
   connection_ptr last;
   path_.target.on_request = [&](const read_request& request,
@@ -343,7 +343,7 @@
 
 // The target's process ends in the middle of an answer to a signature. It may
 // have run: its caller gets neither half an answer nor a promise.
-TEST_F(ForwardPathTest, ACutAnswerIsAFailureThatPromisesNothing) {
+TEST_F(forward_path_test, ACutAnswerIsAFailureThatPromisesNothing) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
@@ -357,7 +357,7 @@
   EXPECT_EQ(path_.target.requests.size(), 1U);
 }
 
-TEST_F(ForwardPathTest, AnAnswerWithoutALengthIsWholeOnlyIfItEndsInOrder) {
+TEST_F(forward_path_test, AnAnswerWithoutALengthIsWholeOnlyIfItEndsInOrder) {
   path_.Configure();
   bool in_order = true;
   path_.target.on_request = [&](const read_request& request,
@@ -383,7 +383,7 @@
 
 // The target rejects a long body before it has read it and goes on reading. The
 // next request on that connection would be taken for the rest of the body.
-TEST_F(ForwardPathTest, AConnectionAnsweredEarlyIsNotUsedAgain) {
+TEST_F(forward_path_test, AConnectionAnsweredEarlyIsNotUsedAgain) {
   path_.Configure();
   int number = 0;
   path_.target.on_head = [&](fake_http_target::connection& from) {
@@ -408,7 +408,7 @@
 
 // The target says that it hasn't run the request, and there is no other. The
 // caller is told so, and when to come back.
-TEST_F(ForwardPathTest, ARefusalOfTheTargetIsToldTruly) {
+TEST_F(forward_path_test, ARefusalOfTheTargetIsToldTruly) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
@@ -425,7 +425,7 @@
 
 // A target's own 503 without that word has run; passed on as it is, its
 // signature tells the caller whose it is.
-TEST_F(ForwardPathTest, ATargetsOwnFailureIsPassedOn) {
+TEST_F(forward_path_test, ATargetsOwnFailureIsPassedOn) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
@@ -439,7 +439,7 @@
   EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
 }
 
-TEST_F(ForwardPathTest, AnotherTargetAtTheAddressMeansNotExecuted) {
+TEST_F(forward_path_test, AnotherTargetAtTheAddressMeansNotExecuted) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
                                const connection_ptr& from) {
@@ -453,7 +453,7 @@
 
 // The target does not answer. Its caller is told at the route's timeout that
 // nobody knows, long before its own deadline.
-TEST_F(ForwardPathTest, TheRoutesTimeoutIsKept) {
+TEST_F(forward_path_test, TheRoutesTimeoutIsKept) {
   path_.Configure(milliseconds(200));
   caller client(path_);
   const time_point start = monotonic_clock::now();
@@ -465,7 +465,7 @@
 
 // A caller gives up a lookup. The target would go on with work that nobody
 // waits for; its connection is closed, which makes it stop.
-TEST_F(ForwardPathTest, ALookupWhoseCallerLeavesIsStopped) {
+TEST_F(forward_path_test, ALookupWhoseCallerLeavesIsStopped) {
   path_.Configure();
   caller client(path_);
   client.Request("GET", "/look/1", "id-1");
@@ -477,7 +477,7 @@
 
 // The target was restarted while connections to it were kept. The next lookup
 // must not be lost on one of those.
-TEST_F(ForwardPathTest, AConnectionThatEndedWhileIdleIsNotUsed) {
+TEST_F(forward_path_test, AConnectionThatEndedWhileIdleIsNotUsed) {
   path_.Configure();
   connection_ptr last;
   path_.target.on_request = [&](const read_request& request,
@@ -494,7 +494,7 @@
   EXPECT_EQ(client.Next().status, 200);
 }
 
-TEST_F(ForwardPathTest, NobodyAtTheTargetMeansNotExecuted) {
+TEST_F(forward_path_test, NobodyAtTheTargetMeansNotExecuted) {
   path_.Configure();
   path_.target.Die();
   caller client(path_);
@@ -504,7 +504,7 @@
 
 // A stopping daemon ends each connection behind its answer, so that its callers
 // go elsewhere, and refuses what it could not finish.
-TEST_F(ForwardPathTest, AStoppingDaemonClosesBehindItsAnswers) {
+TEST_F(forward_path_test, AStoppingDaemonClosesBehindItsAnswers) {
   path_.Configure();
   AnswerAll();
   caller client(path_);
@@ -521,7 +521,7 @@
   EXPECT_EQ(path_.target.requests.size(), 1U);
 }
 
-TEST_F(ForwardPathTest, AnswersNonsenseWithAClearRefusal) {
+TEST_F(forward_path_test, AnswersNonsenseWithAClearRefusal) {
   path_.Configure();
   AnswerAll();
   caller client(path_);
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -65,22 +65,20 @@
 // A request that two readers would cut at different places hides another one:
 // what one takes for a body, the next takes for a request that nobody checked.
 TEST(HttpReaderTest, RefusesRequestsThatCanBeCutInTwoWays) {
+  const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const std::vector<std::string> texts = {
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
-      "Content-Length: 5\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
-      "Content-Length: 6\r\n\r\nhello!",
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5, 6\r\n\r\nhello!",
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\nhello",
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +5\r\n\r\nhello",
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0x5\r\n\r\nhello",
+      post + "Content-Length: 5\r\n" + chunked + "\r\n0\r\n\r\n",
+      post + chunked + "Content-Length: 5\r\n\r\n0\r\n\r\n",
+      post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+      post + "Content-Length: 5, 6\r\n\r\nhello!",
+      post + "Content-Length: -5\r\n\r\nhello",
+      post + "Content-Length: +5\r\n\r\nhello",
+      post + "Content-Length: 0x5\r\n\r\nhello",
+      post + "X: y\n\r\n",
+      post + "X : y\r\n\r\n",
+      post + chunked + "\r\nzz\r\nabc\r\n0\r\n\r\n",
       "POST / HTTP/1.1\nHost: x\n\n",
-      "POST / HTTP/1.1\r\nHost: x\nX: y\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost : x\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "zz\r\nabc\r\n0\r\n\r\n",
   };
   for (const std::string& text : texts) {
     const auto outcome = Read(text);
--- a/tests/log_buffer_test.cc
+++ b/tests/log_buffer_test.cc
@@ -16,14 +16,14 @@
 namespace pistachioweir {
 namespace {
 
-class LogBufferTest : public testing::Test {
+class log_buffer_test : public testing::Test {
  protected:
-  LogBufferTest() {
+  log_buffer_test() {
     EXPECT_EQ(pipe(ends_.data()), 0);
     fcntl(ends_[0], F_SETFL, O_NONBLOCK);
     fcntl(ends_[1], F_SETPIPE_SZ, 4096);
   }
-  ~LogBufferTest() override {
+  ~log_buffer_test() override {
     close(ends_[0]);
     close(ends_[1]);
   }
@@ -42,7 +42,7 @@
 // Nobody reads the log for a while. Whoever serves requests must not wait for
 // it: adding returns, and when the reader is back it gets whole lines, and a
 // line that tells how many are missing.
-TEST_F(LogBufferTest, AReaderThatStopsCostsLinesButNoTime) {
+TEST_F(log_buffer_test, AReaderThatStopsCostsLinesButNoTime) {
   log_buffer buffer(ends_[1], 20000);
   constexpr int kLines = 1000;
   for (int i = 0; i < kLines; ++i) {
@@ -73,7 +73,7 @@
   EXPECT_TRUE(all.ends_with("event=last\n"));
 }
 
-TEST_F(LogBufferTest, AReaderThatIsGoneIsNoError) {
+TEST_F(log_buffer_test, AReaderThatIsGoneIsNoError) {
   close(ends_[0]);
   signal(SIGPIPE, SIG_IGN);
   log_buffer buffer(ends_[1], 1000);
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -179,9 +179,9 @@
   std::vector<std::shared_ptr<pair>> pairs_;
 };
 
-class PeerLinkTest : public testing::Test {
+class peer_link_test : public testing::Test {
  protected:
-  ~PeerLinkTest() override {
+  ~peer_link_test() override {
     if (link_ != nullptr) {
       link_->Close();
     }
@@ -245,7 +245,7 @@
   std::optional<bool> leaving_;
 };
 
-TEST_F(PeerLinkTest, CarriesACallAndItsAnswer) {
+TEST_F(peer_link_test, CarriesACallAndItsAnswer) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
   Send("a");
@@ -262,7 +262,7 @@
 // closes its link and makes a new one to the same peer. The new link counted
 // its calls from one again, so the peer took them for the first calls of the
 // old link, and callers were given answers to other callers' requests.
-TEST_F(PeerLinkTest, ANewLinkToTheSamePeerGetsItsOwnAnswers) {
+TEST_F(peer_link_test, ANewLinkToTheSamePeerGetsItsOwnAnswers) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
   Send("first");
@@ -280,7 +280,7 @@
 // The connection is reset while the target works on a signature. Its sender
 // can't know whether the call arrived; it asks over a new connection, and the
 // caller gets the answer of the one run.
-TEST_F(PeerLinkTest, AskedForAfterAResetTheAnswerComesAndNothingRunsTwice) {
+TEST_F(peer_link_test, AskedForAfterAResetTheAnswerComesAndNothingRunsTwice) {
   receiver far(context_, incarnation_id{9}, 0);
   cut_proxy proxy(context_, far.server.address());
   LinkTo(proxy.address());
@@ -297,7 +297,7 @@
 // Something between the daemons loses track of the connection, without a reset:
 // whatever is sent on it vanishes, while new connections work. A caller would
 // wait for its whole deadline.
-TEST_F(PeerLinkTest, ASilentConnectionIsReplacedAndTheAnswerComes) {
+TEST_F(peer_link_test, ASilentConnectionIsReplacedAndTheAnswerComes) {
   receiver far(context_, incarnation_id{9}, 0);
   cut_proxy proxy(context_, far.server.address());
   LinkTo(proxy.address());
@@ -313,7 +313,7 @@
 
 // The call vanishes in a connection that went silent before. The peer doesn't
 // know it and says so; it must then not run, even if its bytes arrive later.
-TEST_F(PeerLinkTest, ACallThatNeverArrivedIsToldAsNotExecuted) {
+TEST_F(peer_link_test, ACallThatNeverArrivedIsToldAsNotExecuted) {
   receiver far(context_, incarnation_id{9}, 0);
   cut_proxy proxy(context_, far.server.address());
   LinkTo(proxy.address());
@@ -332,7 +332,7 @@
 // The peer's daemon is killed while its target works, and started again. The
 // new one knows nothing of the call: it may have run, so its caller is told
 // neither an answer nor that it hasn't.
-TEST_F(PeerLinkTest, AnotherIncarnationMakesSentCallsUnknown) {
+TEST_F(peer_link_test, AnotherIncarnationMakesSentCallsUnknown) {
   auto far = std::make_unique<receiver>(context_, incarnation_id{9}, 0);
   const endpoint address = far->server.address();
   cut_proxy proxy(context_, address);
@@ -349,7 +349,7 @@
 
 // Nobody listens at the peer's address: nothing has left, so the call may go
 // elsewhere and its caller may be told that it hasn't run.
-TEST_F(PeerLinkTest, ACallThatCouldNotLeaveIsNotExecuted) {
+TEST_F(peer_link_test, ACallThatCouldNotLeaveIsNotExecuted) {
   endpoint nobody;
   {
     receiver far(context_, incarnation_id{9}, 0);
@@ -365,7 +365,7 @@
 
 // A caller leaves. What may run again is stopped at the target; a signature
 // that has begun goes on to its end.
-TEST_F(PeerLinkTest, CancelStopsOnlyWhatMayRunAgain) {
+TEST_F(peer_link_test, CancelStopsOnlyWhatMayRunAgain) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
   const auto lookup = Send("lookup", repeat_policy::kIdempotent);
@@ -381,7 +381,7 @@
 
 // The daemon beside the target stops. It tells its peers at once, so that they
 // send new calls elsewhere; the call in progress gets its answer.
-TEST_F(PeerLinkTest, AStoppingPeerTellsAndFinishes) {
+TEST_F(peer_link_test, AStoppingPeerTellsAndFinishes) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
   Send("a");
@@ -399,7 +399,7 @@
 
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
-TEST_F(PeerLinkTest, NonsenseEndsItsConnectionOnly) {
+TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
   receiver far(context_, incarnation_id{9}, 0);
   tcp::socket stranger(context_);
   const endpoint at = far.server.address();
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -25,7 +25,7 @@
   return found == nullptr ? "none" : found->name;
 }
 
-class RouteTableTest : public testing::Test {
+class route_table_test : public testing::Test {
  protected:
   static route_table Table() {
     std::string problem;
@@ -38,7 +38,7 @@
   }
 };
 
-TEST_F(RouteTableTest, TheLongestPrefixWins) {
+TEST_F(route_table_test, TheLongestPrefixWins) {
   const route_table table = Table();
   EXPECT_EQ(NameOf(table.Find("a.example", "/x/y/z")), "xy");
   EXPECT_EQ(NameOf(table.Find("a.example", "/x/y/")), "xy");
@@ -47,7 +47,7 @@
   EXPECT_EQ(NameOf(table.Find("a.example", "/z")), "root");
 }
 
-TEST_F(RouteTableTest, TheHostMustMatchWhateverItsCaseAndPort) {
+TEST_F(route_table_test, TheHostMustMatchWhateverItsCaseAndPort) {
   const route_table table = Table();
   EXPECT_EQ(NameOf(table.Find("A.EXAMPLE:8080", "/x/1")), "x");
   EXPECT_EQ(NameOf(table.Find("b.example", "/x/1")), "b");
@@ -55,22 +55,22 @@
   EXPECT_EQ(NameOf(table.Find("", "/x/1")), "none");
 }
 
-TEST_F(RouteTableTest, AQueryIsNoPartOfThePath) {
+TEST_F(route_table_test, AQueryIsNoPartOfThePath) {
   const route_table table = Table();
   EXPECT_EQ(NameOf(table.Find("a.example", "/x/1?to=/x/y/")), "x");
 }
 
-TEST_F(RouteTableTest, NonsenseMatchesNothing) {
+TEST_F(route_table_test, NonsenseMatchesNothing) {
   const route_table table = Table();
   EXPECT_EQ(NameOf(table.Find("a.example", "")), "none");
   EXPECT_EQ(NameOf(table.Find("a.example", "*")), "none");
 }
 
-TEST_F(RouteTableTest, RefusesWhatIsAmbiguousOrGoesNowhere) {
+TEST_F(route_table_test, RefusesWhatIsAmbiguousOrGoesNowhere) {
   std::string problem;
   EXPECT_FALSE(route_table::Make(
       {RouteTo("1", "a", "/x/"), RouteTo("2", "A", "/x/")}, &problem));
-  EXPECT_NE(problem.find("2"), problem.npos) << problem;
+  EXPECT_NE(problem.find('2'), problem.npos) << problem;
   EXPECT_FALSE(route_table::Make({RouteTo("1", "a", "x/")}, &problem));
   EXPECT_FALSE(route_table::Make({RouteTo("1", "a", "/x")}, &problem));
   route nowhere = RouteTo("1", "a", "/x/");
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -106,7 +106,7 @@
   EXPECT_FALSE(DecodeBase64("b?9k").has_value());
 }
 
-class ViewBuilderTest : public testing::Test {
+class view_builder_test : public testing::Test {
  protected:
   void PutConfig(const std::string& version, std::uint64_t revision) {
     builder_.Put("op/config", Config(version), 1, revision);
@@ -120,7 +120,7 @@
   view_builder builder_;
 };
 
-TEST_F(ViewBuilderTest, ChangesOnlyWhenSomethingChanges) {
+TEST_F(view_builder_test, ChangesOnlyWhenSomethingChanges) {
   EXPECT_EQ(builder_.TakeChanged(), nullptr);
   PutConfig("r1", 5);
   PutTarget("i-1", "10.0.0.1:80", 6);
@@ -134,7 +134,7 @@
 
 // The operator writes a configuration that can't be used, or an older one comes
 // late: the last good one stays in force, and callers notice nothing.
-TEST_F(ViewBuilderTest, KeepsTheLastGoodConfiguration) {
+TEST_F(view_builder_test, KeepsTheLastGoodConfiguration) {
   PutConfig("r7", 5);
   ASSERT_NE(builder_.TakeChanged(), nullptr);
   builder_.Put("op/config", "{\"version\":\"r8\"", 1, 6);
@@ -144,7 +144,7 @@
   EXPECT_EQ(builder_.TakeChanged()->config->version, 9U);
 }
 
-TEST_F(ViewBuilderTest, ARemovedTargetIsGoneAtOnce) {
+TEST_F(view_builder_test, ARemovedTargetIsGoneAtOnce) {
   builder_.NoteAnswer(kStart);
   PutTarget("i-1", "10.0.0.1:80", 6);
   builder_.TakeChanged();
@@ -155,7 +155,7 @@
 // The store was away for long, so that all targets' entries ran out although
 // the targets live. They are back within two seconds; would the daemon drop
 // them at once, it would refuse everything in that time.
-TEST_F(ViewBuilderTest, EntriesThatRanOutWithTheStoreAwayMayComeBack) {
+TEST_F(view_builder_test, EntriesThatRanOutWithTheStoreAwayMayComeBack) {
   builder_.NoteAnswer(kStart);
   PutTarget("i-1", "10.0.0.1:80", 6);
   PutTarget("i-2", "10.0.0.2:80", 7);
@@ -178,7 +178,7 @@
 
 // A watch without changes takes longer than a usual answer. It is no absence of
 // the store, and must not delay removals.
-TEST_F(ViewBuilderTest, AQuietWatchIsNoAbsence) {
+TEST_F(view_builder_test, AQuietWatchIsNoAbsence) {
   builder_.NoteAnswer(kStart);
   PutTarget("i-1", "10.0.0.1:80", 6);
   builder_.TakeChanged();
@@ -191,7 +191,7 @@
 // ids at the same addresses, while the old entries stay until they run out
 // seconds later. Half of all calls were sent to the old ids, which nobody has
 // any more, and after three such tries their callers were refused.
-TEST_F(ViewBuilderTest, ANewEntryAtAnAddressReplacesTheOldOne) {
+TEST_F(view_builder_test, ANewEntryAtAnAddressReplacesTheOldOne) {
   PutTarget("i-old", "10.0.0.1:80", 6);
   PutTarget("i-other", "10.0.0.2:80", 7);
   builder_.TakeChanged();
