--- a/src/daemon/caller_protocol.cc
+++ b/src/daemon/caller_protocol.cc
@@ -32,7 +32,10 @@
     503,  // kNotReady
     503,  // kDraining
     503,  // kNoTarget
+    404,  // kNoRoute
+    503,  // kWrongTarget
     503,  // kOverload
+    503,  // kWasted
     503,  // kQueueFull
     408,  // kDeadlinePassed
     503,  // kDeadlineInfeasible
@@ -47,6 +50,8 @@
     502,  // kAnswerDiscarded
     502,  // kStale
 };
+// A reason that is new in the enum alone would shift all behind it.
+static_assert(kStatuses.back() != 0);
 
 bool IsNameCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
