Connections between daemons end with the server that took them

Ruled out: the test alone; the cycle is session, stream, callback, session. Change: the server owns its sessions; callbacks hold them weakly. Figures: peer_link_test under the address sanitizer: leaks reported before, none after; forward_path_test none.

--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -40,9 +40,10 @@
             found->OnFrame(frame);
           }
         },
-        // The stream keeps its session until it ends.
-        [kept = shared_from_this()](std::string_view /*why*/) {
-          kept->server_.OnEnd(kept);
+        [self](std::string_view /*why*/) {
+          if (const auto found = self.lock()) {
+            found->server_.OnEnd(found);
+          }
         });
   }
 
@@ -143,7 +144,12 @@
   Accept();
 }
 
-peer_server::~peer_server() = default;
+// What is pending on connections would else tell a server that is gone.
+peer_server::~peer_server() {
+  for (const auto& open : all_) {
+    open->Close();
+  }
+}
 
 void peer_server::Accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
@@ -152,7 +158,9 @@
     }
     if (!error) {
       SetUpConnection(socket, kPeerSilence);
-      std::make_shared<session>(*this, std::move(socket))->Start();
+      auto opened = std::make_shared<session>(*this, std::move(socket));
+      all_.insert(opened);
+      opened->Start();
     }
     Accept();
   });
@@ -174,6 +182,7 @@
   std::shared_ptr<session>& current = by_sender_[KeyOf(hello.sender)];
   if (current != nullptr && current != from) {
     current->Close();
+    all_.erase(current);
   }
   current = from;
   attempts_.OnConnected(hello.sender);
@@ -183,6 +192,7 @@
 }
 
 void peer_server::OnEnd(const std::shared_ptr<session>& ended) {
+  all_.erase(ended);
   const auto found = by_sender_.find(KeyOf(ended->sender()));
   if (found == by_sender_.end() || found->second != ended) {
     return;
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -68,6 +69,7 @@
   executor& calls_;
   boost::asio::ip::tcp::acceptor acceptor_;
   attempt_table attempts_;
+  std::set<std::shared_ptr<session>> all_;  // Connections that are open.
   // The newest connection of each sender.
   std::unordered_map<std::uint64_t, std::shared_ptr<session>> by_sender_;
   // Names at the executor of attempts in progress, by sender and number.
