A pause behind answers of the store that brought changes

At 300 daemons the same series would pass the store's rate, and it turns daemons away that need to know of a leaving target.

Ruled out: idle watches (47 calls a second of 205); serializable reads, which may be seconds old; watching the configuration alone, since leaving targets are told under the other keys.

Change: a daemon that has heard of a change waits before its next watch, as long as all daemons together need to stay below 2 in 100 of the store's rate, at most one second. The first change after a calm time is heard of at once. Settings `heartbeat` and `store_history`, which nothing used, are gone; `store_calls_per_second` is new.

What remains are idle watches of 1.5 s, 47 a second.

--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -33,10 +33,9 @@
 
   // How long a stopping daemon has before it is killed.
   milliseconds stop_timeout{6000};
-  // How often a target confirms that it lives.
-  milliseconds heartbeat{1500};
-  // How long the platform keeps the changes of its store.
-  milliseconds store_history{20000};
+  // Calls a second that the platform's store takes of all daemons; zero if not
+  // told.
+  std::uint32_t store_calls_per_second = 0;
 
   // Bounds on how often requests are sent again, over all daemons: in each
   // window, a part of the requests of a service and a reserve.
--- /dev/null
+++ b/include/forward/watch_pace.h
@@ -0,0 +1,45 @@
+// watch_pace: how often a daemon asks the platform's store for changes.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+// Each daemon watches the store by itself, so one change costs one call of
+// each. A series of changes, as when all targets are started or replaced, would
+// cost as many calls as changes times daemons: the store then turns daemons
+// away, and those learn nothing of what matters. So a daemon that has just
+// heard of a change waits before it asks for the next ones, which then come
+// together. The first change after a calm time is still heard of at once.
+struct watch_pace_options {
+  // Calls a second that the store takes of all daemons together; zero if not
+  // told.
+  std::uint32_t store_calls_per_second = 0;
+};
+
+// The part of the store's calls that changes may take. After an outage of the
+// store each daemon reads everything anew, which are three calls within a
+// second or two, and others read there too.
+inline constexpr double kWatchShare = 0.02;
+// At most half of the two seconds within which a change of the configuration or
+// of a target that leaves must be in force.
+inline constexpr milliseconds kMostWatchPause{1000};
+
+// How long to wait behind an answer that brought changes.
+[[nodiscard]] constexpr milliseconds WatchPause(
+    const watch_pace_options& options,
+    std::size_t daemons) {
+  const double allowed = kWatchShare * options.store_calls_per_second;
+  if (allowed <= 0) {
+    return milliseconds(0);
+  }
+  const milliseconds even(static_cast<milliseconds::rep>(
+      1000.0 * static_cast<double>(daemons) / allowed));
+  return std::min(even, kMostWatchPause);
+}
+
+}  // namespace pistachioweir
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -16,6 +16,7 @@
 constexpr std::uint64_t kMaxMemoryMb = 1 << 20;
 constexpr std::uint64_t kMinDescriptors = 64;
 constexpr std::uint64_t kMaxDescriptors = 1 << 24;
+constexpr std::uint64_t kMaxStoreCalls = 100000000;
 constexpr std::uint64_t kMaxReserve = 1000000;
 constexpr double kMaxRatio = 10;
 
@@ -42,8 +43,8 @@
       {"max_descriptors", kOptional,
        ReadNumber(&s::max_descriptors, kMinDescriptors, kMaxDescriptors)},
       {"stop_timeout", kOptional, ReadDuration(&s::stop_timeout)},
-      {"heartbeat", kOptional, ReadDuration(&s::heartbeat)},
-      {"store_history", kOptional, ReadDuration(&s::store_history)},
+      {"store_calls_per_second", kOptional,
+       ReadNumber(&s::store_calls_per_second, 0, kMaxStoreCalls)},
       {"repeat_ratio", kOptional,
        ReadWith(&s::repeat_ratio,
                 [](const json_node& node) {
--- /dev/null
+++ b/tests/watch_pace_test.cc
@@ -0,0 +1,79 @@
+// How often daemons ask the store for changes.
+#include "include/forward/watch_pace.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace pistachioweir {
+namespace {
+
+constexpr milliseconds kAnswerTime{4};
+
+struct series {
+  std::size_t daemons = 0;
+  std::uint32_t store_calls_per_second = 0;
+  milliseconds between_changes{0};
+  milliseconds length{10000};
+};
+
+struct asked {
+  double calls_per_second = 0;    // Of all daemons.
+  milliseconds latest_change{0};  // From a change until it is known.
+};
+
+// One daemon stands for all: they hear of the same changes.
+asked Play(const series& of) {
+  const milliseconds pause = WatchPause(
+      {.store_calls_per_second = of.store_calls_per_second}, of.daemons);
+  asked result;
+  int calls = -1;  // The first one, at the daemon's start, has no pause.
+  milliseconds asks_at{0};
+  milliseconds known{0};  // Changes up to here are known.
+  while (asks_at < of.length) {
+    ++calls;
+    const milliseconds next_change =
+        (known / of.between_changes + 1) * of.between_changes;
+    const milliseconds answered = std::max(asks_at, next_change) + kAnswerTime;
+    result.latest_change =
+        std::max(result.latest_change, answered - next_change);
+    known = answered;
+    asks_at = answered + pause;
+  }
+  result.calls_per_second = calls * static_cast<double>(of.daemons) * 1000 /
+                            static_cast<double>(of.length.count());
+  return result;
+}
+
+// All targets of a deployment are started or replaced, and each changes its
+// entry a few times. Every daemon asks again right after every answer, and the
+// store, which takes so many calls a second of all, turns daemons away: some
+// then send requests to targets that have left. Without a pause 71 daemons make
+// 1,800 calls a second in this series, 300 make 7,500 of 6,000 that are taken.
+TEST(WatchPaceTest, ASeriesOfChangesCostsFewCalls) {
+  for (const std::size_t daemons : {12U, 71U, 300U}) {
+    const asked result = Play({.daemons = daemons,
+                               .store_calls_per_second = 6000,
+                               .between_changes = milliseconds(40)});
+    EXPECT_LE(result.calls_per_second,
+              std::max(6000 * kWatchShare, 1.0 * daemons))
+        << daemons;
+    EXPECT_LE(result.latest_change, kMostWatchPause + 2 * kAnswerTime);
+  }
+}
+
+TEST(WatchPaceTest, ASingleChangeIsKnownAtOnce) {
+  const asked result = Play({.daemons = 300,
+                             .store_calls_per_second = 6000,
+                             .between_changes = milliseconds(2000)});
+  EXPECT_EQ(result.latest_change, kAnswerTime);
+}
+
+TEST(WatchPaceTest, WithoutAKnownLimitThereIsNoPause) {
+  EXPECT_EQ(WatchPause({}, 1000), milliseconds(0));
+}
+
+}  // namespace
+}  // namespace pistachioweir
