What a daemon hears from a peer itself always reaches its list of targets

Cause of the listed failure of fleet_agent_test: a peer that was first learnt from a sample of a third one stood in the table of peers with its incarnation; its own next datagram was then "no first contact", and AbsorbNews found nothing newer, so the list of targets never heard of that start. With three daemons this happens when all rumours of one start go to the same peer. The list then keeps the target without an incarnation for as long as both run.

Change: the sender of each datagram is told to the membership, which keeps what is newer by itself.

--- a/src/fleet/gossip_receive.cc
+++ b/src/fleet/gossip_receive.cc
@@ -86,9 +86,11 @@
   if (!first_contact || sender.state != member_state::kLive) {
     // A restart, a refutation or a planned stop: news for everyone.
     AbsorbNews(sender, now);
-    return;
+  } else {
+    peers_->Add(sender, /*listed=*/false, random_);
   }
-  peers_->Add(sender, /*listed=*/false, random_);
+  // The owner may not know what the table of peers knows, which also learns
+  // from samples: without this it might never hear of the sender's start.
   news_.push_back(sender);
 }
 
