`serve` refuses requests that crash targets

Cause: a request that crashes whatever runs it came again at any daemon and was run each time; the frames that tell of suspects existed, but nothing sent any. The new path test showed it: the third send ran as the first two did.

Ruled out: counting each lost connection as a crash, as the own interface does. Telling only daemons beside targets: those of one service have no connection to each other, so the daemons beside callers refuse too.

Change: crash_suspects (pure) keeps what was cut shortly before nobody listened at the target or another start of it registered. The newest sixteen are told to all connected daemons. Two crashes refuse a request for a minute, beside callers and targets. What has completed within ten seconds is no suspect, so that callers who all ask for the same can't be refused for a chance. Refusals at the entrance have a log line now; they had none.

Figures: the path test before: third send ran, 502; after: 503, the target saw two.

A crash by a request whose like always completes elsewhere is not found.

--- /dev/null
+++ b/include/quarantine/crash_suspects.h
@@ -0,0 +1,97 @@
+// crash_suspects: finds out, beside one target, which requests may have crashed
+// it, and refuses those that did so twice.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/time.h"
+#include "include/once/fingerprint.h"
+#include "include/quarantine/quarantine.h"
+
+namespace pistachioweir {
+
+// A request that crashes whatever runs it comes again and again, at any daemon.
+// Nothing tells it from the others that were in progress, so all of them are
+// suspects, and the one that is among those of two crashes is refused.
+//
+// A connection that ends without an answer is no crash yet: single answers are
+// lost on targets that live, and a target that is told to end cuts what is
+// left. Only when nobody listens at the target any more, or another start of it
+// registers, do the requests that were cut shortly before become suspects. A
+// run that begins after the cut and is answered proves that the target lived.
+//
+// Where many requests of callers are alike, all of them would share the
+// fingerprint of one that was in progress by chance, and two crashes would
+// refuse a whole kind of work. What has completed lately is therefore no
+// suspect.
+//
+// Pure logic; the owner has one for its target.
+class crash_suspects {
+ public:
+  // Lost runs within this time before the target is found dead count as cut by
+  // its death. It is found with the next connection, or at its next start.
+  static constexpr milliseconds kCutMemory{2000};
+  // What has completed within this time is no suspect. Longer than a target's
+  // restart, after which a repeated request crashes it again.
+  static constexpr milliseconds kCompletedMemory{10000};
+  // Suspects of one crash that others are told of, those that began last:
+  // targets crash when they begin to run such a request.
+  static constexpr std::size_t kMostTold = 16;
+
+  explicit crash_suspects(incarnation_id self) : self_(self) {}
+
+  // The connection of a run that began at `began` ended without an answer.
+  void OnCut(const request_fingerprint& request,
+             time_point began,
+             time_point now);
+  // A run that began at `began` was answered.
+  void OnAnswered(const request_fingerprint& request,
+                  time_point began,
+                  time_point now);
+  // The target is dead. Returns what other daemons should know, if anything.
+  [[nodiscard]] std::vector<quarantine_entry> OnDied(time_point now);
+  // What another daemon told.
+  void Import(const std::vector<quarantine_entry>& entries, time_point now);
+  // Call every few seconds.
+  void Expire(time_point now) { quarantine_.Expire(now); }
+
+  // Whether nothing is suspected, so that callers need not hash bodies.
+  [[nodiscard]] bool empty() const { return quarantine_.empty(); }
+  // How long the request is refused; zero if it isn't.
+  [[nodiscard]] milliseconds Refused(const request_fingerprint& request,
+                                     time_point now) const {
+    return quarantine_.Remaining(request, now);
+  }
+
+ private:
+  struct cut_run {
+    request_fingerprint request;
+    time_point began;
+    time_point cut;
+  };
+
+  // Of a request that has completed; the newest of those with one place.
+  struct completed_request {
+    request_fingerprint request;
+    time_point at;
+  };
+
+  static constexpr std::size_t kCompletedPlaces = 4096;
+
+  [[nodiscard]] bool HasCompletedLately(const request_fingerprint& request,
+                                        time_point now) const;
+
+  const incarnation_id self_;
+  quarantine quarantine_;
+  std::vector<cut_run> cut_;  // None older than kCutMemory after OnCut().
+  std::vector<completed_request> completed_ =
+      std::vector<completed_request>(kCompletedPlaces);
+  std::uint32_t crashes_ = 0;
+};
+
+}  // namespace pistachioweir
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -208,16 +208,16 @@
     ++state_->open_requests;
     state_->held_bytes += begun->held;
     NoteProgress();
+    relayed_call call =
+        Protocol::Decode(std::move(request), monotonic_clock::now());
     if (state_->held_bytes > state_->max_held_bytes) {
-      Refuse(begun, reason::kTableFull, kFullRetryAfter);
+      Refuse(begun, call.id, reason::kTableFull, kFullRetryAfter);
       return;
     }
     if (state_->refusing) {
-      Refuse(begun, reason::kDraining, kDrainingRetryAfter);
+      Refuse(begun, call.id, reason::kDraining, kDrainingRetryAfter);
       return;
     }
-    relayed_call call =
-        Protocol::Decode(std::move(request), monotonic_clock::now());
     const auto id = state_->calls.Submit(
         std::move(call),
         [self = this->shared_from_this(), begun](relayed_result result) {
@@ -226,7 +226,17 @@
     begun->call = id;
   }
 
-  void Refuse(const exchange_ptr& refused, reason why, milliseconds after) {
+  // Nothing of the request goes further than this connection.
+  void Refuse(const exchange_ptr& refused,
+              std::string_view id,
+              reason why,
+              milliseconds after) {
+    LogEvent(
+        "refused_at_entrance",
+        {{.name = "why", .value = std::string(kReasonNames.Name(why))},
+         {.name = "retry_after_ms", .value = std::to_string(after.count())},
+         {.name = "held_bytes", .value = std::to_string(state_->held_bytes)},
+         {.name = "request", .value = std::string(id)}});
     Answer(
         refused,
         {.kind = outcome_kind::kNotExecuted, .why = why, .retry_after = after});
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "include/base/call_log.h"
+#include "include/base/log.h"
 #include "include/base/random_bits.h"
 #include "src/forward/run_outcome.h"
 
@@ -45,10 +46,23 @@
   return std::chrono::duration_cast<microseconds>(time);
 }
 
+// A request that crashed a target comes again from the same service, with the
+// same path and body.
+request_fingerprint FingerprintOf(const std::string& caller_service,
+                                  const std::string& route,
+                                  const relayed_request& request) {
+  return Fingerprint({.service = caller_service,
+                      .method = request.target,
+                      .body = request.body,
+                      .label = route});
+}
+
 milliseconds RetryAfterOf(reason refusal) {
   switch (refusal) {
     case reason::kDraining:
       return kDrainRetryAfter;
+    case reason::kQuarantined:
+      return kQuarantineRetryAfter;
     case reason::kWasted:
       return kWastedRetryAfter;
     default:
@@ -60,7 +74,8 @@
 
 executor::executor(boost::asio::io_context& context,
                    target_runner run,
-                   call_log& log)
+                   call_log& log,
+                   incarnation_id self)
     : context_(context),
       run_(std::move(run)),
       log_(log),
@@ -74,7 +89,8 @@
                   // Levels refuse a share of each kind, calls of targets too,
                   // whose requests are then lost whole.
                   .use_level = false,
-                  .assured_share = kAssuredShare}) {}
+                  .assured_share = kAssuredShare}),
+      suspects_(self) {}
 
 void executor::SetSlots(std::uint32_t slots) {
   slots_known_ = true;
@@ -83,6 +99,42 @@
   CarryEvents();
 }
 
+void executor::SetTargetStart(const std::string& id) {
+  if (id == target_start_) {
+    return;
+  }
+  if (!std::exchange(target_start_, id).empty()) {
+    TellTargetDied(monotonic_clock::now());
+  }
+}
+
+void executor::ImportSuspects(const std::vector<quarantine_entry>& entries) {
+  LogEvent("suspects_heard",
+           {{.name = "requests", .value = std::to_string(entries.size())}});
+  suspects_.Import(entries, monotonic_clock::now());
+}
+
+bool executor::IsQuarantined(const std::string& caller_service,
+                             const std::string& route,
+                             const relayed_request& request,
+                             time_point now) const {
+  return !suspects_.empty() &&
+         suspects_.Refused(FingerprintOf(caller_service, route, request), now) >
+             milliseconds(0);
+}
+
+void executor::TellTargetDied(time_point now) {
+  std::vector<quarantine_entry> told = suspects_.OnDied(now);
+  if (told.empty()) {
+    return;
+  }
+  LogWarning("target_crashed",
+             {{.name = "suspects", .value = std::to_string(told.size())}});
+  if (on_suspects_) {
+    on_suspects_(std::move(told));
+  }
+}
+
 void executor::Drain() {
   draining_ = true;
 }
@@ -155,6 +207,9 @@
   if (!slots_known_ || TargetDown(now)) {
     return reason::kNotReady;
   }
+  if (suspects_.Refused(served.fingerprint, now) > milliseconds(0)) {
+    return reason::kQuarantined;
+  }
   kind_state& kind = by_kind_[served.kind];
   kind.callers.Add(served.call.caller_service);
   kind.waste.SetRank(served.call.rank);
@@ -178,6 +233,8 @@
   served.deadline = now + served.call.remaining;
   served.kind = kinds_.IndexOf(served.call.route);
   served.objective = now + served.call.objective_left;
+  served.fingerprint = FingerprintOf(served.call.caller_service,
+                                     served.call.route, served.call.request);
   log_.Add(id, served.call.request_id, "executor_received",
            {{.name = "route", .value = served.call.route},
             {.name = "target", .value = served.call.target_id},
@@ -271,9 +328,20 @@
   if (!TargetDown(now)) {
     LogWarning("target_down", {{.name = "why", .value = "refused connection"}});
   }
+  TellTargetDied(now);
   target_down_until_ = now + kTargetRetry;
 }
 
+void executor::NoteSuspects(const served_call& served,
+                            const run_result& result,
+                            time_point now) {
+  if (result.end == run_end::kAnswered) {
+    suspects_.OnAnswered(served.fingerprint, served.started, now);
+  } else if (result.end == run_end::kLost && result.cut) {
+    suspects_.OnCut(served.fingerprint, served.started, now);
+  }
+}
+
 void executor::OnRunEnd(std::uint64_t id, run_result result) {
   const time_point now = monotonic_clock::now();
   const auto found = calls_.find(id);
@@ -287,6 +355,7 @@
                      .target_refused = result.end == run_end::kNotExecuted},
                     now);
   NoteTarget(result, now);
+  NoteSuspects(served, result, now);
   if (answered) {
     by_kind_[served.kind].waste.OnEnd(!IsServerError(result.response.status),
                                       now);
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -9,13 +9,17 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "include/admit/admission_controller.h"
 #include "include/admit/waste_guard.h"
+#include "include/base/ids.h"
 #include "include/base/time.h"
+#include "include/quarantine/crash_suspects.h"
 #include "include/route/caller_mix.h"
 #include "include/route/kind_index.h"
 #include "src/forward/target_run.h"
@@ -25,6 +29,11 @@
 
 class call_log;
 
+// When a request that is refused for crashing targets should come back: it
+// would only be refused again before.
+inline constexpr milliseconds kQuarantineRetryAfter =
+    quarantine_options{}.period;
+
 // Hands a request to the target; returns what gives it up.
 using target_runner =
     std::function<std::function<void()>(target_run run,
@@ -42,10 +51,35 @@
  public:
   using callback = std::function<void(answer_frame)>;
 
-  executor(boost::asio::io_context& context, target_runner run, call_log& log);
+  // Hears of requests that may have crashed the target, for other daemons.
+  using suspects_listener =
+      std::function<void(std::vector<quarantine_entry> entries)>;
+
+  executor(boost::asio::io_context& context,
+           target_runner run,
+           call_log& log,
+           incarnation_id self = {});
 
   // The target beside the daemon registered with so many slots.
   void SetSlots(std::uint32_t slots);
+  // The start of the target that is registered beside the daemon. Another one
+  // than before means that the one before has ended.
+  void SetTargetStart(const std::string& id);
+
+  void OnSuspects(suspects_listener listener) {
+    on_suspects_ = std::move(listener);
+  }
+  // Another daemon told of requests that may have crashed its target.
+  void ImportSuspects(const std::vector<quarantine_entry>& entries);
+  // Whether a request from a caller here is refused because such a one has
+  // crashed targets. Known here too, since the daemons beside the targets of a
+  // service don't hear of each other, but all of them tell their callers.
+  [[nodiscard]] bool IsQuarantined(const std::string& caller_service,
+                                   const std::string& route,
+                                   const relayed_request& request,
+                                   time_point now) const;
+  // Once a second.
+  void Tick(time_point now) { suspects_.Expire(now); }
 
   // Runs the call and calls `done` once, now or later. Returns a name for it.
   std::uint64_t Serve(call_frame call, callback done);
@@ -75,6 +109,7 @@
     time_point deadline;
     time_point objective;    // Within which an answer is worth most.
     std::uint32_t kind = 0;  // Of work, for the estimates of its duration.
+    request_fingerprint fingerprint;
     admission_handle admitted;
     std::function<void()> give_up;  // Only while it runs.
     bool caller_gone = false;
@@ -109,6 +144,10 @@
   [[nodiscard]] double DownstreamPressure(time_point now) const;
   [[nodiscard]] double OwnPressure(time_point now) const;
   void NoteTarget(const run_result& result, time_point now);
+  void NoteSuspects(const served_call& served,
+                    const run_result& result,
+                    time_point now);
+  void TellTargetDied(time_point now);
   [[nodiscard]] bool TargetDown(time_point now) const;
 
   boost::asio::io_context& context_;
@@ -123,6 +162,9 @@
   call_map calls_;
   std::uint64_t next_id_ = 1;
   time_point target_down_until_;
+  std::string target_start_;  // Empty until one is registered.
+  crash_suspects suspects_;
+  suspects_listener on_suspects_;
   bool slots_known_ = false;
   bool draining_ = false;
   executor_counters counters_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -74,13 +75,16 @@
             [this](target_run run, std::function<void(run_result)> done) {
               return RunOnTarget(std::move(run), std::move(done));
             },
-            executor_log_),
-        origin_(context_,
-                OriginOptions(settings, incarnation_),
-                executor_,
-                origin_log_),
+            executor_log_,
+            incarnation_),
+        origin_(context_, OriginOptions(settings), executor_, origin_log_),
         peers_(context_,
-               {.address = settings.peer, .self = incarnation_},
+               {.address = settings.peer,
+                .self = incarnation_,
+                .on_suspects =
+                    [this](const suspects_frame& told) {
+                      executor_.ImportSuspects(told.entries);
+                    }},
                executor_),
         callers_(context_,
                  {.address = settings.caller,
@@ -110,6 +114,11 @@
           .value = std::to_string(static_cast<std::uint64_t>(incarnation_))}});
     ScheduleLogFlush([this] { ArmFlush(); });
     AwaitSignal();
+    executor_.OnSuspects([this](std::vector<quarantine_entry> entries) {
+      const suspects_frame told{.entries = std::move(entries)};
+      peers_.Tell(told);
+      origin_.TellSuspects(told);
+    });
     Tick();
     views_.Start();
     std::future<void> stopped = stopped_.get_future();
@@ -133,17 +142,19 @@
   static constexpr milliseconds kFlushDelay{50};
   static constexpr milliseconds kStopPollInterval{25};
 
-  static origin_options OriginOptions(const forward_settings& settings,
-                                      incarnation_id self) {
+  origin_options OriginOptions(const forward_settings& settings) {
     return {.vm = settings.vm,
             .service = settings.service,
             .data_centre = settings.data_centre,
             .own_target = settings.target,
             .peer_port = settings.peer.port,
-            .self = self,
+            .self = incarnation_,
             .repeat_ratio = settings.repeat_ratio * kRatioShare,
             .repeat_reserve = settings.repeat_reserve,
-            .repeat_window = settings.repeat_window};
+            .repeat_window = settings.repeat_window,
+            .on_suspects = [this](const suspects_frame& told) {
+              executor_.ImportSuspects(told.entries);
+            }};
   }
 
   // Of the ratio that the operator allows for repeats, what one service's
@@ -189,6 +200,7 @@
     for (const target_entry& target : view->targets) {
       if (target.address == settings_.target) {
         executor_.SetSlots(target.slots);
+        executor_.SetTargetStart(target.id);
       }
     }
     const bool usable = view->config != nullptr;
@@ -262,6 +274,7 @@
     const time_point now = monotonic_clock::now();
     origin_.Tick(now);
     peers_.Tick(now);
+    executor_.Tick(now);
     FlushLog();
     tick_.expires_after(kTickInterval);
     tick_.async_wait([this](error_code error) {
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -184,6 +184,13 @@
             {.name = "targets", .value = Text(view_->targets_version)},
             {.name = "rank", .value = Text(matched.rank)},
             {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
+  if (local_.IsQuarantined(options_.service, matched.name, placed->call.request,
+                           placed->call.received)) {
+    Finish(id, {.kind = outcome_kind::kNotExecuted,
+                .why = reason::kQuarantined,
+                .retry_after = kQuarantineRetryAfter});
+    return id;
+  }
   placed->timer.expires_at(placed->deadline);
   placed->timer.async_wait([this, id](boost::system::error_code error) {
     if (!error) {
--- /dev/null
+++ b/src/quarantine/crash_suspects.cc
@@ -0,0 +1,65 @@
+// Requests that were cut, and the deaths of the target that cut them.
+#include "include/quarantine/crash_suspects.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace pistachioweir {
+
+void crash_suspects::OnCut(const request_fingerprint& request,
+                           time_point began,
+                           time_point now) {
+  std::erase_if(
+      cut_, [now](const cut_run& each) { return now - each.cut > kCutMemory; });
+  cut_.push_back({.request = request, .began = began, .cut = now});
+}
+
+void crash_suspects::OnAnswered(const request_fingerprint& request,
+                                time_point began,
+                                time_point now) {
+  std::erase_if(cut_,
+                [began](const cut_run& each) { return each.cut < began; });
+  completed_[request.low % kCompletedPlaces] = {.request = request, .at = now};
+  quarantine_.OnCompleted(request);
+}
+
+bool crash_suspects::HasCompletedLately(const request_fingerprint& request,
+                                        time_point now) const {
+  const completed_request& known = completed_[request.low % kCompletedPlaces];
+  return known.request == request && now - known.at <= kCompletedMemory;
+}
+
+std::vector<quarantine_entry> crash_suspects::OnDied(time_point now) {
+  std::vector<cut_run> cut = std::exchange(cut_, {});
+  std::erase_if(cut, [&](const cut_run& each) {
+    return now - each.cut > kCutMemory || HasCompletedLately(each.request, now);
+  });
+  if (cut.empty()) {
+    return {};
+  }
+  ++crashes_;
+  const crash_id crash = CrashIdOf(static_cast<std::uint64_t>(self_), crashes_);
+  std::ranges::sort(cut, std::greater<>(), &cut_run::began);
+  std::vector<quarantine_entry> told;
+  for (const cut_run& each : cut) {
+    quarantine_.OnCrash(each.request, crash, now);
+    if (told.size() < kMostTold) {
+      told.push_back({.fingerprint = each.request,
+                      .crashes = {crash},
+                      .remaining = quarantine_options{}.period});
+    }
+  }
+  return told;
+}
+
+void crash_suspects::Import(const std::vector<quarantine_entry>& entries,
+                            time_point now) {
+  for (const quarantine_entry& entry : entries) {
+    if (!HasCompletedLately(entry.fingerprint, now)) {
+      quarantine_.Import(entry, now);
+    }
+  }
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/tests/crash_suspects_test.cc
@@ -0,0 +1,106 @@
+// Which requests are held responsible for the crashes of a target.
+#include "include/quarantine/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace pistachioweir {
+namespace {
+
+const time_point kStart{seconds(1000)};
+
+request_fingerprint Request(const std::string& path) {
+  return Fingerprint(
+      {.service = "contracts", .method = path, .body = {}, .label = {}});
+}
+
+const request_fingerprint kBad = Request("/sign/bad");
+
+class crash_suspects_test : public testing::Test {
+ protected:
+  // `request` is in progress when the target dies; found 5 ms later.
+  void Crash(crash_suspects& suspects, const request_fingerprint& request) {
+    now_ += seconds(5);
+    suspects.OnCut(request, now_ - milliseconds(10), now_);
+    told_ = suspects.OnDied(now_ + milliseconds(5));
+  }
+
+  [[nodiscard]] bool Refuses(const crash_suspects& suspects,
+                             const request_fingerprint& request) const {
+    return suspects.Refused(request, now_ + milliseconds(5)) > milliseconds(0);
+  }
+
+  time_point now_ = kStart;
+  std::vector<quarantine_entry> told_;
+};
+
+// One caller sends a request that crashes what runs it, again as soon as the
+// target is back. Everybody else's requests in progress are lost with it each
+// time, until the request is refused.
+TEST_F(crash_suspects_test, ASecondCrashRefusesTheRequest) {
+  crash_suspects suspects(incarnation_id{1});
+  Crash(suspects, kBad);
+  EXPECT_FALSE(Refuses(suspects, kBad));
+  Crash(suspects, kBad);
+  EXPECT_TRUE(Refuses(suspects, kBad));
+  EXPECT_FALSE(Refuses(suspects, Request("/sign/other")));
+}
+
+// The request comes again beside another target. A daemon that is not told
+// starts to count from the beginning, and each target of the service dies
+// twice.
+TEST_F(crash_suspects_test, CrashesOfTwoTargetsAddUp) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  Crash(one, kBad);
+  other.Import(told_, now_);
+  Crash(other, kBad);
+  EXPECT_TRUE(Refuses(other, kBad));
+  one.Import(told_, now_);
+  EXPECT_TRUE(Refuses(one, kBad));
+}
+
+// A target that lives loses single answers. Callers repeat those requests, as
+// they should, and would be refused if each lost answer counted as a crash.
+TEST_F(crash_suspects_test, LostAnswersOfATargetThatLivesAreNoCrash) {
+  crash_suspects suspects(incarnation_id{1});
+  for (int i = 0; i < 5; ++i) {
+    now_ += seconds(1);
+    suspects.OnCut(kBad, now_ - milliseconds(10), now_);
+    suspects.OnAnswered(Request("/look"), now_ + milliseconds(1),
+                        now_ + milliseconds(20));
+  }
+  EXPECT_TRUE(suspects.OnDied(now_ + milliseconds(30)).empty());
+  EXPECT_FALSE(Refuses(suspects, kBad));
+}
+
+// Callers that all ask for the same thing share one fingerprint. If two crashes
+// that have other causes counted against it, a whole kind of work would be
+// refused for a minute.
+TEST_F(crash_suspects_test, WhatCompletesTooIsNoSuspect) {
+  crash_suspects suspects(incarnation_id{1});
+  for (int i = 0; i < 4; ++i) {
+    suspects.OnAnswered(kBad, now_ + seconds(3), now_ + seconds(4));
+    Crash(suspects, kBad);
+  }
+  EXPECT_FALSE(Refuses(suspects, kBad));
+  EXPECT_TRUE(told_.empty());
+}
+
+// Hundreds of requests are in progress when a target dies. Telling of all of
+// them at each crash would be the larger part of what daemons send.
+TEST_F(crash_suspects_test, TellsOfTheNewestOnly) {
+  crash_suspects suspects(incarnation_id{1});
+  for (int i = 0; i < 200; ++i) {
+    suspects.OnCut(Request("/old/" + std::to_string(i)),
+                   now_ - milliseconds(100 + i), now_);
+  }
+  suspects.OnCut(kBad, now_ - milliseconds(1), now_);
+  const auto told = suspects.OnDied(now_);
+  ASSERT_EQ(told.size(), crash_suspects::kMostTold);
+  EXPECT_EQ(told.front().fingerprint, kBad);
+}
+
+}  // namespace
+}  // namespace pistachioweir
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -251,6 +251,39 @@
   EXPECT_EQ(early.Next().status, 404);
 }
 
+// A request crashes the target that runs it, and its caller sends it again once
+// the target is back. Each time all others lose what the target had in progress
+// for them. From the third time on the request must not reach a target.
+TEST_F(forward_path_test, ARequestThatCrashesItsTargetTwiceIsRefused) {
+  path_.Configure();
+  std::size_t poisoned = 0;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    if (request.target == "/sign/poison") {
+      ++poisoned;
+      from->Reset();
+      path_.calls.SetTargetStart("start-" + std::to_string(poisoned));
+      return;
+    }
+    from->Send(fake_http_target::Answer(request, "well"));
+  };
+  path_.calls.SetTargetStart("start-0");
+  caller client(path_);
+  for (int i = 0; i < 2; ++i) {
+    client.Request("POST", "/sign/poison", "id-" + std::to_string(i), "body");
+    EXPECT_EQ(client.Next().status, 502);
+    // Another start of the target is registered after the cut was noticed.
+    path_.calls.SetTargetStart("again-" + std::to_string(i));
+  }
+  client.Request("POST", "/sign/poison", "id-3", "body");
+  const read_response refused = client.Next();
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(FindHeader(refused.headers, "Retry-After"), "60.000");
+  EXPECT_EQ(poisoned, 2U);
+  client.Request("POST", "/sign/other", "id-4", "body");
+  EXPECT_EQ(client.Next().status, 200);
+}
+
 // A caller sends three lookups at once and the target answers the last one
 // first. Answers in that order would be taken for those of other requests.
 TEST_F(forward_path_test, PipelinedRequestsAreAnsweredInTheirOrder) {
