A fault soak of the real daemons as separate processes

Cause: nothing showed that `serve` keeps its promises when processes are killed, paused, stopped and restarted, connections delayed, reset, cut one way or silenced, the store fails and configurations change, in series and at once.

Change: tools/soak starts daemons, stand-ins of the store, targets and callers, and a proxy in front of each daemon's port for others; 23 kinds of faults are drawn from the seed. Checked: at most once, truthful refusals, whole answers of the right request, nothing unasked, stops that cut nothing and end in time, requests that crash targets, time to come back, callers held past their route's time at calm daemons, everything served again in the end.

Clocks and storage aren't among the faults: the daemon reads only the steady clock and its settings.

--- /dev/null
+++ b/tools/soaking/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of tools/soak: stand-ins, faults and checks around real daemons."""
--- /dev/null
+++ b/tools/soaking/callers.py
@@ -0,0 +1,110 @@
+"""Callers beside a daemon. They keep using open connections until those end,
+and remember what they were told of each request."""
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass, field
+
+from . import target
+
+TIMEOUT = 3.0  # Of all routes, in seconds.
+
+
+@dataclass
+class Told:
+    request: str
+    kind: str
+    daemon: int
+    sent_at: float
+    ended_at: float = 0.0
+    # A status, "closed" (no answer, or half of one) or "left" (by the caller).
+    end: object = None
+    reusable: bool = False  # The connection can carry another request.
+    retry_after: bool = False
+    during_stop: bool = False
+    calm: bool = False  # Nothing had disturbed the daemon when it ended.
+
+
+@dataclass
+class Ledger:
+    """All that callers were told, and what was wrong with answers themselves."""
+    told: list = field(default_factory=list)
+    wrong: list = field(default_factory=list)
+
+
+class Callers:
+    def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts):
+        self.daemon, self.ledger, self.dice = daemon, ledger, dice
+        self.hosts = hosts
+        self.numbers = itertools.count()
+        self.ended = False
+
+    async def run(self, workers):
+        await asyncio.gather(*(self._work() for _ in range(workers)))
+
+    async def _work(self):
+        while not self.ended:
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(*self.daemon.caller), 1)
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while not self.ended:
+                    told = await self.ask(reader, writer)
+                    # As the stopping daemon asks: it is worked out for others.
+                    await asyncio.sleep(0.1 if told.end == 503
+                                        else self.dice.uniform(0.0, 0.15))
+                    if not told.reusable:
+                        break
+            finally:
+                writer.transport.abort()
+
+    async def ask(self, reader, writer, kind=None, host=None, leaves=True, path=None):
+        """One request, and what this caller was told of it."""
+        kind = kind or ("sign" if self.dice.random() < 0.4 else "look")
+        host = host or self.dice.choice(self.hosts)
+        number = next(self.numbers)
+        request = f"r{self.daemon.index}-{id(self) % 9999}-{number}"
+        told = Told(request, kind, self.daemon.index, time.monotonic(),
+                    during_stop=self.daemon.stopping)
+        self.ledger.told.append(told)
+        body = b"b" * (self.dice.randrange(2000) if path is None else 10)
+        writer.write(
+            f"POST {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
+            f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        patience = 0.05 if leaves and self.dice.random() < 0.03 else 5.0
+        try:
+            told.reusable = await asyncio.wait_for(
+                self._answer(told, reader), patience)
+        except asyncio.TimeoutError:
+            told.end = "left"
+        except (asyncio.IncompleteReadError, ConnectionError):
+            told.end = "closed"
+        finally:
+            told.ended_at = time.monotonic()
+            told.calm = self.daemon.undisturbed_for() > 4
+        return told
+
+    async def _answer(self, told, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        status = int(lines[0].split(" ")[1])
+        headers = {k.lower(): v for k, v in
+                   (line.split(": ", 1) for line in lines[1:] if line)}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        told.end = status
+        told.retry_after = "retry-after" in headers
+        if status == 200:
+            self._check_success(told, headers, body)
+        return headers.get("connection", "").lower() != "close"
+
+    def _check_success(self, told, headers, body):
+        expected = target.signature(told.request, body)
+        if headers.get("response-signature") != expected:
+            self.ledger.wrong.append(f"{told.request}: a success without its signature")
+        if not body.startswith(told.request.encode() + b":"):
+            self.ledger.wrong.append(f"{told.request}: the answer of another request")
--- /dev/null
+++ b/tools/soaking/daemon.py
@@ -0,0 +1,85 @@
+"""One real daemon as a process of its own, with its settings and its log."""
+import asyncio
+import json
+import signal
+import time
+
+STOP_TIMEOUT = 6.0  # Seconds, as the settings say; then it would be killed.
+HANG = 60.0  # Seconds; only ends a run that hangs, where time isn't judged.
+
+
+class Daemon:
+    def __init__(self, binary, folder, index, network, service, zone, ports, timed):
+        self.binary, self.index = binary, index
+        self.longest_stop = STOP_TIMEOUT + 1 if timed else HANG
+        self.ip = f"127.{network}.0.{index}"
+        self.caller = (self.ip, ports["caller"])
+        self.peer = (self.ip, ports["peer"])
+        self.log = folder / f"daemon-{index}.log"
+        self.settings = folder / f"daemon-{index}.json"
+        self.settings.write_text(json.dumps({
+            "vm": f"vm-{index}", "service": service, "data_centre": zone,
+            "caller": f"{self.ip}:{ports['caller']}",
+            "peer": f"{self.ip}:{ports['peer']}",
+            "ready": f"{self.ip}:{ports['ready']}",
+            "admin": f"{self.ip}:{ports['admin']}",
+            "target": f"127.{network}.1.{index}:{ports['target']}",
+            "platform": [f"127.{network}.2.1:{ports['store']}"],
+            "memory_mb": 260, "max_descriptors": 4100,
+            "stop_timeout": f"{int(STOP_TIMEOUT * 1000)}ms",
+            "repeat_ratio": 0.2, "repeat_reserve": 47}))
+        self.process = None
+        self.disturbed_at = time.monotonic()  # Last fault of this process.
+        self.stopping = False
+        self.failures = []
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def start(self):
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                self.binary, "serve", "--settings", str(self.settings),
+                stdout=log, stderr=log)
+        self.stopping = False
+        self.note_fault()
+
+    def note_fault(self):
+        self.disturbed_at = time.monotonic()
+
+    def undisturbed_for(self):
+        return time.monotonic() - self.disturbed_at
+
+    def signal(self, number):
+        self.note_fault()
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        """A planned stop; it has to end by itself within its time."""
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        await self.awake.wait()  # A paused process doesn't hear of it before.
+        try:
+            code = await asyncio.wait_for(self.process.wait(), self.longest_stop)
+            if code != 0:
+                self.failures.append(f"daemon {self.index} ended a stop with {code}")
+        except asyncio.TimeoutError:
+            self.failures.append(f"daemon {self.index} outlived its stop")
+            await self.kill()
+        self.note_fault()
+
+    async def pause(self, seconds):
+        self.awake.clear()
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.signal(signal.SIGCONT)
+        self.awake.set()
+
+    def check_alive(self):
+        if self.process.returncode is not None and not self.stopping:
+            self.failures.append(
+                f"daemon {self.index} ended by itself: {self.process.returncode}")
--- /dev/null
+++ b/tools/soaking/faults.py
@@ -0,0 +1,193 @@
+"""What goes wrong: a plan drawn from the seed, faults in series and overlapping."""
+import asyncio
+import random
+import signal
+
+from . import callers
+
+# How long what a fault leaves behind may take to be over: an entry runs out,
+# a connection is given up, a view is read again.
+FAULT_KINDS = (
+    "kill", "stop", "stops", "pause", "hup", "delay", "reset", "silence",
+    "one_way", "refuse", "store_silent", "store_busy", "store_reset",
+    "store_slow", "store_lossy", "store_history", "config", "configs", "crash",
+    "drain", "lose_answers", "reuse", "poison")
+
+
+class Faults:
+    def __init__(self, world, seed):
+        self.world = world
+        self.dice = random.Random(seed)
+        self.tasks = set()
+        self.log = []
+
+    async def run(self, seconds):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            kind = self.dice.choice(FAULT_KINDS)
+            self.log.append((round(seconds - (end - loop.time()), 2), kind))
+            task = asyncio.create_task(getattr(self, kind)(random.Random(self.dice.random())))
+            self.tasks.add(task)
+            await asyncio.sleep(self.dice.uniform(0.2, 1.8))
+        await asyncio.gather(*self.tasks)
+
+    async def kill(self, dice):
+        daemon = dice.choice(self.world.daemons)
+        if daemon.stopping:
+            return
+        daemon.stopping = True
+        await daemon.kill()
+        await asyncio.sleep(dice.uniform(0.05, 1.0))
+        await daemon.start()
+
+    async def stop(self, dice, daemon=None):
+        daemon = daemon or dice.choice(self.world.daemons)
+        if daemon.stopping:
+            return
+        await daemon.stop()
+        await asyncio.sleep(dice.uniform(0.0, 0.5))
+        await daemon.start()
+
+    async def stops(self, dice):
+        chosen = dice.sample(self.world.daemons, k=max(2, len(self.world.daemons) // 3))
+        for daemon in chosen:
+            self.tasks.add(asyncio.create_task(self.stop(dice, daemon)))
+            await asyncio.sleep(dice.uniform(0.1, 1.0))
+
+    async def pause(self, dice):
+        daemon = dice.choice(self.world.daemons)
+        if not daemon.stopping and daemon.awake.is_set():
+            await daemon.pause(dice.uniform(0.2, 4.0))
+
+    async def hup(self, dice):
+        for daemon in dice.sample(self.world.daemons, k=2):
+            if not daemon.stopping:
+                daemon.signal(signal.SIGHUP)
+
+    async def _with_proxy(self, dice, name, value, calm):
+        proxy = dice.choice(self.world.proxies)
+        setattr(proxy, name, value)
+        self.world.disturb_links()
+        await asyncio.sleep(dice.uniform(0.3, 3.0))
+        setattr(proxy, name, calm)
+        self.world.disturb_links()
+
+    async def delay(self, dice):
+        await self._with_proxy(dice, "delay", dice.uniform(0.02, 0.4), 0.0)
+
+    async def refuse(self, dice):
+        await self._with_proxy(dice, "refuse", True, False)
+
+    async def one_way(self, dice):
+        await self._with_proxy(dice, dice.choice(["mute_in", "mute_out"]), True, False)
+
+    async def reset(self, dice):
+        dice.choice(self.world.proxies).reset_all()
+        self.world.disturb_links()
+
+    async def silence(self, dice):
+        dice.choice(self.world.proxies).silence_all()
+        self.world.disturb_links()
+
+    async def _with_store(self, dice, mode):
+        self.world.store.mode = mode
+        self.world.disturb_links()
+        await asyncio.sleep(dice.uniform(0.5, 5.0))
+        self.world.store.mode = "up"
+        self.world.disturb_links()
+
+    async def store_silent(self, dice):
+        await self._with_store(dice, "silent")
+
+    async def store_busy(self, dice):
+        await self._with_store(dice, "busy")
+
+    async def store_reset(self, dice):
+        await self._with_store(dice, "reset")
+
+    async def store_slow(self, dice):
+        await self._with_store(dice, "slow")
+
+    async def store_lossy(self, dice):
+        await self._with_store(dice, "lossy")
+
+    async def store_history(self, dice):
+        self.world.store.forget_history()
+
+    async def config(self, dice):
+        await self.world.change_config()
+
+    async def configs(self, dice):
+        for _ in range(dice.randrange(2, 8)):
+            await self.world.change_config()
+            await asyncio.sleep(dice.uniform(0.01, 0.5))
+
+    async def crash(self, dice):
+        target = dice.choice(self.world.targets)
+        if target in self.world.busy_targets:
+            return
+        self.world.busy_targets.add(target)
+        old = target.id
+        target.crash()
+        await asyncio.sleep(dice.uniform(0.1, 2.0))
+        await target.start()
+        await self.world.register(target)
+        await asyncio.sleep(2)
+        await self.world.store.remove("servers/" + old)
+        self.world.busy_targets.discard(target)
+
+    async def drain(self, dice):
+        target = dice.choice(self.world.targets)
+        if target in self.world.busy_targets:
+            return
+        self.world.busy_targets.add(target)
+        await self.world.register(target, "draining")
+        await asyncio.sleep(4)
+        await self.world.store.remove("servers/" + target.id)
+        target.crash()
+        await target.start()
+        await self.world.register(target)
+        self.world.busy_targets.discard(target)
+
+    async def reuse(self, dice):
+        """A target is gone, and its address belongs to another service."""
+        target = dice.choice(self.world.targets)
+        if target in self.world.busy_targets:
+            return
+        self.world.busy_targets.add(target)
+        old, service = target.id, target.service
+        target.crash()
+        target.service = dice.choice([s for s in self.world.services if s != service])
+        await target.start()
+        await self.world.register(target)
+        await asyncio.sleep(dice.uniform(1, 4))
+        await self.world.store.remove("servers/" + old)
+        old = target.id
+        target.crash()
+        target.service = service
+        await target.start()
+        await self.world.store.remove("servers/" + old)
+        await self.world.register(target)
+        self.world.busy_targets.discard(target)
+
+    async def poison(self, dice):
+        """One request that crashes targets comes again and again, anywhere."""
+        kind, host = dice.choice(["look", "sign"]), dice.choice(self.world.hosts)
+        path = f"/{kind}/poison-{dice.randrange(10**6)}"
+        for _ in range(25):
+            daemon = dice.choice(self.world.daemons)
+            caller = callers.Callers(daemon, self.world.ledger, dice, [host])
+            try:
+                reader, writer = await asyncio.open_connection(*daemon.caller)
+            except OSError:
+                continue
+            await caller.ask(reader, writer, kind, host, leaves=False, path=path)
+            writer.transport.abort()
+            await asyncio.sleep(dice.uniform(0.1, 0.5))
+
+    async def lose_answers(self, dice):
+        target = dice.choice(self.world.targets)
+        target.lose_answers = 0.3
+        await asyncio.sleep(dice.uniform(0.5, 3.0))
+        target.lose_answers = 0.0
--- /dev/null
+++ b/tools/soaking/target.py
@@ -0,0 +1,97 @@
+"""A stand-in of one target: runs requests for a while, records each run, and
+dies, drains and loses answers when told to."""
+import asyncio
+import hashlib
+import random
+import time
+
+
+def signature(request_id: str, body: bytes) -> str:
+    return hashlib.sha256(request_id.encode() + body).hexdigest()
+
+
+class Target:
+    def __init__(self, ip, port, service, zone, dice: random.Random, runs, on_poison):
+        self.ip, self.port, self.service, self.zone = ip, port, service, zone
+        self.dice = dice
+        self.runs = runs  # By request id: list of (target id, when it began).
+        self.on_poison = on_poison  # Called with this target and the path.
+        self.slots = 8
+        self.starts = 0
+        self.id = ""
+        self.left_at = None  # When it said that it leaves.
+        self.lose_answers = 0.0
+        self.running = 0
+        self.server = None
+        self.writers = set()
+
+    def entry(self, state="ready"):
+        return {"service": self.service, "address": f"{self.ip}:{self.port}",
+                "info": {"service": self.service, "zone": self.zone,
+                         "version": "v1", "slots": self.slots},
+                "status": {"state": state, "sequence": 1, "warmup-left": "0ms"}}
+
+    async def start(self):
+        self.starts += 1
+        self.id = f"i-{self.ip.rsplit('.', 1)[1]}-{self.starts}"
+        self.left_at = None
+        self.server = await asyncio.start_server(
+            self._serve, self.ip, self.port, backlog=512)
+
+    def crash(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.running = 0
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        start = self.id
+        try:
+            while start == self.id:
+                head = await reader.readuntil(b"\r\n\r\n")
+                headers = dict(
+                    line.split(": ", 1)
+                    for line in head.decode().split("\r\n")[1:] if line)
+                headers = {k.lower(): v for k, v in headers.items()}
+                path = head.split(b" ", 2)[1].decode()
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                await self._run(headers, path, writer, start)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            pass  # The end of the soak.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _run(self, headers, path, writer, start):
+        request = headers["request-id"]
+        if headers.get("expected-instance") not in (None, self.id):
+            self._send(writer, 421, request, b"", "Not-Executed: 1\r\n")
+            return
+        if self.running >= self.slots + 4:
+            self._send(writer, 503, request, b"", "Not-Executed: 1\r\n")
+            return
+        self.runs.setdefault(request, []).append((self.id, time.monotonic()))
+        if "poison" in path:
+            asyncio.get_running_loop().create_task(self.on_poison(self, path))
+            return
+        self.running += 1
+        try:
+            await asyncio.sleep(self.dice.uniform(0.01, 0.12))
+        finally:
+            self.running = max(0, self.running - 1)
+        if start != self.id:
+            return
+        if self.dice.random() < self.lose_answers:
+            writer.transport.abort()
+            return
+        body = (request + ":" + self.id + ":").encode() + b"x" * self.dice.randrange(3000)
+        self._send(writer, 200, request, body,
+                   f"Response-Signature: {signature(request, body)}\r\n")
+        await writer.drain()
+
+    def _send(self, writer, status, request, body, extra):
+        writer.write(f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\n{extra}"
+                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
