Servers open their sockets by one function; members that nothing used are gone

Cause: the callers' port, the daemons' port and the HTTP server opened their listening sockets by the same five lines, and told their address by the same two. executor and peer_server kept a context that only their constructors need.

Ruled out: a base class of servers (their connections have nothing in common).

Change: Listen() and LocalEndpoint() in src/net/tcp_listener. Formatting of one test.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -7,13 +7,13 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "include/config/settings.h"
 #include "include/forward/service_view.h"
 #include "src/forward/caller_session.h"
 #include "src/forward/origin.h"
+#include "src/net/tcp_listener.h"
 
 namespace pistachioweir {
 
@@ -33,16 +33,10 @@
                 const caller_server_options& options,
                 origin& calls)
       : options_(options),
-        acceptor_(context),
+        acceptor_(Listen(context, options.address)),
         state_(std::make_shared<caller_port_state>(
             caller_port_state{.calls = calls,
                               .max_held_bytes = options.max_held_bytes})) {
-    const tcp::endpoint local(boost::asio::ip::make_address(options.address.ip),
-                              options.address.port);
-    acceptor_.open(local.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(local);
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     Accept();
   }
 
@@ -66,10 +60,7 @@
   }
 
   // Where it listens; with port 0 in the options, the port that was given.
-  [[nodiscard]] endpoint address() const {
-    const tcp::endpoint local = acceptor_.local_endpoint();
-    return {.ip = local.address().to_string(), .port = local.port()};
-  }
+  [[nodiscard]] endpoint address() const { return LocalEndpoint(acceptor_); }
 
   [[nodiscard]] const caller_port_state& state() const { return *state_; }
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -76,8 +76,7 @@
                    target_runner run,
                    call_log& log,
                    incarnation_id self)
-    : context_(context),
-      run_(std::move(run)),
+    : run_(std::move(run)),
       log_(log),
       wakeup_(context),
       // What a run takes includes the calls that the target makes meanwhile, so
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -158,7 +158,6 @@
   void TellTargetDied(time_point now);
   [[nodiscard]] bool TargetDown(time_point now) const;
 
-  boost::asio::io_context& context_;
   const target_runner run_;
   call_log& log_;
   boost::asio::steady_timer wakeup_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 
+#include "src/net/tcp_listener.h"
 #include "src/net/worker_pool.h"
 
 namespace pistachioweir {
@@ -83,7 +84,8 @@
 // Apart from the state that sessions share: a session may be the last to go, on
 // another worker than the socket's, whose io_context may be gone by then.
 struct http_server::listener {
-  explicit listener(worker_pool& workers) : acceptor(workers.context(0)) {}
+  listener(worker_pool& workers, const endpoint& address)
+      : acceptor(Listen(workers.context(0), address)) {}
 
   tcp::acceptor acceptor;
 };
@@ -281,14 +283,7 @@
 
 http_server::http_server(worker_pool& workers, http_server_options options)
     : state_(std::make_shared<state>(workers, std::move(options))),
-      listener_(std::make_shared<listener>(workers)) {
-  const endpoint& address = state_->options.address;
-  const tcp::endpoint local(asio::ip::make_address(address.ip), address.port);
-  tcp::acceptor& acceptor = listener_->acceptor;
-  acceptor.open(local.protocol());
-  acceptor.set_option(tcp::acceptor::reuse_address(true));
-  acceptor.bind(local);
-  acceptor.listen(asio::socket_base::max_listen_connections);
+      listener_(std::make_shared<listener>(workers, state_->options.address)) {
   Accept(state_, listener_);
 }
 
@@ -336,8 +331,7 @@
 }
 
 endpoint http_server::address() const {
-  const tcp::endpoint local = listener_->acceptor.local_endpoint();
-  return {.ip = local.address().to_string(), .port = local.port()};
+  return LocalEndpoint(listener_->acceptor);
 }
 
 std::size_t http_server::connections() const {
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -3,13 +3,11 @@
 
 #include <utility>
 
-#include <boost/asio/ip/address.hpp>
-#include <boost/asio/socket_base.hpp>
-
 #include <string>
 
 #include "include/base/log.h"
 #include "src/forward/executor.h"
+#include "src/net/tcp_listener.h"
 #include "src/net/tcp_options.h"
 
 namespace pistachioweir {
@@ -131,16 +129,9 @@
 peer_server::peer_server(boost::asio::io_context& context,
                          peer_server_options options,
                          executor& calls)
-    : context_(context),
-      options_(std::move(options)),
+    : options_(std::move(options)),
       calls_(calls),
-      acceptor_(context) {
-  const tcp::endpoint local(boost::asio::ip::make_address(options_.address.ip),
-                            options_.address.port);
-  acceptor_.open(local.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(local);
-  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+      acceptor_(Listen(context, options_.address)) {
   Accept();
 }
 
@@ -167,8 +158,7 @@
 }
 
 endpoint peer_server::address() const {
-  const tcp::endpoint local = acceptor_.local_endpoint();
-  return {.ip = local.address().to_string(), .port = local.port()};
+  return LocalEndpoint(acceptor_);
 }
 
 peer_server::session* peer_server::Find(incarnation_id sender) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -64,7 +64,6 @@
   void SendRefusal(session& to, std::uint64_t number);
   [[nodiscard]] session* Find(incarnation_id sender);
 
-  boost::asio::io_context& context_;
   const peer_server_options options_;
   executor& calls_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/waste_guard_test.cc
+++ b/tests/waste_guard_test.cc
@@ -134,8 +134,8 @@
 }
 
 // An answer in four is lost between a target and the services that it calls,
-// which have room. To let in less would refuse callers and save nobody: as large
-// a part of the rest would fail.
+// which have room. To let in less would refuse callers and save nobody: as
+// large a part of the rest would fail.
 TEST(WasteGuardTest, FailuresWithRoomBelowAreNoReason) {
   waste_guard guard(2);
   time_point now = kStart;
