What completes at other targets is not refused for crashes of one

The daemon beside a target takes what it has completed lately for no suspect; the daemons beside callers, which refuse too, knew nothing of completions. A target that goes down and up by turns and never answers such a lookup would have had it refused everywhere for a minute, though other targets answer it all the time.

Ruled out: leaving the refusal to daemons beside targets alone; a request that crashes targets comes at any daemon, and those beside one service's targets don't hear of each other.

Figures: WhatCompletesAtOtherTargetsIsNotRefused (new) plays it; the path test of a request that crashes its target twice passes as before.

--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -27,8 +27,9 @@
 //
 // Where many requests of callers are alike, all of them would share the
 // fingerprint of one that was in progress by chance, and two crashes would
-// refuse a whole kind of work. What has completed lately is therefore no
-// suspect.
+// refuse a whole kind of work. So what has completed lately is no suspect and
+// is not refused; daemons beside callers know that of all targets, those beside
+// targets of their own.
 //
 // Pure logic; the owner has one for its target.
 class crash_suspects {
@@ -53,6 +54,8 @@
   void OnAnswered(const request_fingerprint& request,
                   time_point began,
                   time_point now);
+  // A request of a caller here has completed, at whatever target.
+  void OnCompleted(const request_fingerprint& request, time_point now);
   // The target is dead. Returns what other daemons should know, if anything.
   [[nodiscard]] std::vector<quarantine_entry> OnDied(time_point now);
   // What another daemon told.
@@ -65,7 +68,9 @@
   // How long the request is refused; zero if it isn't.
   [[nodiscard]] milliseconds Refused(const request_fingerprint& request,
                                      time_point now) const {
-    return quarantine_.Remaining(request, now);
+    return HasCompletedLately(request, now)
+               ? milliseconds(0)
+               : quarantine_.Remaining(request, now);
   }
 
  private:
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -122,6 +122,13 @@
              milliseconds(0);
 }
 
+void executor::NoteCompleted(const std::string& caller_service,
+                             const std::string& route,
+                             const relayed_request& request,
+                             time_point now) {
+  suspects_.OnCompleted(FingerprintOf(caller_service, route, request), now);
+}
+
 void executor::TellTargetDied(time_point now) {
   std::vector<quarantine_entry> told = suspects_.OnDied(now);
   if (told.empty()) {
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -80,6 +80,11 @@
                                    const std::string& route,
                                    const relayed_request& request,
                                    time_point now) const;
+  // A request of a caller here has been answered by its target.
+  void NoteCompleted(const std::string& caller_service,
+                     const std::string& route,
+                     const relayed_request& request,
+                     time_point now);
   // Once a second.
   void Tick(time_point now) { suspects_.Expire(now); }
 
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -353,6 +353,8 @@
     return;
   }
   if (told.kind == outcome_kind::kCompleted) {
+    local_.NoteCompleted(options_.service, call->matched->name,
+                         call->call.request, now);
     Finish(id, {.kind = outcome_kind::kCompleted,
                 .response = std::move(told.response)});
     return;
--- a/src/quarantine/crash_suspects.cc
+++ b/src/quarantine/crash_suspects.cc
@@ -20,6 +20,11 @@
                                 time_point now) {
   std::erase_if(cut_,
                 [began](const cut_run& each) { return each.cut < began; });
+  OnCompleted(request, now);
+}
+
+void crash_suspects::OnCompleted(const request_fingerprint& request,
+                                 time_point now) {
   completed_[request.low % kCompletedPlaces] = {.request = request, .at = now};
   quarantine_.OnCompleted(request);
 }
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -88,6 +88,27 @@
   EXPECT_TRUE(told_.empty());
 }
 
+// A target that has just started goes down and up by turns, and never gets to
+// answer one of the lookups that all ask for the same thing. Other targets
+// answer thousands of them. If two such deaths counted, every daemon would
+// refuse that lookup for a minute.
+TEST_F(crash_suspects_test, WhatCompletesAtOtherTargetsIsNotRefused) {
+  crash_suspects flapping(incarnation_id{1});
+  crash_suspects beside_callers(incarnation_id{2});
+  for (int i = 0; i < 2; ++i) {
+    Crash(flapping, kBad);
+    beside_callers.OnCompleted(kBad, now_ - milliseconds(20));
+    beside_callers.Import(told_, now_);
+  }
+  EXPECT_TRUE(Refuses(flapping, kBad));
+  EXPECT_FALSE(Refuses(beside_callers, kBad));
+  // The first one is told before anything has completed, the second after.
+  crash_suspects fresh(incarnation_id{3});
+  fresh.Import(told_, now_);
+  fresh.OnCompleted(kBad, now_ + milliseconds(1));
+  EXPECT_FALSE(Refuses(fresh, kBad));
+}
+
 // Hundreds of requests are in progress when a target dies. Telling of all of
 // them at each crash would be the larger part of what daemons send.
 TEST_F(crash_suspects_test, TellsOfTheNewestOnly) {
