Daemons tell the new layout of their frames by its version

Cause, found in reading: answers have one field more, and the version that the first frames of a connection carry was left as it was. In a rolling upgrade an older daemon would have taken each answer for nonsense, ended the connection, asked again and got the same answer, until the calls' deadlines.

Ruled out: reading answers with either number of fields; nothing is deployed that would need it.

Change: the version is 2. A daemon of another version is refused at the first frame, so that it counts as unreachable and other targets are taken.

Figures: peer_link_test passes; no test mixes versions yet.

--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -40,7 +40,7 @@
      "leaving", "suspects"});
 
 // Frames of another version are refused: the connection ends.
-inline constexpr std::uint32_t kPeerProtocolVersion = 1;
+inline constexpr std::uint32_t kPeerProtocolVersion = 2;
 inline constexpr std::size_t kFrameHeadBytes = 5;
 
 struct hello_frame {
