--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -31,13 +31,13 @@
     """All that callers were told, and what was wrong with answers themselves."""
     told: list = field(default_factory=list)
     wrong: list = field(default_factory=list)
+    numbers: itertools.count = field(default_factory=itertools.count)
 
 
 class Callers:
     def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts):
         self.daemon, self.ledger, self.dice = daemon, ledger, dice
         self.hosts = hosts
-        self.numbers = itertools.count()
         self.ended = False
 
     async def run(self, workers):
@@ -66,8 +66,8 @@
         """One request, and what this caller was told of it."""
         kind = kind or ("sign" if self.dice.random() < 0.4 else "look")
         host = host or self.dice.choice(self.hosts)
-        number = next(self.numbers)
-        request = f"r{self.daemon.index}-{id(self) % 9999}-{number}"
+        number = next(self.ledger.numbers)
+        request = f"r{self.daemon.index}-{number}"
         told = Told(request, kind, self.daemon.index, time.monotonic(),
                     during_stop=self.daemon.stopping)
         self.ledger.told.append(told)
