The soak with 60 daemons, and what it found

Cause: runs with 60 daemons ended in the harness (a condition that was cancelled, checks one after the other) and had no verdict.

--- a/tools/soaking/platform_store.py
+++ b/tools/soaking/platform_store.py
@@ -15,31 +15,30 @@
         self.revision = 1
         self.items = {}  # By key: (value, created, revision).
         self.events = []
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # Set, and replaced, at each change.
         # up, silent (no answers), busy (503), reset, slow, lossy (some answers
         # are lost, and nothing more comes on their connections).
         self.mode = "up"
 
     async def put(self, key, value):
-        async with self.changed:
-            self.revision += 1
-            created = self.items[key][1] if key in self.items else self.revision
-            self.items[key] = (json.dumps(value), created, self.revision)
-            self._tell(self._item(key))
+        self.revision += 1
+        created = self.items[key][1] if key in self.items else self.revision
+        self.items[key] = (json.dumps(value), created, self.revision)
+        self._tell(self._item(key))
 
     async def remove(self, key):
-        async with self.changed:
-            if self.items.pop(key, None) is None:
-                return
-            self.revision += 1
-            self._tell({"key": key, "revision": self.revision, "removed": True})
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._tell({"key": key, "revision": self.revision, "removed": True})
 
     def forget_history(self):
         self.events.clear()
 
     def _tell(self, event):
         self.events = (self.events + [event])[-HISTORY:]
-        self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _item(self, key):
         value, created, revision = self.items[key]
@@ -63,13 +62,12 @@
         oldest = self.events[0]["revision"] if self.events else self.revision + 1
         if after + 1 < oldest and after < self.revision:
             return 410, {}
-        try:
-            async with self.changed:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: self.revision > after),
-                    int(query["wait-ms"]) / 1000)
-        except asyncio.TimeoutError:
-            pass
+        if self.revision <= after:
+            try:
+                await asyncio.wait_for(self.changed.wait(),
+                                       int(query["wait-ms"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
         events = [e for e in self.events if e["revision"] > after]
         return 200, {"events": events, "store-revision": self.revision}
 
