The list of the soak's faults has a comment of its own

Cause: it carried a sentence about times that were moved elsewhere, and didn't say that its words are the methods which play them.

Change: the comment.

--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -5,8 +5,7 @@
 
 from . import callers
 
-# How long what a fault leaves behind may take to be over: an entry runs out,
-# a connection is given up, a view is read again.
+# Names of the methods below; which of them comes next is drawn from the seed.
 FAULT_KINDS = (
     "kill", "stop", "stops", "pause", "hup", "delay", "reset", "silence",
     "one_way", "refuse", "store_silent", "store_busy", "store_reset",
