A daemon's part of the repeat reserve follows the list of daemons

Cause: origin::StateOf fixed a service's part of the reserve by the number of daemons known when the service was first called. While targets register one by one that is 1 or 2, so each of 16 daemons kept up to half of the whole reserve for good. Ruled out: the ratio's part (its sums over the daemons hold), repeats of calls below repeated requests (requests are not repeated while calls fail often). Change: reserve_share gives the part by the longest list of the budget's window, none in the first two seconds of a start, while entries may still come back; origin applies it to all services at each view and each second. A part below one counts as a fraction: the least of one each was more than the reserve on large fleets.

--- a/include/retry/repeat_budget.h
+++ b/include/retry/repeat_budget.h
@@ -15,8 +15,9 @@
   milliseconds window{10000};
   // Repeats that each request of the window allows.
   double ratio = 0.05;
-  // Repeats that the window allows whatever the requests.
-  std::uint32_t reserve = 1;
+  // Repeats that the window allows whatever the requests. One daemon's part of
+  // what all share may be less than one.
+  double reserve = 1;
 };
 
 // Made for a service that fails for everybody at once: each request then wants
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -26,9 +26,6 @@
 constexpr milliseconds kDefaultTimeout{30000};
 // When to come back if nothing tells better.
 constexpr milliseconds kDefaultRetryAfter{200};
-// The reserve of the repeat budget is for all daemons together. Each takes its
-// part of half of it: a restarted daemon has forgotten what it spent.
-constexpr double kReserveShare = 0.5;
 
 std::string Text(std::uint64_t number) {
   return std::to_string(number);
@@ -59,7 +56,8 @@
     : context_(context),
       options_(std::move(options)),
       local_(local),
-      log_(log) {}
+      log_(log),
+      reserve_share_(options_.repeat_window) {}
 
 origin::~origin() {
   for (const auto& [ip, link] : links_) {
@@ -85,7 +83,8 @@
          .warm_up_left = target.warm_up_left,
          .slots = target.slots});
   }
-  daemons_ = std::max<std::size_t>(1, ips.size());
+  reserve_share_.NoteDaemons(ips.size(), now);
+  ShareReserve(now);
   for (auto& [service, state] : services_) {
     by_service.try_emplace(service);
   }
@@ -100,22 +99,30 @@
   if (found != services_.end()) {
     return found->second;
   }
-  const double reserve =
-      kReserveShare * options_.repeat_reserve / static_cast<double>(daemons_);
   return services_
-      .try_emplace(
-          service,
-          balancer_options{.data_centre = options_.data_centre,
-                           .policy = placement_policy::kExpectedEnd,
-                           .methods = kind_index::kMost,
-                           .max_tries = kMaxSends},
-          repeat_budget_options{
-              .window = options_.repeat_window,
-              .ratio = options_.repeat_ratio,
-              .reserve = std::max(1U, static_cast<std::uint32_t>(reserve))})
+      .try_emplace(service,
+                   balancer_options{.data_centre = options_.data_centre,
+                                    .policy = placement_policy::kExpectedEnd,
+                                    .methods = kind_index::kMost,
+                                    .max_tries = kMaxSends},
+                   RepeatOptions(monotonic_clock::now()))
       .first->second;
 }
 
+repeat_budget_options origin::RepeatOptions(time_point now) {
+  return {.window = options_.repeat_window,
+          .ratio = options_.repeat_ratio,
+          .reserve = options_.repeat_reserve * reserve_share_.Part(now)};
+}
+
+// The part changes with the list of daemons, and with time after that.
+void origin::ShareReserve(time_point now) {
+  const repeat_budget_options repeating = RepeatOptions(now);
+  for (auto& [service, state] : services_) {
+    state.repeats.Configure(repeating);
+  }
+}
+
 const target_entry* origin::FindTarget(std::string_view id) const {
   const auto found = targets_by_id_.find(std::string(id));
   return found == targets_by_id_.end() ? nullptr
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -18,6 +18,7 @@
 #include "include/config/settings.h"
 #include "include/forward/service_view.h"
 #include "include/retry/repeat_budget.h"
+#include "include/retry/reserve_share.h"
 #include "include/route/balancer.h"
 #include "include/route/kind_index.h"
 #include "include/route/weighted_split.h"
@@ -143,6 +144,8 @@
   [[nodiscard]] relayed_result Failure(const placed_call& call) const;
 
   service_state& StateOf(const std::string& service);
+  [[nodiscard]] repeat_budget_options RepeatOptions(time_point now);
+  void ShareReserve(time_point now);
   [[nodiscard]] const target_entry* FindTarget(std::string_view id) const;
   [[nodiscard]] std::shared_ptr<peer_link> LinkTo(const std::string& ip);
   [[nodiscard]] peer_link_events EventsOf(const std::string& ip);
@@ -157,8 +160,8 @@
 
   std::shared_ptr<const service_view> view_;
   std::unordered_map<std::string, std::size_t> targets_by_id_;  // In view_.
-  std::size_t daemons_ = 1;  // That the view shows.
   std::unordered_map<std::string, service_state> services_;
+  reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP number.
   const std::shared_ptr<std::uint64_t> last_number_ =
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -87,6 +87,7 @@
 }
 
 void origin::Tick(time_point now) {
+  ShareReserve(now);
   for (auto place = links_.begin(); place != links_.end();) {
     const bool unused = place->second->outstanding() == 0 &&
                         now - place->second->last_used() > kLinkIdle;
