Entries of other writers name no target, and starts under one id are told apart

And the start of a target was told by its id alone, which it may now keep. Ruled out: deep nesting and bytes that are no text (the reader refuses them already).

--- a/include/forward/service_view.h
+++ b/include/forward/service_view.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "include/base/enum_table.h"
+#include "include/base/ids.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/route/route_table.h"
@@ -25,7 +26,10 @@
 
 // One start of one target, as it registered itself.
 struct target_entry {
-  std::string id;  // New at each start.
+  std::string id;
+  // Tells starts under one id apart: a target that starts again may keep its
+  // id, and then holds and knows nothing of before. Zero if it wasn't told.
+  incarnation_id start{};
   std::string service;
   endpoint address;
   std::string data_centre;
@@ -46,6 +50,12 @@
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
+// Names the start in logs, and where starts are compared.
+[[nodiscard]] inline std::string StartName(const target_entry& target) {
+  return target.id + "@" +
+         std::to_string(static_cast<std::uint64_t>(target.start));
+}
+
 struct service_entry {
   // Connections that one target accepts from all callers together; zero if not
   // told.
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -98,11 +98,11 @@
   CarryEvents();
 }
 
-void executor::SetTargetStart(const std::string& id) {
-  if (id == target_start_) {
+void executor::SetTargetStart(const std::string& start) {
+  if (start == target_start_) {
     return;
   }
-  if (!std::exchange(target_start_, id).empty()) {
+  if (!std::exchange(target_start_, start).empty()) {
     TellTargetDied(monotonic_clock::now());
   }
 }
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -66,7 +66,7 @@
   void SetSlots(std::uint32_t slots);
   // The start of the target that is registered beside the daemon. Another one
   // than before means that the one before has ended.
-  void SetTargetStart(const std::string& id);
+  void SetTargetStart(const std::string& start);
 
   void OnSuspects(suspects_listener listener) {
     on_suspects_ = std::move(listener);
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -202,7 +202,7 @@
     for (const target_entry& target : view->targets) {
       if (target.address == settings_.target) {
         executor_.SetSlots(target.slots);
-        executor_.SetTargetStart(target.id);
+        executor_.SetTargetStart(StartName(target));
       }
     }
     const bool usable = view->config != nullptr;
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -78,6 +78,7 @@
     by_service[target.service].push_back(
         {.vm = target.id,
          .data_centre = target.data_centre,
+         .incarnation = target.start,
          .leaving = target.state == target_state::kLeaving,
          .cold = target.warm_up_left > milliseconds(0),
          .warm_up_left = target.warm_up_left,
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -98,6 +98,50 @@
                    .has_value());
 }
 
+// Somebody else writes among the targets' entries. Fields are missing or of
+// another type, the state is unknown. Taken for a target, such an entry would
+// get callers' requests.
+TEST(DocumentDecoderTest, RefusesEntriesOfOtherWriters) {
+  const std::string good = Target("10.0.0.1:80");
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    const std::size_t at = text.find(from);
+    EXPECT_NE(at, text.npos) << from;
+    return text.replace(at, from.size(), to);
+  };
+  const std::string bad[] = {
+      with("\"ready\"", "\"resting\""),
+      with("\"ready\"", "7"),
+      with("\"500ms\"", "500"),
+      with(",\"warmup-left\":\"500ms\"", ""),
+      with("\"zone\":\"waw-a\",", ""),
+      with("\"waw-a\"", "[]"),
+      with("43", "\"43\""),
+      with("43", "-1"),
+      with("\"registry\"", "{}"),
+      with("\"10.0.0.1:80\"", "80"),
+      with("{\"address\"", "{\"born\":1.5,\"address\""),
+      with("{\"address\"", "{\"born\":\"1764729600000\",\"address\""),
+      "\xff\xfe\x00",
+      std::string(5000, '['),
+  };
+  for (const std::string& text : bad) {
+    std::string problem;
+    EXPECT_FALSE(DecodeTarget("i-1", text, &problem).has_value()) << text;
+    EXPECT_FALSE(problem.empty()) << text;
+  }
+}
+
+TEST(DocumentDecoderTest, ReadsTheStartOfATarget) {
+  std::string problem;
+  std::string text = Target("10.0.0.1:80");
+  text.insert(1, "\"born\":1764729600123,");
+  const auto entry = DecodeTarget("i-1", text, &problem);
+  ASSERT_TRUE(entry.has_value()) << problem;
+  EXPECT_EQ(entry->start, incarnation_id{1764729600123});
+  EXPECT_EQ(StartName(*entry), "i-1@1764729600123");
+}
+
 TEST(DocumentDecoderTest, ReadsBase64) {
   EXPECT_EQ(DecodeBase64("bm9kZS0x"), "node-1");
   EXPECT_EQ(DecodeBase64("bm9kZQ=="), "node");
@@ -209,5 +253,49 @@
   ASSERT_EQ(view->targets.size(), 2U);
 }
 
+// Somebody registers a service that nobody configured at the address of a live
+// target. The live one must go on getting its calls.
+TEST_F(view_builder_test, AnUnnamedServiceTakesNobodysAddress) {
+  PutConfig("r1", 5);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  std::string foreign = Target("10.0.0.1:80");
+  foreign.replace(foreign.find("registry"), 8, "strangers");
+  builder_.Put("servers/x-1", foreign, 7, 7);
+  const auto view = builder_.TakeChanged();
+  ASSERT_EQ(view->targets.size(), 1U);
+  EXPECT_EQ(view->targets[0].id, "i-1");
+}
+
+// What was a target's entry is overwritten with something that names none. Sent
+// on by the old entry, requests would reach whoever is there now.
+TEST_F(view_builder_test, AnEntryThatTurnsUnusableNamesNoTarget) {
+  PutConfig("r1", 5);
+  PutTarget("i-1", "10.0.0.1:80", 6);
+  PutTarget("i-2", "10.0.0.2:80", 7);
+  builder_.TakeChanged();
+  builder_.Put("servers/i-1", "\xff", 6, 8);
+  const auto view = builder_.TakeChanged();
+  ASSERT_NE(view, nullptr);
+  ASSERT_EQ(view->targets.size(), 1U);
+  EXPECT_EQ(view->targets[0].id, "i-2");
+}
+
+// A target starts again and keeps its id. The view must change with it, or
+// daemons would go on with what they knew of the earlier start.
+TEST_F(view_builder_test, AnotherStartUnderTheSameIdIsAChange) {
+  PutConfig("r1", 5);
+  const auto put = [&](const std::string& born, std::uint64_t revision) {
+    std::string text = Target("10.0.0.1:80");
+    builder_.Put("servers/i-1", text.insert(1, "\"born\":" + born + ","), 6,
+                 revision);
+  };
+  put("1000", 6);
+  const auto before = builder_.TakeChanged();
+  put("2000", 9);
+  const auto after = builder_.TakeChanged();
+  ASSERT_NE(after, nullptr);
+  EXPECT_NE(StartName(before->targets[0]), StartName(after->targets[0]));
+}
+
 }  // namespace
 }  // namespace pistachioweir::platform
