--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -16,7 +16,9 @@
 // daemon beside the target says that it can't read the store and that the
 // target answers it. The word is a lease: it ends when it isn't renewed, when
 // the daemon takes it back, when the target is listed again or another one is
-// listed at its address.
+// listed at its address (guard ADDRESS_FREE in spec/lapsed_targets.pml). A word
+// for another start of the target keeps nothing (guard SAME_START in
+// spec/lapsed_targets.pml).
 //
 // With six of 16 VMs cut off from the store for 12 s, all targets of one
 // service ran out after 5.5 s, and 6,869 calls found no target.
--- a/include/forward/target_vouching.h
+++ b/include/forward/target_vouching.h
@@ -18,9 +18,10 @@
 // that flow anyway.
 //
 // It must not speak for a target that has left. While it reads the store it
-// never does: what vanishes then has left. A target that leaves while its
-// daemon is turned away by the store ends its connections behind its answers,
-// and an ended one doesn't answer.
+// never does: what vanishes then has left (guard STORE_LOST in
+// spec/lapsed_targets.pml). A target that leaves while its daemon is turned
+// away by the store ends its connections behind its answers, and an ended one
+// doesn't answer (guard STAYING in spec/lapsed_targets.pml).
 //
 // Pure logic; the executor keeps one.
 class target_vouching {
