--- a/include/retry/repeat_budget.h
+++ b/include/retry/repeat_budget.h
@@ -36,10 +36,6 @@
   // Counts a repeat. False if there is no room for it: it must not be sent.
   [[nodiscard]] bool TrySpend(time_point now);
 
-  // Counts a repeat that was decided elsewhere: the call of a run that is
-  // itself a repeat.
-  void Count(time_point now);
-
   void Configure(const repeat_budget_options& options) { options_ = options; }
   [[nodiscard]] std::size_t spent(time_point now);
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -338,26 +338,11 @@
                  .caller_service = served.call.caller_service,
                  .repeats = served.call.repeats,
                  .deadline = served.deadline};
-  runs_by_request_.insert_or_assign(served.call.request_id, id);
   served.give_up = run_(std::move(run), [this, id](run_result result) {
     OnRunEnd(id, std::move(result));
   });
 }
 
-const call_frame* executor::ParentOf(const std::string& request_id) const {
-  // Calls of one request that are served here as well stand between the two.
-  constexpr int kMostLooks = 8;
-  auto place = runs_by_request_.lower_bound(request_id);
-  for (int i = 0; i < kMostLooks && place != runs_by_request_.begin(); ++i) {
-    --place;
-    if (request_id.starts_with(place->first)) {
-      const auto found = calls_.find(place->second);
-      return found == calls_.end() ? nullptr : &found->second.call;
-    }
-  }
-  return nullptr;
-}
-
 void executor::NoteTarget(const run_result& result, time_point now) {
   if (result.end != run_end::kNotSent || !result.refused) {
     return;
@@ -386,7 +371,6 @@
     return;
   }
   served_call& served = found->second;
-  runs_by_request_.erase(served.call.request_id);
   const bool answered = result.end == run_end::kAnswered;
   admission_.Finish(served.admitted,
                     {.answered = answered,
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,7 +24,6 @@
 #include "include/forward/view_state.h"
 #include "include/quarantine/crash_suspects.h"
 #include "include/retry/failures_below.h"
-#include "include/retry/parent_match.h"
 #include "include/route/caller_mix.h"
 #include "include/route/kind_index.h"
 #include "src/forward/target_run.h"
@@ -109,17 +107,10 @@
                       double pressure,
                       time_point now);
 
-  // A call that the target made has ended; `has_parent` if the request that it
-  // was made for was found.
-  void NoteCallOfTarget(bool failed, bool has_parent, time_point now) {
+  // A call that the target made has ended.
+  void NoteCallOfTarget(bool failed, time_point now) {
     below_.Add(failed, now);
-    parents_.Add(has_parent);
   }
-  // Whether the requests that run here can be told from their calls' ids.
-  [[nodiscard]] bool KnowsParents() const { return parents_.IsSure(); }
-  // The request that runs here and makes the call of this id; nullptr if there
-  // is none.
-  [[nodiscard]] const call_frame* ParentOf(const std::string& request_id) const;
 
   // The caller has gone. A call that waits ends, one that may run again is
   // stopped at the target. One that may run only once goes on to its end: half
@@ -195,9 +186,6 @@
   std::array<kind_state, kind_index::kMost> by_kind_;
   std::unordered_map<std::string, downstream_service> downstream_;
   failures_below below_;
-  parent_match parents_;
-  // Calls at the target, by the ids of their requests.
-  std::map<std::string, std::uint64_t> runs_by_request_;
   call_map calls_;
   std::uint64_t next_id_ = 1;
   time_point target_down_until_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -156,9 +156,7 @@
         .own_target = settings.target,
         .peer_port = settings.peer.port,
         .self = incarnation_,
-        .repeat_ratio = settings.repeat_ratio,
-        .share_of_level = kShareOfLevel,
-        .share_with_parents = kShareWithParents,
+        .repeat_ratio = settings.repeat_ratio * kRatioShare,
         .repeat_reserve = settings.repeat_reserve,
         .repeat_window = settings.repeat_window,
         .on_suspects =
@@ -174,12 +172,7 @@
   // repeats those calls too, and they count there: with as many calls a request
   // as the called service gets of it, each level adds its own part. Two levels
   // and a reserve for daemons that restart and forget what they spent.
-  static constexpr double kShareOfLevel = 0.4;
-  // Where calls made by repeats are told from others, they are counted. What is
-  // left over is for those that are not recognised and for what a restart
-  // forgets: at 0.85 one of four heavy days had 804 repeats in ten seconds
-  // where 788 were allowed.
-  static constexpr double kShareWithParents = 0.7;
+  static constexpr double kRatioShare = 0.4;
 
   http_server_options ReadyOptions() {
     return {.address = settings_.ready,
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -125,9 +125,7 @@
 
 repeat_budget_options origin::RepeatOptions(time_point now) {
   return {.window = options_.repeat_window,
-          .ratio = options_.repeat_ratio * (local_.KnowsParents()
-                                                ? options_.share_with_parents
-                                                : options_.share_of_level),
+          .ratio = options_.repeat_ratio,
           .reserve = options_.repeat_reserve * reserve_share_.Part(now)};
 }
 
@@ -183,13 +181,6 @@
   placed->service = std::string(split->second.Next(matched.parts));
   service_state& state = StateOf(placed->service);
   state.repeats.OnRequest(placed->call.received);
-  if (const call_frame* const parent = local_.ParentOf(name)) {
-    placed->has_parent = true;
-    placed->parent_repeated = parent->repeated;
-  }
-  if (placed->parent_repeated) {
-    state.repeats.Count(placed->call.received);
-  }
 
   milliseconds timeout = placed->call.caller_timeout;
   if (timeout == milliseconds(0) ||
@@ -271,7 +262,6 @@
           .rank = call.matched->rank,
           .ticket = call.placing.ticket,
           .repeats = call.matched->repeats,
-          .repeated = call.reached > 0 || call.parent_repeated,
           .remaining = TimeLeft(call.deadline, now),
           .objective_left = std::max(milliseconds(0),
                                      call.matched->latency_objective - waited),
@@ -497,7 +487,7 @@
   if (call->by_target) {
     local_.NoteCallOfTarget(result.kind != outcome_kind::kCompleted ||
                                 IsServerError(result.response.status),
-                            call->has_parent, monotonic_clock::now());
+                            monotonic_clock::now());
   }
   ++(result.kind == outcome_kind::kCompleted     ? counters_.completed
      : result.kind == outcome_kind::kNotExecuted ? counters_.not_executed
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -41,10 +41,6 @@
   incarnation_id self{};
   // Of all daemons together, for each called service and window.
   double repeat_ratio = 0.1;
-  // Part of the ratio that one level of a chain uses where it can't be told
-  // which calls are made by repeats, and where it can.
-  double share_of_level = 1;
-  double share_with_parents = 1;
   std::uint32_t repeat_reserve = 10;
   milliseconds repeat_window{10000};
   std::function<void(const suspects_frame&)> on_suspects;
@@ -123,10 +119,8 @@
 
     std::uint32_t reached = 0;  // Sends that reached a target.
     bool may_have_run = false;
-    bool by_target = false;   // Made by the target beside this daemon.
-    bool has_parent = false;  // For a request that was found running there.
-    bool parent_repeated = false;  // And that is itself a repeat.
-    bool has_failure = false;      // `failure` is a target's own answer.
+    bool by_target = false;    // Made by the target beside this daemon.
+    bool has_failure = false;  // `failure` is a target's own answer.
     relayed_response failure;
     reason why = reason::kNone;  // Of the last send that gave no answer.
     milliseconds retry_after{0};
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -12,7 +12,7 @@
 
 constexpr std::uint32_t kHelloFields = 3;
 constexpr std::uint32_t kWelcomeFields = 10;
-constexpr std::uint32_t kCallFields = 16;
+constexpr std::uint32_t kCallFields = 15;
 constexpr std::uint32_t kAnswerFields = 19;
 constexpr std::uint32_t kPongFields = 8;
 // A deadline further away than this is a broken message.
@@ -131,7 +131,6 @@
       .Put(frame.rank)
       .Put(static_cast<std::uint32_t>(frame.ticket))
       .Put(static_cast<std::uint32_t>(frame.repeats))
-      .Put(frame.repeated)
       .Put(Count(frame.remaining))
       .Put(Count(frame.objective_left))
       .Put(frame.caller_service)
@@ -234,7 +233,6 @@
   frame.ticket = static_cast<std::uint8_t>(reader.UnsignedUpTo(255));
   const auto repeats =
       decltype(kRepeatPolicyNames)::FromNumber(reader.Unsigned32());
-  frame.repeated = reader.Bool();
   frame.remaining = ReadMilliseconds(reader);
   frame.objective_left = ReadMilliseconds(reader);
   frame.caller_service = reader.String();
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -73,9 +73,6 @@
   std::uint32_t rank = 0;
   std::uint8_t ticket = 0;
   repeat_policy repeats = repeat_policy::kAtMostOnce;
-  // The request has been sent to a target before, or the run that makes this
-  // call is itself a repeat.
-  bool repeated = false;
   milliseconds remaining{0};
   milliseconds objective_left{0};  // Of the latency objective.
   std::string caller_service;
--- a/src/retry/repeat_budget.cc
+++ b/src/retry/repeat_budget.cc
@@ -35,11 +35,6 @@
   return true;
 }
 
-void repeat_budget::Count(time_point now) {
-  Forget(now);
-  spent_.push_back(now);
-}
-
 std::size_t repeat_budget::spent(time_point now) {
   Forget(now);
   return spent_.size();
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -15,7 +15,6 @@
 
 #include "include/base/call_log.h"
 #include "include/forward/service_view.h"
-#include "include/retry/parent_match.h"
 #include "platform/caller_protocol.h"
 #include "platform/target_protocol.h"
 #include "src/forward/caller_server.h"
@@ -313,62 +312,6 @@
   EXPECT_EQ(poisoned, 2U);
 }
 
-// A call is told to belong to the request that runs at the target by its id;
-// one of another request, or of one that has ended, isn't. Calls of repeats
-// that were taken for first ones exceeded what the operator allows at the
-// service below.
-TEST_F(forward_path_test, FindsTheRequestThatACallIsMadeFor) {
-  path_.Configure();
-  std::vector<std::pair<read_request, connection_ptr>> held;
-  path_.target.on_request = [&](const read_request& request,
-                                const connection_ptr& from) {
-    held.emplace_back(request, from);
-  };
-  int answered = 0;
-  const auto serve = [&](const std::string& id, bool repeated) {
-    path_.calls.Serve({.target_id = "target-1",
-                       .route = "look",
-                       .repeats = repeat_policy::kIdempotent,
-                       .repeated = repeated,
-                       .remaining = milliseconds(2000),
-                       .objective_left = milliseconds(1000),
-                       .caller_service = "registry",
-                       .request_id = id,
-                       .request = {.verb = "GET", .target = "/look/" + id}},
-                      [&](const answer_frame&) { ++answered; });
-  };
-  serve("aaa", true);
-  serve("aaa.1", false);
-  serve("aab", false);
-  ASSERT_TRUE(path_.RunUntil([&] { return held.size() == 3; }));
-  const call_frame* const parent = path_.calls.ParentOf("aaa.2");
-  ASSERT_NE(parent, nullptr);
-  EXPECT_EQ(parent->request_id, "aaa");
-  EXPECT_TRUE(parent->repeated);
-  ASSERT_NE(path_.calls.ParentOf("aaa.1.1"), nullptr);
-  EXPECT_EQ(path_.calls.ParentOf("aaa.1.1")->request_id, "aaa.1");
-  EXPECT_EQ(path_.calls.ParentOf("zzz"), nullptr);
-  EXPECT_EQ(path_.calls.ParentOf("aaa"), nullptr);
-  for (const auto& [request, from] : held) {
-    from->Send(fake_http_target::Answer(request, "x"));
-  }
-  ASSERT_TRUE(path_.RunUntil([&] { return answered == 3; }));
-  EXPECT_EQ(path_.calls.ParentOf("aaa.2"), nullptr);
-}
-
-// Nothing relies on it before it was seen to hold, or once it doesn't any more.
-TEST(ParentMatchTest, IsSureOnlyWhileItHolds) {
-  parent_match match;
-  EXPECT_FALSE(match.IsSure());
-  for (int i = 0; i < 200; ++i) {
-    match.Add(true);
-  }
-  EXPECT_TRUE(match.IsSure());
-  match.Add(false);
-  match.Add(false);
-  EXPECT_FALSE(match.IsSure());
-}
-
 // A caller sends three lookups at once and the target answers the last one
 // first. Answers in that order would be taken for those of other requests.
 TEST_F(forward_path_test, PipelinedRequestsAreAnsweredInTheirOrder) {
--- a/tests/repeat_budget_test.cc
+++ b/tests/repeat_budget_test.cc
@@ -20,16 +20,6 @@
   EXPECT_TRUE(budget.TrySpend(kStart + milliseconds(10001)));
 }
 
-// Runs that are repeats make their calls again. What they use of the budget is
-// no longer there for repeats of the calls themselves.
-TEST(RepeatBudgetTest, CallsOfRepeatedRunsUseTheBudgetUp) {
-  repeat_budget budget({.reserve = 3});
-  budget.Count(kStart);
-  budget.Count(kStart);
-  EXPECT_TRUE(budget.TrySpend(kStart));
-  EXPECT_FALSE(budget.TrySpend(kStart));
-}
-
 // A quiet hour must not save up repeats: a service that begins to fail would
 // get them all at once, on top of what its requests bring.
 TEST(RepeatBudgetTest, AQuietTimeSavesNothing) {
