--- a/tests/lapsed_targets_test.cc
+++ b/tests/lapsed_targets_test.cc
@@ -31,6 +31,7 @@
  protected:
   void List(const std::vector<int>& numbers, time_point now) {
     std::vector<target_entry> listed;
+    listed.reserve(numbers.size());
     for (const int number : numbers) {
       listed.push_back(Target(number));
     }
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -122,7 +122,7 @@
       with("\"10.0.0.1:80\"", "80"),
       with("{\"address\"", "{\"born\":1.5,\"address\""),
       with("{\"address\"", "{\"born\":\"1764729600000\",\"address\""),
-      "\xff\xfe\x00",
+      std::string("\xff\xfe\0", 3),
       std::string(5000, '['),
   };
   for (const std::string& text : bad) {
