Soak: requests that need not have been refused are breaks

Callers saw refusals for seconds at daemons that could have placed their requests, and the soak stayed green: it had no check on availability, and its draw was too thin to show much of it.

The check: a request that ends 503 is a break if its daemon refused it for want of a view or of a target, or because of a stop (`not_ready`, `no_target`, `draining` in its lines), while one target of its service, the daemon beside it and the way there have been well for three seconds (the platform's bound `contact`) and stay so. Bounds are those of the aim: a planned stop interrupts nothing, so a stopping daemon counts as one that runs until a second before its end; a start may take a second. `wrong_target` isn't among the words: it is the answer of another target at a used address, and a route that may be sent to one target only can't be sent again.

The soak's own faults, mended: - Ended by a signal it left its daemons behind.

--- /dev/null
+++ b/tools/soaking/availability.py
@@ -0,0 +1,96 @@
+"""Who was well when, and the requests that were refused although they need not
+have been.
+
+A daemon that runs can place a request as long as one target of the service has
+been well for a while, with the daemon beside it and the way to that one. Stops,
+starts and outages of the store take nothing of that away. The bounds are those
+of the aim: a planned stop interrupts nothing, a start is over within a second,
+and what has been well for CONTACT is known to everybody."""
+import collections
+import re
+from dataclasses import dataclass, field
+
+CONTACT = 3.0  # Seconds, as the platform's bound of that name.
+BEGINS = 1.0  # What a daemon may take from its start until it serves.
+ENDS = 1.0  # And at its end.
+# What refuses a request for want of a view or a target, or because of a stop.
+# Refusals by overload have other words.
+AVOIDABLE = {"not_ready", "no_target", "draining"}
+
+FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+
+
+@dataclass
+class History:
+    """Of a daemon or a target: from when to when it ran, and what disturbed it."""
+    spans: list = field(default_factory=list)  # [began, ended or None]
+    disturbances: list = field(default_factory=list)
+
+    def begin(self, now):
+        self.spans.append([now, None])
+
+    def end(self, now):
+        if self.spans and self.spans[-1][1] is None:
+            self.spans[-1][1] = now
+
+    def disturb(self, now):
+        self.disturbances.append(now)
+
+    def ran(self, since, until):
+        return any(began <= since and (ended is None or ended >= until)
+                   for began, ended in self.spans)
+
+    def calm(self, since, until):
+        return not any(since <= at <= until for at in self.disturbances)
+
+
+def refusals(logs):
+    """By request: why its daemon refused it, from the daemons' lines."""
+    why = {}
+    for log in logs:
+        for line in log.read_text(errors="replace").splitlines():
+            if "event=refused_at_entrance" not in line and (
+                    "event=answered" not in line or "outcome=not_executed" not in line):
+                continue
+            fields = dict(FIELD.findall(line))
+            why[fields.get("request")] = fields.get("why")
+    return why
+
+
+def _is_well(pair, told):
+    """Whether the target, its daemon and the way there were well for the request,
+    and long enough before it."""
+    each, daemon = pair
+    since, until = told.sent_at - CONTACT, told.ended_at
+    return (each.history.ran(since, until) and
+            daemon.history.ran(since, until + ENDS) and
+            daemon.history.calm(since, until))
+
+
+def avoidable_refusals(world):
+    """Requests refused for want of a view, a target or by a stop, with a target of
+    their service well."""
+    why = refusals(one.log for one in world.daemons)
+    pairs = list(zip(world.targets, world.daemons))
+    found = []
+    for told in world.ledger.told:
+        if told.end != 503 or why.get(told.request) not in AVOIDABLE:
+            continue
+        at = world.daemons[told.daemon - 1]
+        begun = told.sent_at - BEGINS
+        if not at.history.ran(begun, told.ended_at) or not at.paused.calm(
+                begun, told.ended_at):
+            continue
+        well = [each.id for each, daemon in pairs
+                if each.home == told.service and _is_well((each, daemon), told)]
+        if well:
+            found.append(f"{told.request}: refused as {why[told.request]} by daemon "
+                         f"{told.daemon}, with {', '.join(well)} well")
+    return found
+
+
+def summary(found):
+    """Counts by reason of the lines of avoidable_refusals()."""
+    why = collections.Counter(line.split(" refused as ", 1)[1].split(" ", 1)[0]
+                              for line in found if " refused as " in line)
+    return ", ".join(f"{each} {n}" for each, n in why.most_common()) or "none"
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -19,6 +19,7 @@
     sent_at: float
     ended_at: float = 0.0
     # A status, "closed" (no answer, or half of one) or "left" (by the caller).
+    service: str = ""
     end: object = None
     reusable: bool = False  # The connection can carry another request.
     retry_after: bool = False
@@ -35,9 +36,10 @@
 
 
 class Callers:
-    def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts):
+    def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts, services):
         self.daemon, self.ledger, self.dice = daemon, ledger, dice
-        self.hosts = hosts
+        self.hosts = hosts  # To choose from.
+        self.services = services  # By host.
         self.ended = False
 
     async def run(self, workers):
@@ -69,7 +71,7 @@
         number = next(self.ledger.numbers)
         request = f"r{self.daemon.index}-{number}"
         told = Told(request, kind, self.daemon.index, time.monotonic(),
-                    during_stop=self.daemon.stopping)
+                    service=self.services[host], during_stop=self.daemon.stopping)
         self.ledger.told.append(told)
         body = b"b" * (self.dice.randrange(2000) if path is None else 10)
         writer.write(
--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -1,26 +1,37 @@
 """One real daemon as a process of its own, with its settings and its log."""
 import asyncio
+import ctypes
 import json
 import signal
 import time
 
+from .availability import History
+
+PR_SET_PDEATHSIG = 1  # Of prctl(2).
 STOP_TIMEOUT = 6.0  # Seconds, as the settings say; then it would be killed.
 HANG = 60.0  # Seconds; only ends a run that hangs, where time isn't judged.
 
 
+def end_with_parent():
+    """In the new process: it is killed when the soak is, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Daemon:
-    def __init__(self, binary, folder, index, network, service, zone, ports, timed):
+    def __init__(self, binary, folder, index, network, service, zone, ports, timed,
+                 proxied=True):
         self.binary, self.index = binary, index
         self.longest_stop = STOP_TIMEOUT + 1 if timed else HANG
         self.ip = f"127.{network}.0.{index}"
         self.caller = (self.ip, ports["caller"])
-        self.peer = (self.ip, ports["peer"])
+        # Without a proxy in front, where other daemons look for it.
+        self.peer = (self.ip if proxied else f"127.{network}.1.{index}", ports["peer"])
         self.log = folder / f"daemon-{index}.log"
         self.settings = folder / f"daemon-{index}.json"
         self.settings.write_text(json.dumps({
             "vm": f"vm-{index}", "service": service, "data_centre": zone,
             "caller": f"{self.ip}:{ports['caller']}",
-            "peer": f"{self.ip}:{ports['peer']}",
+            "peer": f"{self.peer[0]}:{self.peer[1]}",
             "ready": f"{self.ip}:{ports['ready']}",
             "admin": f"{self.ip}:{ports['admin']}",
             "target": f"127.{network}.1.{index}:{ports['target']}",
@@ -31,15 +42,21 @@
         self.process = None
         self.disturbed_at = time.monotonic()  # Last fault of this process.
         self.stopping = False
+        self.closed = False  # Must not be started any more.
+        self.history = History()  # Of its processes; faults are unplanned ones.
+        self.paused = History()
         self.failures = []
         self.awake = asyncio.Event()
         self.awake.set()
 
     async def start(self):
+        if self.closed:
+            return
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.binary, "serve", "--settings", str(self.settings),
-                stdout=log, stderr=log)
+                stdout=log, stderr=log, preexec_fn=end_with_parent)
+        self.history.begin(time.monotonic())
         self.stopping = False
         self.note_fault()
 
@@ -55,6 +72,8 @@
             self.process.send_signal(number)
 
     async def kill(self):
+        self.history.disturb(time.monotonic())
+        self.history.end(time.monotonic())
         self.signal(signal.SIGKILL)
         await self.process.wait()
 
@@ -70,13 +89,23 @@
         except asyncio.TimeoutError:
             self.failures.append(f"daemon {self.index} outlived its stop")
             await self.kill()
+        self.history.end(time.monotonic())
         self.note_fault()
 
+    def note_pause(self):
+        self.history.disturb(time.monotonic())
+        self.paused.disturb(time.monotonic())
+
     async def pause(self, seconds):
         self.awake.clear()
+        self.note_pause()
         self.signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, 0.2))
+            self.note_pause()
         self.signal(signal.SIGCONT)
+        self.note_pause()
         self.awake.set()
 
     def check_alive(self):
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -2,6 +2,7 @@
 import asyncio
 import random
 import signal
+import time
 
 from . import callers
 
@@ -11,11 +12,14 @@
     "one_way", "refuse", "store_silent", "store_busy", "store_reset",
     "store_slow", "store_lossy", "store_history", "config", "configs", "crash",
     "drain", "lose_answers", "reuse", "poison")
+# Only where they are named, so that seeds keep their meaning.
+EXTRA_KINDS = ()
 
 
 class Faults:
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, kinds, gap):
         self.world = world
+        self.kinds, self.gap = kinds, gap
         self.dice = random.Random(seed)
         self.tasks = set()
         self.log = []
@@ -24,11 +28,11 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         while loop.time() < end:
-            kind = self.dice.choice(FAULT_KINDS)
+            kind = self.dice.choice(self.kinds)
             self.log.append((round(seconds - (end - loop.time()), 2), kind))
             task = asyncio.create_task(getattr(self, kind)(random.Random(self.dice.random())))
             self.tasks.add(task)
-            await asyncio.sleep(self.dice.uniform(0.2, 1.8))
+            await asyncio.sleep(self.dice.uniform(*self.gap))
         await asyncio.gather(*self.tasks)
 
     async def kill(self, dice):
@@ -67,10 +71,12 @@
     async def _with_proxy(self, dice, name, value, calm):
         proxy = dice.choice(self.world.proxies)
         setattr(proxy, name, value)
-        self.world.disturb_links()
-        await asyncio.sleep(dice.uniform(0.3, 3.0))
+        end = time.monotonic() + dice.uniform(0.3, 3.0)
+        while (left := end - time.monotonic()) > 0:
+            self.world.disturb_links(proxy)
+            await asyncio.sleep(min(left, 0.2))
         setattr(proxy, name, calm)
-        self.world.disturb_links()
+        self.world.disturb_links(proxy)
 
     async def delay(self, dice):
         await self._with_proxy(dice, "delay", dice.uniform(0.02, 0.4), 0.0)
@@ -82,12 +88,14 @@
         await self._with_proxy(dice, dice.choice(["mute_in", "mute_out"]), True, False)
 
     async def reset(self, dice):
-        dice.choice(self.world.proxies).reset_all()
-        self.world.disturb_links()
+        proxy = dice.choice(self.world.proxies)
+        proxy.reset_all()
+        self.world.disturb_links(proxy)
 
     async def silence(self, dice):
-        dice.choice(self.world.proxies).silence_all()
-        self.world.disturb_links()
+        proxy = dice.choice(self.world.proxies)
+        proxy.silence_all()
+        self.world.disturb_links(proxy)
 
     async def _with_store(self, dice, mode):
         self.world.store.mode = mode
@@ -176,7 +184,8 @@
         path = f"/{kind}/poison-{dice.randrange(10**6)}"
         for _ in range(25):
             daemon = dice.choice(self.world.daemons)
-            caller = callers.Callers(daemon, self.world.ledger, dice, [host])
+            caller = callers.Callers(daemon, self.world.ledger, dice, [host],
+                                     self.world.service_of)
             try:
                 reader, writer = await asyncio.open_connection(*daemon.caller)
             except OSError:
--- a/tools/soaking/proxy.py
+++ b/tools/soaking/proxy.py
@@ -4,8 +4,9 @@
 
 
 class Proxy:
-    def __init__(self, listen, connect):
+    def __init__(self, listen, connect, behind):
         self.listen, self.connect = listen, connect
+        self.behind = behind  # The history of the daemon behind it.
         self.delay = 0.0
         # Bytes towards the daemon behind the proxy, and back, are swallowed.
         self.mute_in = self.mute_out = False
@@ -32,7 +33,7 @@
             return
         try:
             up_reader, up_writer = await asyncio.open_connection(*self.connect)
-        except OSError:
+        except (OSError, asyncio.CancelledError):  # Not to be had; the soak ends.
             writer.transport.abort()
             return
         pair = Pair((writer, up_writer))
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+from .availability import History
+
 
 def signature(request_id: str, body: bytes) -> str:
     return hashlib.sha256(request_id.encode() + body).hexdigest()
@@ -16,10 +18,13 @@
         self.dice = dice
         self.runs = runs  # By request id: list of (target id, when it began).
         self.on_poison = on_poison  # Called with this target and the path.
+        self.home = service  # Whose it is where its address isn't lent.
+        self.history = History()  # Of its starts, as soon as all can know of one.
         self.slots = 8
         self.starts = 0
         self.id = ""
         self.left_at = None  # When it said that it leaves.
+        self.registered_at = 0.0
         self.lose_answers = 0.0
         self.running = 0
         self.server = None
@@ -35,10 +40,15 @@
         self.starts += 1
         self.id = f"i-{self.ip.rsplit('.', 1)[1]}-{self.starts}"
         self.left_at = None
+        self.registered_at = float("inf")
         self.server = await asyncio.start_server(
             self._serve, self.ip, self.port, backlog=512)
 
+    def is_up(self):
+        return self.server is not None and self.server.is_serving()
+
     def crash(self):
+        self.history.end(time.monotonic())
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
