Targets of stopping daemons stay in use where no other is left

Cause: from its signal on a stopping daemon refused calls for its target, and told others so; they placed nothing there any more. A stop takes seconds, so with stops a second apart all daemons of a service were in that state at once. Ruled out: the targets (none was leaving), overload (those refusals have other words), links (`peer_reachable reachable=yes`).

Change: a stopping daemon takes calls for its target until it closes shortly before its end; the others know that it is stopping, and send it only what no other target can take, as the second choice of first sends and of further tries.

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -139,7 +139,10 @@
   // No connection to the target's daemon can be had; or one can again.
   void SetReachable(target_ref target, bool reachable);
   // The target's daemon is stopping, or a new one serves in its place. Unlike
-  // leaving, this ends.
+  // leaving, this ends. The target still gets calls that no other can take:
+  // where the daemons of all targets of a service are restarted one after the
+  // other, all of them are stopping at once, and 276 calls found no target in
+  // five seconds although none of the targets had a fault.
   void SetStopping(target_ref target, bool stopping);
   // The target's load was heard of apart from an answer.
   void NoteLoad(target_ref target, const load_report& report, time_point now);
@@ -195,6 +198,9 @@
     time_point pressure_heard;
   };
 
+  // Targets whose daemons serve come first, those with stopping ones second.
+  enum class choice : std::uint8_t { kServing, kStopping };
+
   struct candidate {
     std::uint32_t index = kNone;
     double latency = 0;
@@ -203,7 +209,10 @@
 
   [[nodiscard]] static bool IsSameStart(const target_info& known,
                                         const target_info& told);
-  [[nodiscard]] bool Usable(const target& candidate, time_point now) const;
+  [[nodiscard]] bool Reachable(const target& candidate, time_point now) const;
+  [[nodiscard]] bool Usable(const target& candidate,
+                            choice from,
+                            time_point now) const;
   [[nodiscard]] bool WasTried(const placement_request& request,
                               std::uint32_t index) const;
   [[nodiscard]] admission_rank LevelOf(const target& candidate,
@@ -216,15 +225,22 @@
   [[nodiscard]] double LoadOf(const target& of, time_point now) const;
   [[nodiscard]] candidate Best(const std::vector<std::uint32_t>& group,
                                const placement_request& request,
+                               choice from,
                                time_point now,
                                std::uint64_t random) const;
   [[nodiscard]] std::uint32_t Choose(const placement_request& request,
+                                     choice from,
                                      time_point now,
                                      std::uint64_t random) const;
   [[nodiscard]] std::uint32_t ChooseByExpectedEnd(
       const placement_request& request,
+      choice from,
       time_point now,
       std::uint64_t random) const;
+  // A target that refuses calls like this one, to be asked nevertheless.
+  [[nodiscard]] std::uint32_t ChooseProbe(const placement_request& request,
+                                          time_point now,
+                                          bool* any);
   [[nodiscard]] double ExpectedCost(std::uint32_t index,
                                     const placement_request& request,
                                     double common_failures,
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -149,6 +149,7 @@
 }
 
 void executor::Drain() {
+  leaving_ = true;
   draining_ = true;
 }
 
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -118,9 +118,12 @@
   // of it may be done, and its effect is wanted whole or not at all.
   void Cancel(std::uint64_t id);
 
+  // The daemon is stopping: others are told, and send calls here only if no
+  // other target can take them. Those are served.
+  void Leave() { leaving_ = true; }
   // Refuses new calls from now on; those in progress go on.
   void Drain();
-  [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] bool leaving() const { return leaving_; }
   // Most that a call took lately, from its arrival on.
   [[nodiscard]] duration Longest(time_point now) { return longest_.Get(now); }
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
@@ -198,7 +201,8 @@
   std::function<view_state()> view_state_;
   suspects_listener on_suspects_;
   bool slots_known_ = false;
-  bool draining_ = false;
+  bool leaving_ = false;
+  bool draining_ = false;  // And leaving.
   recent_maximum longest_{kLongestMemory};
   executor_counters counters_;
 };
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -253,7 +253,7 @@
         {{.name = "requests",
           .value = std::to_string(callers_.state().open_requests)},
          {.name = "runs", .value = std::to_string(executor_.in_progress())}});
-    executor_.Drain();
+    executor_.Leave();
     peers_.Drain();
     callers_.Drain();
     PollStop();
@@ -274,6 +274,7 @@
     if (!stop_plan_.IsOpen(now) && !std::exchange(closing_, true)) {
       LogClosing(progress);
       callers_.StopListening();
+      executor_.Drain();
     }
     if (!stop_plan_.TakesNew(now) && !std::exchange(refusing_, true)) {
       callers_.RefuseNew();
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -176,7 +176,7 @@
   current = from;
   attempts_.OnConnected(hello.sender);
   from->Send(Encode(welcome_frame{.receiver = options_.self,
-                                  .leaving = calls_.draining(),
+                                  .leaving = calls_.leaving(),
                                   .load = calls_.Load(),
                                   .report = calls_.Report()}));
   const suspects_frame known{.entries = calls_.KnownSuspects()};
@@ -186,7 +186,7 @@
 }
 
 pong_frame peer_server::Pong() const {
-  return {.leaving = calls_.draining(),
+  return {.leaving = calls_.leaving(),
           .load = calls_.Load(),
           .report = calls_.Report()};
 }
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -160,7 +160,7 @@
   double sum = 0;
   std::uint32_t count = 0;
   for (const target& each : targets_) {
-    if (!Usable(each, now)) {
+    if (!Reachable(each, now)) {
       continue;
     }
     ++count;
@@ -187,15 +187,21 @@
   return std::nullopt;
 }
 
-bool balancer::Usable(const target& candidate, time_point now) const {
-  return candidate.listed && !candidate.leaving && !candidate.stopping &&
-         !candidate.unreachable &&
+bool balancer::Reachable(const target& candidate, time_point now) const {
+  return candidate.listed && !candidate.leaving && !candidate.unreachable &&
          (!options_.use_ejection || candidate.ejected_until <= now);
 }
 
+bool balancer::Usable(const target& candidate,
+                      choice from,
+                      time_point now) const {
+  return Reachable(candidate, now) &&
+         candidate.stopping == (from == choice::kStopping);
+}
+
 std::uint32_t balancer::usable(time_point now) const {
   return static_cast<std::uint32_t>(std::ranges::count_if(
-      targets_, [&](const target& t) { return Usable(t, now); }));
+      targets_, [&](const target& t) { return Reachable(t, now); }));
 }
 
 bool balancer::WasTried(const placement_request& request,
@@ -251,6 +257,7 @@
 
 balancer::candidate balancer::Best(const std::vector<std::uint32_t>& group,
                                    const placement_request& request,
+                                   choice from,
                                    time_point now,
                                    std::uint64_t random) const {
   const auto size = static_cast<std::uint32_t>(group.size());
@@ -271,7 +278,7 @@
   for (std::uint32_t i = 0; i < looks && found < enough; ++i) {
     const std::uint32_t index = group[(start + i * second) % size];
     const target& looked_at = targets_[index];
-    if (!Usable(looked_at, now) || WasTried(request, index) ||
+    if (!Usable(looked_at, from, now) || WasTried(request, index) ||
         Refuses(looked_at, request, now)) {
       continue;
     }
@@ -288,16 +295,17 @@
 }
 
 std::uint32_t balancer::Choose(const placement_request& request,
+                               choice from,
                                time_point now,
                                std::uint64_t random) const {
   if (options_.policy == placement_policy::kExpectedEnd) {
-    return ChooseByExpectedEnd(request, now, random);
+    return ChooseByExpectedEnd(request, from, now, random);
   }
   if (options_.policy == placement_policy::kRandom) {
-    return Best(all_, request, now, random).index;
+    return Best(all_, request, from, now, random).index;
   }
-  const candidate near = Best(local_, request, now, random);
-  const candidate far = Best(remote_, request, now, random);
+  const candidate near = Best(local_, request, from, now, random);
+  const candidate far = Best(remote_, request, from, now, random);
   if (near.index == kNone || far.index == kNone) {
     return near.index == kNone ? far.index : near.index;
   }
@@ -310,24 +318,33 @@
   return overflows ? far.index : near.index;
 }
 
+std::uint32_t balancer::ChooseProbe(const placement_request& request,
+                                    time_point now,
+                                    bool* any) {
+  for (std::uint32_t i = 0; i < targets_.size(); ++i) {
+    target& candidate = targets_[i];
+    if (!Reachable(candidate, now) || WasTried(request, i)) {
+      continue;
+    }
+    *any = true;
+    if (request.tried.count == 0 && candidate.next_probe <= now) {
+      candidate.next_probe = now + kProbePeriod;
+      return i;
+    }
+  }
+  return kNone;
+}
+
 placement balancer::Place(const placement_request& request,
                           time_point now,
                           std::uint64_t random) {
-  std::uint32_t index = Choose(request, now, random);
+  std::uint32_t index = Choose(request, choice::kServing, now, random);
+  if (index == kNone) {
+    index = Choose(request, choice::kStopping, now, random);
+  }
   bool any = false;
   if (index == kNone) {
-    for (std::uint32_t i = 0; i < targets_.size(); ++i) {
-      target& candidate = targets_[i];
-      if (!Usable(candidate, now) || WasTried(request, i)) {
-        continue;
-      }
-      any = true;
-      if (request.tried.count == 0 && candidate.next_probe <= now) {
-        candidate.next_probe = now + kProbePeriod;
-        index = i;
-        break;
-      }
-    }
+    index = ChooseProbe(request, now, &any);
   }
   if (index == kNone) {
     const bool overloaded = any || request.tried.count > 0;
@@ -347,7 +364,7 @@
     return false;
   }
   for (std::uint32_t i = 0; i < targets_.size(); ++i) {
-    if (Usable(targets_[i], now) && !WasTried(request, i) &&
+    if (Reachable(targets_[i], now) && !WasTried(request, i) &&
         !Refuses(targets_[i], request, now)) {
       return true;
     }
@@ -359,7 +376,7 @@
                                        time_point now) const {
   admission_rank lowest = kRankCount;
   for (const target& candidate : targets_) {
-    if (Usable(candidate, now)) {
+    if (Reachable(candidate, now)) {
       lowest = std::min(lowest, LevelOf(candidate, method, now));
     }
   }
--- a/src/route/expected_end.cc
+++ b/src/route/expected_end.cc
@@ -67,6 +67,7 @@
 }
 
 std::uint32_t balancer::ChooseByExpectedEnd(const placement_request& request,
+                                            choice from,
                                             time_point now,
                                             std::uint64_t random) const {
   struct option {
@@ -76,7 +77,7 @@
   std::vector<option> options;
   double fewest_failures = 1;
   for (const std::uint32_t index : all_) {
-    if (Usable(targets_[index], now) && !WasTried(request, index) &&
+    if (Usable(targets_[index], from, now) && !WasTried(request, index) &&
         !Refuses(targets_[index], request, now)) {
       options.push_back({.index = index});
       fewest_failures =
--- a/tests/expected_end_test.cc
+++ b/tests/expected_end_test.cc
@@ -133,5 +133,36 @@
   EXPECT_EQ(Call(milliseconds(10)), "near");
 }
 
+// The daemons of all targets of a service are restarted one after the other, a
+// second apart, and each takes some seconds to stop. For a while all of them
+// are stopping, though every target runs. Callers' daemons placed nothing there
+// any more, and all calls were refused for a second (log: not_placed
+// why=no_target usable=0).
+TEST_F(expected_end_test, WithAllDaemonsStoppingCallsStillGoThere) {
+  for (const std::string vm : {"near", "far-1", "far-2"}) {
+    chooser_.SetStopping(*chooser_.RefOf(vm), true);
+  }
+  EXPECT_EQ(Call(milliseconds(10)), "near");
+  // One that serves again gets everything.
+  chooser_.SetStopping(*chooser_.RefOf("far-2"), false);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Call(milliseconds(10)), "far-2");
+  }
+}
+
+// A call that failed at the only target whose daemon serves may be tried once
+// more where one is stopping.
+TEST_F(expected_end_test, AStoppingDaemonIsTheSecondTry) {
+  chooser_.SetStopping(*chooser_.RefOf("far-1"), true);
+  chooser_.SetReachable(*chooser_.RefOf("far-2"), false);
+  placement_request request;
+  const placement first = chooser_.Place(request, now_, random_());
+  EXPECT_EQ(chooser_.VmOf(first.target), "near");
+  request.tried = {.refs = {first.target}, .count = 1};
+  EXPECT_TRUE(chooser_.MayTryElsewhere(request, now_));
+  const placement second = chooser_.Place(request, now_, random_());
+  EXPECT_EQ(chooser_.VmOf(second.target), "far-1");
+}
+
 }  // namespace
 }  // namespace pistachioweir
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -399,6 +399,25 @@
   EXPECT_EQ(AnswerTo("a").answer.response.body, "done");
 }
 
+// The daemons of all targets of a service are stopping. Each still has its
+// target beside it, and refusing calls for it leaves them without any.
+TEST_F(peer_link_test, AStoppingPeerStillServesUntilItCloses) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address());
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  far.calls.Leave();
+  far.server.Drain();
+  ASSERT_TRUE(RunUntil([&] { return leaving_ == true; }));
+  Send("b");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 2; }));
+  EXPECT_EQ(far.server.calls_read(), 2U);
+  far.AnswerNext("done");
+  far.AnswerNext("done too");
+  ASSERT_TRUE(RunUntil([&] { return Answered("b"); }));
+  EXPECT_EQ(AnswerTo("b").answer.kind, outcome_kind::kCompleted);
+}
+
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
 TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
