A daemon that starts without the store takes a neighbour's view

Callers of a daemon that was started while the platform's store was away got 503 for as long as that lasted, and other daemons lost the target beside it, which refused their calls (log: `store_lost call=config revision=0`, then `answered why=not_ready` without a route, `executor_refused why=not_ready`).

Cause: a view came from the store alone. Two neighbours had the whole view and were connected to the daemon. Ruled out: a slow start (0.07 s from `started` to the first, failed answer of the store), the neighbours' views (they served with them all the while), links (`peer_reachable reachable=yes` within 0.1 s of the start).

Change: such a daemon asks those that connect to it, three at a time, and uses the newest view that it is told, by the store's own count of changes; once it has read the store itself none is taken any more. Age, revision and origin are in lines and metrics. A daemon without a view tells none. The frames are written by one writer now, for messages and views.

Why it holds: revisions count up for all daemons alike, so whatever order views are told in, what is believed only gets newer (property and model), and the store's reading replaces it whole.

--- /dev/null
+++ b/fuzz/peer_frame_fuzz.cc
@@ -0,0 +1,47 @@
+// Fuzzes frames between daemons: a view that decodes must survive being encoded
+// and decoded again, and no bytes may harm the decoding of any frame.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "src/peer/peer_frame.h"
+#include "src/peer/view_frame.h"
+
+namespace {
+
+void CheckView(std::string_view bytes) {
+  const auto told = pistachioweir::DecodeView(bytes);
+  if (!told) {
+    return;
+  }
+  const std::string encoded = pistachioweir::Encode(*told);
+  pistachioweir::frame_view frame;
+  if (pistachioweir::NextFrame(encoded, encoded.size(), &frame) !=
+      pistachioweir::frame_state::kWhole) {
+    std::abort();
+  }
+  const auto again = pistachioweir::DecodeView(frame.payload);
+  if (!again || again->revision != told->revision ||
+      again->view->targets != told->view->targets) {
+    std::abort();
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  pistachioweir::frame_view frame;
+  (void)pistachioweir::NextFrame(bytes, bytes.size(), &frame);
+  (void)pistachioweir::DecodeHello(bytes);
+  (void)pistachioweir::DecodeWelcome(bytes);
+  (void)pistachioweir::DecodeCallFrame(bytes);
+  (void)pistachioweir::DecodeAnswerFrame(bytes);
+  (void)pistachioweir::DecodePong(bytes);
+  (void)pistachioweir::DecodeSuspectsFrame(bytes);
+  (void)pistachioweir::DecodeNumber(bytes);
+  CheckView(bytes);
+  return 0;
+}
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,8 @@
 #include "include/base/time.h"
 #include "include/forward/forward_settings.h"
 #include "include/forward/service_view.h"
+#include "include/forward/startup_view.h"
+#include "include/forward/told_view.h"
 #include "include/forward/view_state.h"
 #include "src/forward/caller_server.h"
 #include "src/forward/executor.h"
@@ -34,6 +37,7 @@
 #include "src/net/http_server.h"
 #include "src/net/worker_pool.h"
 #include "src/peer/peer_server.h"
+#include "src/peer/view_frame.h"
 
 namespace pistachioweir {
 
@@ -50,6 +54,8 @@
   source.Stop();
   // Another daemon has read this revision.
   source.NoteRevision(std::uint64_t{});
+  // Uses another daemon's view until the store answers; false if it can't.
+  { source.Adopt(told_view{}) } -> std::same_as<bool>;
   { source.state() } -> std::same_as<view_state>;
 };
 
@@ -90,7 +96,8 @@
                 .on_suspects =
                     [this](const suspects_frame& told) {
                       executor_.ImportSuspects(told.entries);
-                    }},
+                    },
+                .on_view = [this](const told_view& told) { OnTold(told); }},
                executor_),
         callers_(context_,
                  {.address = settings.caller,
@@ -105,6 +112,7 @@
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         tick_(context_),
         flush_(context_),
+        ask_(context_),
         stop_(context_),
         ready_server_(workers_, ReadyOptions()),
         admin_server_(workers_, AdminOptions()) {}
@@ -128,6 +136,7 @@
     executor_.SetViewState([this] { return views_.state(); });
     Tick();
     views_.Start();
+    AskForView();
     std::future<void> stopped = stopped_.get_future();
     workers_.Start();
     stopped.wait();
@@ -148,6 +157,12 @@
   // Log lines are written this long after the first, many at a time.
   static constexpr milliseconds kFlushDelay{50};
   static constexpr milliseconds kStopPollInterval{25};
+  // The store answers within some 10 ms of a start, so that nobody is asked as
+  // long as it is well; a caller hardly notices the time.
+  static constexpr milliseconds kAskInterval{100};
+  // With a view, for a newer one: as often as a daemon with a store hears of
+  // changes at most.
+  static constexpr milliseconds kAskAgainInterval{1000};
 
   origin_options OriginOptions(const forward_settings& settings) {
     return {
@@ -165,7 +180,62 @@
               executor_.ImportSuspects(told.entries);
             },
         .on_revision =
-            [this](std::uint64_t revision) { views_.NoteRevision(revision); }};
+            [this](std::uint64_t revision) { views_.NoteRevision(revision); },
+        .newer_view =
+            [this](std::uint64_t revision) { return NewerView(revision); }};
+  }
+
+  // The revision of the view in use; zero if there is none.
+  [[nodiscard]] std::uint64_t Revision() const {
+    const std::uint64_t read = views_.state().revision;
+    return read != 0 ? read : startup_.revision();
+  }
+
+  // For a daemon that has started without one. A daemon without a view tells
+  // none (guard EMPTY_TELLS_NOTHING in spec/startup_view.pml): a fleet that
+  // starts as a whole while the store is away goes on refusing.
+  [[nodiscard]] std::optional<std::string> NewerView(std::uint64_t revision) {
+    const auto& listed = origin_.listed();
+    const auto confirmed = views_.state().confirmed_at;
+    if (listed == nullptr || listed->config == nullptr || !confirmed ||
+        Revision() <= revision) {
+      return std::nullopt;
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(
+        monotonic_clock::now() - *confirmed);
+    return Encode(
+        told_view{.revision = Revision(), .age = age, .view = listed});
+  }
+
+  // While the store has not answered yet, others are asked for their views:
+  // the first time when the store would usually have answered.
+  void AskForView() {
+    ask_.expires_after(startup_.revision() == 0 ? kAskInterval
+                                                : kAskAgainInterval);
+    ask_.async_wait([this](error_code error) {
+      if (!error && views_.state().revision == 0) {
+        peers_.AskForView(startup_.revision());
+        AskForView();
+      }
+    });
+  }
+
+  void OnTold(const told_view& told) {
+    const std::uint64_t before = startup_.revision();
+    const told_view_verdict verdict = startup_.Offer(
+        told, views_.state().revision,
+        [this](const told_view& view) { return views_.Adopt(view); });
+    LogEvent("told_view",
+             {{.name = "verdict",
+               .value = std::string(kToldViewVerdictNames.Name(verdict))},
+              {.name = "revision", .value = std::to_string(told.revision)},
+              {.name = "before", .value = std::to_string(before)},
+              {.name = "age_ms", .value = std::to_string(told.age.count())},
+              {.name = "from", .value = told.from},
+              {.name = "config",
+               .value = std::to_string(told.view->config->version)},
+              {.name = "targets",
+               .value = std::to_string(told.view->targets.size())}});
   }
 
   // Of the ratio that the operator allows for repeats, what one service's
@@ -195,10 +265,21 @@
                    .callers = callers_.state(),
                    .target_connections_opened = targets_.counters().opened,
                    .target_connections_reused = targets_.counters().reused,
+                   .view = PageView(),
                    .ready = ready_ && !stop_plan_.stopping()}));
             }};
   }
 
+  [[nodiscard]] view_page PageView() const {
+    view_page page{.revision = Revision(),
+                   .told = views_.state().revision == 0 && Revision() != 0};
+    if (const auto confirmed = views_.state().confirmed_at) {
+      page.age = std::chrono::duration_cast<milliseconds>(
+          monotonic_clock::now() - *confirmed);
+    }
+    return page;
+  }
+
   std::function<void()> RunOnTarget(target_run run,
                                     std::function<void(run_result)> done) {
     const auto handle = targets_.Run(std::move(run), std::move(done));
@@ -220,7 +301,9 @@
         }
       }
     }
-    executor_.SetReadyTarget(std::move(ready_target));
+    // A daemon speaks for its target by what it has read itself.
+    executor_.SetReadyTarget(views_.state().revision != 0 ? ready_target
+                                                          : std::string());
     const bool usable = view->config != nullptr;
     origin_.SetView(std::move(view));
     if (usable && !std::exchange(ready_, true)) {
@@ -290,11 +373,11 @@
   void LogClosing(const stop_progress& progress) {
     const auto longest =
         std::chrono::duration_cast<milliseconds>(progress.longest);
-    LogEvent("closing",
-             {{.name = "requests",
-               .value = std::to_string(progress.open_requests)},
-              {.name = "runs", .value = std::to_string(progress.runs)},
-              {.name = "longest_ms", .value = std::to_string(longest.count())}});
+    LogEvent(
+        "closing",
+        {{.name = "requests", .value = std::to_string(progress.open_requests)},
+         {.name = "runs", .value = std::to_string(progress.runs)},
+         {.name = "longest_ms", .value = std::to_string(longest.count())}});
   }
 
   void Stop() {
@@ -347,7 +430,9 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer flush_;
+  boost::asio::steady_timer ask_;
   boost::asio::steady_timer stop_;
+  startup_view startup_;
   stop_plan stop_plan_;
   bool closing_ = false;   // Stopping, and close to the end.
   bool refusing_ = false;  // And too close for another request.
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -76,6 +76,14 @@
   gauge("limit", "Requests that the target runs at a time", load.limit);
   gauge("caller_connections", "Connections of callers",
         static_cast<double>(sources.callers.sessions));
+  gauge("view_revision", "Newest change of the store in the view",
+        static_cast<double>(sources.view.revision));
+  gauge("view_told", "Whether the view is another daemon's, at a start",
+        sources.view.told ? 1 : 0);
+  if (sources.view.age) {
+    gauge("view_age_seconds", "Since the store confirmed the view",
+          std::chrono::duration<double>(*sources.view.age).count());
+  }
   gauge("ready", "Whether callers may come", sources.ready ? 1 : 0);
   const auto& view = sources.calls.view();
   if (view != nullptr && view->config != nullptr) {
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
+#include "include/base/time.h"
 #include "src/net/http_message.h"
 
 namespace pistachioweir {
@@ -12,12 +14,20 @@
 class origin;
 struct caller_port_state;
 
+// How new the view in use is.
+struct view_page {
+  std::uint64_t revision = 0;  // Of the store; zero without a view.
+  bool told = false;           // By another daemon; the store has not answered.
+  std::optional<milliseconds> age;  // Since the store confirmed it.
+};
+
 struct forward_page_sources {
   const origin& calls;
   const executor& runs;
   const caller_port_state& callers;
   std::uint64_t target_connections_opened = 0;
   std::uint64_t target_connections_reused = 0;
+  view_page view;
   bool ready = false;
 };
 
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -46,6 +47,8 @@
   std::function<void(const suspects_frame&)> on_suspects;
   // Another daemon has read this revision of the platform's store.
   std::function<void(std::uint64_t revision)> on_revision;
+  // A daemon without a view asks for one that is newer than `revision`.
+  std::function<std::optional<std::string>(std::uint64_t revision)> newer_view;
 };
 
 struct origin_counters {
@@ -86,6 +89,11 @@
   [[nodiscard]] const std::shared_ptr<const service_view>& view() const {
     return view_;
   }
+  // Without targets that stay in use though the store has lost them; nullptr
+  // before the first view.
+  [[nodiscard]] const std::shared_ptr<const service_view>& listed() const {
+    return listed_;
+  }
 
  private:
   // What is known of one called service.
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -68,7 +68,8 @@
             }
           },
       .known_suspects =
-          [this] { return suspects_frame{.entries = local_.KnownSuspects()}; }};
+          [this] { return suspects_frame{.entries = local_.KnownSuspects()}; },
+      .newer_view = options_.newer_view};
 }
 
 void origin::OnReport(const std::string& ip, const neighbour_report& report) {
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -1,11 +1,10 @@
 // MessagePack codec of the frames.
 #include "src/peer/peer_frame.h"
 
-#include <msgpack.hpp>
-
 #include <algorithm>
 
 #include "include/call/msgpack_reader.h"
+#include "src/peer/frame_writer.h"
 
 namespace pistachioweir {
 namespace {
@@ -23,50 +22,6 @@
 constexpr std::uint32_t kFieldsPerSuspect =
     3 + static_cast<std::uint32_t>(quarantine_options::kCrashes);
 
-using packer_type = msgpack::packer<msgpack::sbuffer>;
-
-// Leaves room for the head, which is known last.
-class frame_writer {
- public:
-  explicit frame_writer(std::uint32_t fields) : packer_(buffer_) {
-    buffer_.write("\0\0\0\0\0", kFrameHeadBytes);
-    packer_.pack_array(fields);
-  }
-
-  template <typename Value>
-  frame_writer& Put(const Value& value) {
-    packer_.pack(value);
-    return *this;
-  }
-
-  frame_writer& Put(const load_report& load) {
-    return Put(load.admission_level)
-        .Put(load.in_flight)
-        .Put(load.queued)
-        .Put(load.limit)
-        .Put(load.pressure);
-  }
-
-  frame_writer& Put(const neighbour_report& report) {
-    return Put(report.revision).Put(report.vouched);
-  }
-
-  [[nodiscard]] std::string Finish(frame_kind kind) const {
-    std::string bytes(buffer_.data(), buffer_.size());
-    const auto length = static_cast<std::uint32_t>(bytes.size());
-    for (int i = 0; i < 4; ++i) {
-      bytes[static_cast<std::size_t>(i)] =
-          static_cast<char>(length >> (8 * (3 - i)));
-    }
-    bytes[4] = static_cast<char>(kind);
-    return bytes;
-  }
-
- private:
-  msgpack::sbuffer buffer_;
-  packer_type packer_;
-};
-
 load_report ReadLoad(msgpack_reader& reader) {
   load_report load;
   load.admission_level = reader.Unsigned32();
@@ -84,14 +39,6 @@
   return report;
 }
 
-std::uint64_t Count(milliseconds time) {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
-}
-
-std::uint64_t Count(microseconds time) {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
-}
-
 milliseconds ReadMilliseconds(msgpack_reader& reader) {
   return milliseconds(
       reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxRemaining.count())));
@@ -131,8 +78,8 @@
       .Put(frame.rank)
       .Put(static_cast<std::uint32_t>(frame.ticket))
       .Put(static_cast<std::uint32_t>(frame.repeats))
-      .Put(Count(frame.remaining))
-      .Put(Count(frame.objective_left))
+      .Put(frame.remaining)
+      .Put(frame.objective_left)
       .Put(frame.caller_service)
       .Put(frame.request_id)
       .Put(frame.request.verb)
@@ -147,7 +94,7 @@
       .Put(frame.number)
       .Put(static_cast<std::uint32_t>(frame.kind))
       .Put(static_cast<std::uint32_t>(frame.why))
-      .Put(Count(frame.retry_after))
+      .Put(frame.retry_after)
       .Put(frame.reached_target)
       .Put(static_cast<std::uint32_t>(frame.response.status))
       .Put(frame.response.header_block)
@@ -156,8 +103,8 @@
       .Put(frame.report)
       .Put(frame.by_targets)
       .Put(frame.failed_below)
-      .Put(Count(frame.queued))
-      .Put(Count(frame.served))
+      .Put(frame.queued)
+      .Put(frame.served)
       .Finish(frame_kind::kAnswer);
 }
 
@@ -179,7 +126,7 @@
     for (const crash_id crash : entry.crashes) {
       writer.Put(static_cast<std::uint64_t>(crash));
     }
-    writer.Put(Count(entry.remaining));
+    writer.Put(entry.remaining);
   }
   return writer.Finish(frame_kind::kSuspects);
 }
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -33,11 +33,13 @@
   kPong,      // It is; with the load of the target.
   kLeaving,   // The receiver of calls is stopping: send it no new ones.
   kSuspects,  // Requests that may have crashed a target.
+  kAskView,   // Which view do you have that is newer than mine?
+  kView,      // One that is.
 };
 
-inline constexpr enum_table<frame_kind, 10> kFrameKindNames(
+inline constexpr enum_table<frame_kind, 12> kFrameKindNames(
     {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
-     "leaving", "suspects"});
+     "leaving", "suspects", "ask_view", "view"});
 
 // Frames of another version are refused: the connection ends.
 inline constexpr std::uint32_t kPeerProtocolVersion = 3;
@@ -116,7 +118,8 @@
 [[nodiscard]] std::string Encode(const answer_frame& frame);
 [[nodiscard]] std::string Encode(const pong_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
-// kCancel and kAsk carry the number of the attempt, kPing and kLeaving nothing.
+// kCancel and kAsk carry the number of the attempt, kAskView the revision of
+// the asker's view, kPing and kLeaving nothing. For kView see view_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -232,12 +232,30 @@
         return;
       }
       break;
+    case frame_kind::kAskView:
+      if (const auto revision = DecodeNumber(frame.payload)) {
+        OnAskView(stream, *revision);
+        return;
+      }
+      break;
     default:
       break;
   }
   OnBroken(stream, frame.kind);
 }
 
+void peer_link::OnAskView(const stream_ptr& stream, std::uint64_t revision) {
+  auto view = events_.newer_view ? events_.newer_view(revision) : std::nullopt;
+  if (!view) {
+    return;
+  }
+  LogEvent("view_told",
+           {{.name = "peer", .value = ToString(options_.address)},
+            {.name = "bytes", .value = std::to_string(view->size())},
+            {.name = "newer_than", .value = std::to_string(revision)}});
+  stream->Send(*std::move(view));
+}
+
 void peer_link::OnBroken(const stream_ptr& stream, frame_kind kind) {
   LogWarning(
       "peer_frame_refused",
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -59,6 +60,9 @@
   std::function<void(const suspects_frame&)> on_suspects;
   // What a peer is told that has just been connected to.
   std::function<suspects_frame()> known_suspects;
+  // The view in use as a frame, if it is newer than `revision`: the peer has
+  // started without one.
+  std::function<std::optional<std::string>(std::uint64_t revision)> newer_view;
 };
 
 // A call that was sent. `heard` tells whether the answer came from the peer;
@@ -114,6 +118,7 @@
   void OnConnected(const socket_ptr& socket);
   void OnConnectFailed(std::uint64_t attempt, std::string_view why);
   void OnFrame(const stream_ptr& stream, const frame_view& frame);
+  void OnAskView(const stream_ptr& stream, std::uint64_t revision);
   void OnWelcome(const stream_ptr& stream, const welcome_frame& welcome);
   void OnAnswer(answer_frame answer);
   void OnStreamEnd(const stream_ptr& stream, std::string_view why);
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -3,12 +3,14 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <string>
 
 #include "include/base/log.h"
 #include "src/forward/executor.h"
 #include "src/net/tcp_listener.h"
 #include "src/net/tcp_options.h"
+#include "src/peer/view_frame.h"
 
 namespace pistachioweir {
 namespace {
@@ -16,6 +18,11 @@
 using boost::system::error_code;
 using tcp = boost::asio::ip::tcp;
 
+// Daemons that are asked for their views at a time: one may be cut off from the
+// store for long and have an old one, and all of them would answer with as many
+// whole views.
+constexpr std::size_t kAskedAtOnce = 3;
+
 std::uint64_t KeyOf(incarnation_id sender) {
   return static_cast<std::uint64_t>(sender);
 }
@@ -72,6 +79,7 @@
         return false;
       }
       sender_ = hello->sender;
+      vm_ = hello->vm;
       server_.OnHello(shared_from_this(), *hello);
       return true;
     }
@@ -115,6 +123,14 @@
         }
         return suspects.has_value();
       }
+      case frame_kind::kView: {
+        auto told = DecodeView(frame.payload);
+        if (told && server_.options_.on_view) {
+          told->from = vm_;
+          server_.options_.on_view(*told);
+        }
+        return told.has_value();
+      }
       default:
         return false;
     }
@@ -123,6 +139,7 @@
   peer_server& server_;
   std::shared_ptr<frame_stream> stream_;
   incarnation_id sender_{};  // Zero until its hello.
+  vm_id vm_;                 // The sender's.
 };
 
 peer_server::peer_server(boost::asio::io_context& context,
@@ -302,6 +319,20 @@
   }
 }
 
+void peer_server::AskForView(std::uint64_t revision) {
+  const auto question = std::make_shared<const std::string>(
+      EncodeNumbered(frame_kind::kAskView, revision));
+  const std::size_t count = std::min(kAskedAtOnce, by_sender_.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    auto next = by_sender_.upper_bound(last_asked_);
+    if (next == by_sender_.end()) {
+      next = by_sender_.begin();
+    }
+    last_asked_ = next->first;
+    next->second->Send(question);
+  }
+}
+
 void peer_server::Tick(time_point now) {
   attempts_.Expire(now);
 }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -14,6 +16,7 @@
 #include "include/base/ids.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
+#include "include/forward/told_view.h"
 #include "include/once/attempt_table.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
@@ -27,6 +30,8 @@
   incarnation_id self{};
   // Called with what another daemon told of requests that crash targets.
   std::function<void(const suspects_frame&)> on_suspects;
+  // Called with another daemon's view that AskForView() asked for.
+  std::function<void(const told_view&)> on_view;
 };
 
 // Owns the listening socket, the connections, and the record of attempts. An
@@ -44,6 +49,9 @@
   void Drain();
   // Tells all senders of requests that may have crashed a target.
   void Tell(const suspects_frame& suspects);
+  // Asks some of the daemons that are connected, others each time, for a view
+  // that is newer than `revision`. Those that have none don't answer.
+  void AskForView(std::uint64_t revision);
   // Once a second.
   void Tick(time_point now);
 
@@ -72,9 +80,10 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   attempt_table attempts_;
   std::uint64_t calls_read_ = 0;
+  std::uint64_t last_asked_ = 0;            // For a view; a sender.
   std::set<std::shared_ptr<session>> all_;  // Connections that are open.
   // The newest connection of each sender.
-  std::unordered_map<std::uint64_t, std::shared_ptr<session>> by_sender_;
+  std::map<std::uint64_t, std::shared_ptr<session>> by_sender_;
   // Names at the executor of attempts in progress, by sender and number.
   std::unordered_map<std::uint64_t,
                      std::unordered_map<std::uint64_t, std::uint64_t>>
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -22,6 +22,7 @@
 #include "include/base/call_log.h"
 #include "src/forward/executor.h"
 #include "src/peer/peer_server.h"
+#include "src/peer/view_frame.h"
 
 namespace pistachioweir {
 namespace {
@@ -41,6 +42,15 @@
           .request = {.verb = "POST", .target = "/sign/" + id}};
 }
 
+std::shared_ptr<const service_view> ViewWithOneTarget() {
+  auto view = std::make_shared<service_view>();
+  view->config = std::make_shared<const service_config>();
+  view->targets = {{.id = "target-1",
+                    .service = "registry",
+                    .address = {.ip = "10.0.0.1", .port = 8301}}};
+  return view;
+}
+
 // The receiving daemon: its target's runs wait until the test ends them.
 class receiver {
  public:
@@ -56,7 +66,10 @@
             },
             log),
         server(context,
-               {.address = {.ip = "127.0.0.1", .port = port}, .self = self},
+               {.address = {.ip = "127.0.0.1", .port = port},
+                .self = self,
+                .on_view =
+                    [this](const told_view& view) { told.push_back(view); }},
                calls) {
     calls.SetSlots(8);
   }
@@ -73,6 +86,7 @@
   std::deque<target_run> runs;  // All that were begun.
   std::deque<std::function<void(run_result)>> ends;
   int given_up = 0;
+  std::vector<told_view> told;
   executor calls;
   peer_server server;
 };
@@ -187,7 +201,9 @@
     }
   }
 
-  std::shared_ptr<peer_link> LinkTo(const endpoint& address) {
+  std::shared_ptr<peer_link> LinkTo(
+      const endpoint& address,
+      decltype(peer_link_events::newer_view) newer_view = nullptr) {
     if (link_ != nullptr) {
       link_->Close();
     }
@@ -203,7 +219,8 @@
             .on_load = [](const load_report&) {},
             .on_report = [](const neighbour_report&) {},
             .on_suspects = [](const suspects_frame&) {},
-            .known_suspects = [] { return suspects_frame{}; }});
+            .known_suspects = [] { return suspects_frame{}; },
+            .newer_view = std::move(newer_view)});
     return link_;
   }
 
@@ -418,6 +435,37 @@
   EXPECT_EQ(AnswerTo("b").answer.kind, outcome_kind::kCompleted);
 }
 
+// The daemon behind a link has started while the store is away. Whoever has
+// connected to it has a view, and tells it when asked; one that has none newer
+// says nothing.
+TEST_F(peer_link_test, TellsItsViewWhenAsked) {
+  receiver far(context_, incarnation_id{9}, 0);
+  LinkTo(far.server.address(), [](std::uint64_t revision) {
+    std::optional<std::string> newer;
+    if (revision < 40) {
+      newer = Encode(told_view{.revision = 40,
+                               .age = milliseconds(200),
+                               .view = ViewWithOneTarget()});
+    }
+    return newer;
+  });
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] { return far.runs.size() == 1; }));
+  far.server.AskForView(0);
+  ASSERT_TRUE(RunUntil([&] { return !far.told.empty(); }));
+  EXPECT_EQ(far.told[0].revision, 40U);
+  EXPECT_EQ(far.told[0].age, milliseconds(200));
+  EXPECT_EQ(far.told[0].from, "vm-1");
+  EXPECT_EQ(far.told[0].view->targets.size(), 1U);
+  far.server.AskForView(40);
+  RunFor(milliseconds(50));
+  EXPECT_EQ(far.told.size(), 1U);
+  // The connection has not been harmed by either.
+  far.AnswerNext("done");
+  ASSERT_TRUE(RunUntil([&] { return Answered("a"); }));
+  EXPECT_TRUE(AnswerTo("a").heard);
+}
+
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
 TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -312,5 +312,91 @@
   EXPECT_NE(StartName(before->targets[0]), StartName(after->targets[0]));
 }
 
+// What another daemon has in its view, with the target `id` at `address`.
+service_view Neighbours(const std::string& version,
+                        const std::string& id,
+                        const std::string& address) {
+  view_builder other;
+  other.Put("op/config", Config(version), 1, 1);
+  other.Put("servers/" + id, Target(address), 2, 2);
+  return *other.TakeChanged();
+}
+
+// A daemon starts while the store is away and goes on with its neighbour's
+// view. When the store is back, one of the targets has left meanwhile, and the
+// configuration is a newer one.
+TEST(ViewBuilderTest, TheStoreReplacesWhatANeighbourTold) {
+  view_builder builder;
+  ASSERT_TRUE(builder.Adopt(Neighbours("r5", "i-1", "10.0.0.1:80"), kStart));
+  const auto told = builder.TakeChanged();
+  ASSERT_NE(told, nullptr);
+  EXPECT_EQ(told->config->version, 5U);
+  ASSERT_EQ(told->targets.size(), 1U);
+  builder.BeginSnapshot();
+  builder.Put("op/config", Config("r9"), 1, 30);
+  builder.Put("servers/i-2", Target("10.0.0.2:80"), 20, 20);
+  builder.EndSnapshot(kStart + seconds(1));
+  const auto read = builder.TakeChanged();
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(read->config->version, 9U);
+  ASSERT_EQ(read->targets.size(), 1U);
+  EXPECT_EQ(read->targets[0].id, "i-2");
+}
+
+// The store's word is told on even if it is what the neighbour had told: a
+// daemon speaks for its target only by what it has read itself.
+TEST(ViewBuilderTest, TheStoresWordIsNewsAfterATold) {
+  view_builder builder;
+  ASSERT_TRUE(builder.Adopt(Neighbours("r5", "i-1", "10.0.0.1:80"), kStart));
+  ASSERT_NE(builder.TakeChanged(), nullptr);
+  builder.BeginSnapshot();
+  builder.Put("op/config", Config("r5"), 1, 1);
+  builder.Put("servers/i-1", Target("10.0.0.1:80"), 2, 2);
+  builder.EndSnapshot(kStart);
+  EXPECT_NE(builder.TakeChanged(), nullptr);
+}
+
+// The store was away when the daemon started, and entries ran out. They are
+// back within two seconds of its return: until then the targets that the
+// neighbour told of stay, as they do at the neighbour.
+TEST(ViewBuilderTest, ToldTargetsHaveTimeToComeBackAfterTheStore) {
+  view_builder builder;
+  ASSERT_TRUE(builder.Adopt(Neighbours("r5", "i-1", "10.0.0.1:80"), kStart));
+  const time_point back = kStart + seconds(6);
+  builder.NoteAnswer(back, kStart + seconds(2));
+  builder.BeginSnapshot();
+  builder.Put("op/config", Config("r5"), 1, 1);
+  builder.EndSnapshot(back);
+  const auto early = builder.TakeChanged();
+  ASSERT_NE(early, nullptr);
+  EXPECT_EQ(early->targets.size(), 1U);
+  builder.Advance(back + milliseconds(2100));
+  EXPECT_TRUE(builder.TakeChanged()->targets.empty());
+}
+
+// While the store is being read, its own word is on the way; a reading that
+// failed is none.
+TEST(ViewBuilderTest, NothingIsTakenFromNeighboursWhileTheStoreIsRead) {
+  view_builder builder;
+  builder.BeginSnapshot();
+  builder.Put("op/config", Config("r9"), 1, 30);
+  const service_view older = Neighbours("r5", "i-1", "10.0.0.1:80");
+  EXPECT_FALSE(builder.Adopt(older, kStart));
+  builder.AbortSnapshot();
+  EXPECT_TRUE(builder.Adopt(older, kStart));
+  // What was read of the configuration is newer, and stays.
+  EXPECT_EQ(builder.TakeChanged()->config->version, 9U);
+}
+
+// A target that is told of restarts at its address under another id.
+TEST(ViewBuilderTest, ANewEntryReplacesAToldOneAtItsAddress) {
+  view_builder builder;
+  ASSERT_TRUE(builder.Adopt(Neighbours("r5", "i-1", "10.0.0.1:80"), kStart));
+  builder.Put("servers/i-2", Target("10.0.0.1:80"), 20, 20);
+  const auto view = builder.TakeChanged();
+  ASSERT_EQ(view->targets.size(), 1U);
+  EXPECT_EQ(view->targets[0].id, "i-2");
+}
+
 }  // namespace
 }  // namespace pistachioweir::platform
