A target that is gone ends the pause between two watches of the store

Cause: behind an answer that brought changes a daemon waits up to a second before it asks the store for more. Those three had read the store while old entries were still there and the new ones came one by one; they waited with a list of targets that were gone, and each was taken out by its successor's answer. Ruled out: links between daemons (up within 0.1 s), the guard against waste (its refusals come later and elsewhere), killed daemons as such (all killed under the same load with their targets alive: no call without a target).

Change: an answer of another target than the one that was meant ends the pause, at most every 0.2 s. Test: store_views_test, against a store whose every answer the test gives; with pauses of an hour the second watch never came before.

Why it holds: the answer itself shows that the list is old, at whichever moment it was read, and the store is asked then. The soak gets `--kinds kill_all`, which kills all daemons at once.

--- a/include/forward/watch_pace.h
+++ b/include/forward/watch_pace.h
@@ -9,6 +9,18 @@
 
 namespace pistachioweir {
 
+// At most half of the two seconds within which a change of the configuration or
+// of a target that leaves must be in force.
+inline constexpr milliseconds kMostWatchPause{1000};
+// A pause ends early when a target turns out to be another one than the list
+// has at its address: the changes that the daemon waits for are then those that
+// it needs. After a loss of power all targets are new. A daemon that read the
+// store while some of their entries were there waited for the rest for a
+// second, was told by each old target in turn that it is gone, and for 0.6 s
+// refused 33 calls for want of a target while all of them were registered. Not
+// more often than this: each is a call that the pause was to save.
+inline constexpr milliseconds kLeastWatchPause{200};
+
 // Each daemon watches the store by itself, so one change costs one call of
 // each. A series of changes, as when all targets are started or replaced, would
 // cost as many calls as changes times daemons: the store then turns daemons
@@ -19,6 +31,8 @@
   // Calls a second that the store takes of all daemons together; zero if not
   // told.
   std::uint32_t store_calls_per_second = 0;
+  milliseconds most_pause = kMostWatchPause;
+  milliseconds least_pause = kLeastWatchPause;  // If it is ended early.
 };
 
 // The part of the store's calls that changes may take. After an outage of the
@@ -26,9 +40,6 @@
 // second or two, and others read there too. Calls are paid for as well: of 62
 // daemons, twice this part cost 2,512 calls on a quiet day instead of 1,865.
 inline constexpr double kWatchShare = 0.01;
-// At most half of the two seconds within which a change of the configuration or
-// of a target that leaves must be in force.
-inline constexpr milliseconds kMostWatchPause{1000};
 
 // How long to wait behind an answer that brought changes.
 [[nodiscard]] constexpr milliseconds WatchPause(
@@ -40,7 +51,7 @@
   }
   const milliseconds even(static_cast<milliseconds::rep>(
       1000.0 * static_cast<double>(daemons) / allowed));
-  return std::min(even, kMostWatchPause);
+  return std::min(even, options.most_pause);
 }
 
 // How long a watch waits for a change, before it is renewed.
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -54,6 +54,8 @@
   source.Stop();
   // Another daemon has read this revision.
   source.NoteRevision(std::uint64_t{});
+  // A target isn't the one that the view has at its address.
+  source.NoteStaleTarget();
   // Uses another daemon's view until the store answers; false if it can't.
   { source.Adopt(told_view{}) } -> std::same_as<bool>;
   { source.state() } -> std::same_as<view_state>;
@@ -181,6 +183,7 @@
             },
         .on_revision =
             [this](std::uint64_t revision) { views_.NoteRevision(revision); },
+        .on_stale_target = [this] { views_.NoteStaleTarget(); },
         .newer_view =
             [this](std::uint64_t revision) { return NewerView(revision); }};
   }
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -323,6 +323,9 @@
   if (answer.answer.why == reason::kWrongTarget) {
     // The target that was meant has ended; the list will say so in a while.
     StateOf(call.service).targets.MarkLeaving(call.target);
+    if (options_.on_stale_target) {
+      options_.on_stale_target();
+    }
   }
   if (answer.answer.reached_target ||
       answer.answer.kind == outcome_kind::kUnknown) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -47,6 +47,8 @@
   std::function<void(const suspects_frame&)> on_suspects;
   // Another daemon has read this revision of the platform's store.
   std::function<void(std::uint64_t revision)> on_revision;
+  // A target turned out to be another one than the view has at its address.
+  std::function<void()> on_stale_target;
   // A daemon without a view asks for one that is newer than `revision`.
   std::function<std::optional<std::string>(std::uint64_t revision)> newer_view;
 };
--- /dev/null
+++ b/tests/store_views_test.cc
@@ -0,0 +1,205 @@
+// A daemon's view and the store that it comes from, over real connections to a
+// store whose every answer the test gives.
+#include "platform/store_views.h"
+
+#include <gtest/gtest.h>
+#include <json/value.h>
+#include <json/writer.h>
+#include <openssl/evp.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "include/forward/service_view.h"
+#include "tests/support/fake_http_target.h"
+
+namespace pistachioweir::platform {
+namespace {
+
+// Only ends a test that hangs.
+constexpr milliseconds kPatience{20000};
+// Longer than any test waits, so that what comes before its end has been asked
+// for early.
+constexpr milliseconds kEndlessPause = std::chrono::hours(1);
+
+constexpr std::string_view kConfig =
+    R"({"version":"r1","routes":{"columns":["name","host","prefix","kind",
+"timeout","target-latency","priority","service","max-attempts"],"rows":[["look",
+"a.example","/look/","safe","1s","500ms",1,"registry",2]]},"services":{"columns":
+["name","max-connections"],"rows":[["registry",100]]},"limits":{
+"max-header-bytes":8192,"max-body-bytes":1000000,"header-timeout":"3s",
+"idle-timeout":"15s"}})";
+
+std::string TargetEntry(const std::string& address) {
+  return R"({"address":")" + address +
+         R"(","info":{"service":"registry","version":"v1","zone":"waw-a",
+"slots":8},"status":{"state":"ready","sequence":1,"warmup-left":"0ms"}})";
+}
+
+std::string Base64(std::string_view text) {
+  std::string encoded(4 * ((text.size() + 2) / 3) + 1, '\0');
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  encoded.resize(static_cast<std::size_t>(length));
+  return encoded;
+}
+
+Json::Value Item(const std::string& key,
+                 std::string_view value,
+                 unsigned revision) {
+  Json::Value item;
+  item["key"] = key;
+  item["value"] = Base64(value);
+  item["revision"] = revision;
+  item["created"] = revision;
+  return item;
+}
+
+// The store: its configuration is there from the start, targets come as events
+// of the watches that the test answers.
+class store_views_test : public testing::Test {
+ protected:
+  store_views_test()
+      : views_(context_,
+               Settings(),
+               {.store_calls_per_second = 1,
+                .most_pause = kEndlessPause,
+                .least_pause = kEndlessPause},
+               [this](std::shared_ptr<const service_view> view) {
+                 view_ = std::move(view);
+               }) {
+    store_.on_request = [this](const read_request& request,
+                               const fake_http_target::connection_ptr& from) {
+      OnRequest(request, from);
+    };
+  }
+
+  ~store_views_test() override { views_.Stop(); }
+
+  forward_settings Settings() {
+    settings_.platform = {store_.address()};
+    return settings_;
+  }
+
+  void OnRequest(const read_request& request,
+                 const fake_http_target::connection_ptr& from) {
+    if (request.target.find("kv-watch") != std::string::npos) {
+      ++watches_;
+      watch_ = request;
+      watcher_ = from;
+      return;
+    }
+    Json::Value answer;
+    if (request.target.find("kv-key") != std::string::npos) {
+      answer = Item("op/config", kConfig, 1);
+    } else {
+      answer["items"] = Json::Value(Json::arrayValue);
+      answer["has-more"] = false;
+    }
+    answer["store-revision"] = 1;
+    from->Send(fake_http_target::Answer(request, Text(answer)));
+  }
+
+  // The waiting watch hears that a target registered.
+  void Register(const std::string& id, unsigned revision) {
+    Json::Value answer;
+    answer["events"].append(
+        Item("servers/" + id, TargetEntry("10.0.0.1:8301"), revision));
+    answer["store-revision"] = revision;
+    watcher_->Send(fake_http_target::Answer(watch_, Text(answer)));
+  }
+
+  static std::string Text(const Json::Value& value) {
+    return Json::writeString(Json::StreamWriterBuilder(), value);
+  }
+
+  bool Lists(const std::string& id) const {
+    return view_ != nullptr && view_->targets.size() == 1 &&
+           view_->targets[0].id == id;
+  }
+
+  ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
+    const time_point end = monotonic_clock::now() + kPatience;
+    while (!done()) {
+      if (monotonic_clock::now() > end) {
+        return ::testing::AssertionFailure() << "nothing happened";
+      }
+      context_.restart();
+      context_.run_one_for(milliseconds(10));
+    }
+    return ::testing::AssertionSuccess();
+  }
+
+  boost::asio::io_context context_;
+  fake_http_target store_{context_};
+  forward_settings settings_;
+  std::shared_ptr<const service_view> view_;
+  int watches_ = 0;
+  read_request watch_;  // The one that waits.
+  fake_http_target::connection_ptr watcher_;
+  store_views views_;
+};
+
+TEST_F(store_views_test, ReadsAndWatches) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  EXPECT_EQ(views_.state().revision, 1U);
+  Register("i-1", 2);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-1"); }));
+  EXPECT_EQ(views_.state().revision, 2U);
+}
+
+// All machines lost power, and every target is a new one. This daemon read the
+// store while some of the old entries were still there, has just heard of a
+// change and waits before it asks for the next ones. Old targets are known to
+// be gone from their successors' answers, so that no target was left to call
+// for 0.6 s, though all had registered (log: answer why=wrong_target, then
+// not_placed why=no_target usable=0).
+TEST_F(store_views_test, AStaleTargetEndsThePauseBetweenWatches) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  Register("i-1", 2);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-1"); }));
+  EXPECT_EQ(watches_, 1);
+  views_.NoteStaleTarget();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  Register("i-2", 3);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-2"); }));
+}
+
+// Each early end is a call that the pause was to save, and while many targets
+// are gone many answers tell so.
+TEST_F(store_views_test, ManyStaleTargetsEndOnePauseOnly) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  Register("i-1", 2);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-1"); }));
+  views_.NoteStaleTarget();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  Register("i-2", 3);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-2"); }));
+  views_.NoteStaleTarget();
+  context_.restart();
+  context_.run_for(milliseconds(20));
+  EXPECT_EQ(watches_, 2);
+}
+
+// A target that is gone while the watch waits for news is no reason to ask
+// again: the news will come.
+TEST_F(store_views_test, AWaitingWatchIsLeftAlone) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  views_.NoteStaleTarget();
+  context_.restart();
+  context_.run_for(milliseconds(20));
+  EXPECT_EQ(watches_, 1);
+}
+
+}  // namespace
+}  // namespace pistachioweir::platform
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -13,7 +13,7 @@
     "store_slow", "store_lossy", "store_history", "config", "configs", "crash",
     "drain", "lose_answers", "reuse", "poison")
 # Only where they are named, so that seeds keep their meaning.
-EXTRA_KINDS = ()
+EXTRA_KINDS = ("kill_all",)
 
 
 class Faults:
@@ -44,6 +44,18 @@
         await asyncio.sleep(dice.uniform(0.05, 1.0))
         await daemon.start()
 
+    async def kill_all(self, dice):
+        """All daemons that run are killed at one moment, and are back within a second."""
+        running = [one for one in self.world.daemons if not one.stopping]
+        for daemon in running:
+            daemon.stopping = True
+        await asyncio.gather(*(daemon.kill() for daemon in running))
+
+        async def back(daemon, after):
+            await asyncio.sleep(after)
+            await daemon.start()
+        await asyncio.gather(*(back(daemon, dice.uniform(0.05, 1.0)) for daemon in running))
+
     async def stop(self, dice, daemon=None):
         daemon = daemon or dice.choice(self.world.daemons)
         if daemon.stopping:
