Requests that can't end in the time they have left are not sent

Callers got nothing of it, some were told *unknown* of requests that never ran, and the bound on repeats was used up by them.

Ruled out: clocks (durations are sent), slow daemons (0.6 ms between two).

Change: a request is sent, first or again, only if it has at least half of the shortest run of its kind left, of those that ended well in the last 10 s at that service. The stop plan's longest requests are kept by the same small class now.

Why it holds: the bound comes from runs that ended well, so what is refused could not have, and it says nothing of kinds of which nothing is known.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -61,7 +61,7 @@
 
   // Most that a request took lately, until its answer was written.
   [[nodiscard]] duration Longest(time_point now) {
-    return state_->longest.Get(now);
+    return state_->longest.Get(now).value_or(duration(0));
   }
 
   // Takes no more connections and ends those that are idle.
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -20,7 +20,7 @@
 #include <boost/asio/write.hpp>
 
 #include "include/base/log.h"
-#include "include/base/recent_maximum.h"
+#include "include/base/recent_extreme.h"
 #include "include/base/time.h"
 #include "include/forward/service_view.h"
 #include "src/forward/caller_protocol_concept.h"
@@ -42,9 +42,9 @@
   std::size_t open_requests = 0;
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
-  recent_maximum longest{kLongestMemory};  // Of what requests took.
-  bool draining = false;  // Each connection ends behind its next answer.
-  bool refusing = false;  // Requests are refused, nothing of them runs.
+  recent_maximum longest;  // Of what requests took.
+  bool draining = false;   // Each connection ends behind its next answer.
+  bool refusing = false;   // Requests are refused, nothing of them runs.
 };
 
 // Requests of one connection that are served at the same time. More wait in the
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -19,7 +19,7 @@
 #include "include/admit/admission_controller.h"
 #include "include/admit/waste_guard.h"
 #include "include/base/ids.h"
-#include "include/base/recent_maximum.h"
+#include "include/base/recent_extreme.h"
 #include "include/base/time.h"
 #include "include/forward/target_vouching.h"
 #include "include/forward/view_state.h"
@@ -125,7 +125,9 @@
   void Drain();
   [[nodiscard]] bool leaving() const { return leaving_; }
   // Most that a call took lately, from its arrival on.
-  [[nodiscard]] duration Longest(time_point now) { return longest_.Get(now); }
+  [[nodiscard]] duration Longest(time_point now) {
+    return longest_.Get(now).value_or(duration(0));
+  }
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
   [[nodiscard]] load_report Load() const;
   // What callers' daemons are told besides.
@@ -203,7 +205,7 @@
   bool slots_known_ = false;
   bool leaving_ = false;
   bool draining_ = false;  // And leaving.
-  recent_maximum longest_{kLongestMemory};
+  recent_maximum longest_;
   executor_counters counters_;
 };
 
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -222,10 +222,25 @@
   return id;
 }
 
+bool origin::IsHopeless(const placed_call& call, time_point now) {
+  return StateOf(call.service)
+      .hopeless.IsHopeless(call.placing.method, call.deadline - now, now);
+}
+
 void origin::Try(call_id id) {
   const call_ptr call = calls_.at(id);
   service_state& state = StateOf(call->service);
   const time_point now = monotonic_clock::now();
+  if (IsHopeless(*call, now)) {
+    call->why = reason::kDeadlinePassed;
+    log_.Add(
+        id, call->call.id, "not_placed",
+        {{.name = "why", .value = std::string(kReasonNames.Name(call->why))},
+         {.name = "left_ms",
+          .value = std::to_string(TimeLeft(call->deadline, now).count())}});
+    FinishWithoutAnswer(id);
+    return;
+  }
   const placement placed =
       state.targets.Place(call->placing, now, RandomBits64());
   if (!placed.placed) {
@@ -312,6 +327,11 @@
       .targets.Finish(call.target, call.placing.method, ResultOf(answer),
                       answer.answer.served,
                       answer.heard ? &answer.answer.load : nullptr, now);
+  if (answer.answer.kind == outcome_kind::kCompleted &&
+      !IsServerError(answer.answer.response.status)) {
+    StateOf(call.service)
+        .hopeless.OnServed(call.placing.method, answer.answer.served, now);
+  }
   if (answer.answer.by_targets) {
     call.by_target = true;
     local_.NoteDownstream(call.service,
@@ -400,7 +420,8 @@
   const bool may_run =
       !call.may_have_run || call.matched->repeats == repeat_policy::kIdempotent;
   service_state& state = StateOf(call.service);
-  if (!may_run || now >= call.deadline || answer.why == reason::kCancelled ||
+  if (!may_run || now >= call.deadline || IsHopeless(call, now) ||
+      answer.why == reason::kCancelled ||
       !state.targets.MayTryElsewhere(call.placing, now)) {
     return false;
   }
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -20,6 +20,7 @@
 #include "include/config/settings.h"
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
+#include "include/retry/hopeless_sends.h"
 #include "include/retry/repeat_budget.h"
 #include "include/retry/reserve_share.h"
 #include "include/route/balancer.h"
@@ -106,6 +107,7 @@
 
     balancer targets;
     repeat_budget repeats;
+    hopeless_sends hopeless;
     kind_index kinds;
   };
 
@@ -141,6 +143,7 @@
   using call_ptr = std::shared_ptr<placed_call>;
 
   [[nodiscard]] bool FindRoute(placed_call& call, reason* why) const;
+  [[nodiscard]] bool IsHopeless(const placed_call& call, time_point now);
   void Try(call_id id);
   void Send(call_id id, const target_entry& target);
   [[nodiscard]] call_frame FrameOf(const placed_call& call,
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -563,6 +564,30 @@
   EXPECT_EQ(client.Next().status, 503);
 }
 
+// A target calls another one in the last milliseconds before its own caller
+// gives up, or answers then that it has run out of time and is asked once more
+// elsewhere. No target can do anything in the time that is left, and what has
+// not been sent can be refused truthfully.
+TEST_F(forward_path_test, ARequestWithoutTimeLeftIsNotSent) {
+  path_.Configure();
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    auto delay = std::make_shared<boost::asio::steady_timer>(path_.context,
+                                                             milliseconds(60));
+    delay->async_wait([request, from, delay](boost::system::error_code) {
+      from->Send(fake_http_target::Answer(request, "well"));
+    });
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  EXPECT_EQ(client.Next().status, 200);
+  client.Send(
+      "GET /look/2 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-2\r\n"
+      "Deadline-Ms: 10\r\n\r\n");
+  EXPECT_EQ(client.Next().status, 503);
+  EXPECT_EQ(path_.target.requests.size(), 1U);
+}
+
 // A stopping daemon ends each connection behind its answer, so that its callers
 // go elsewhere, and refuses what it could not finish.
 TEST_F(forward_path_test, AStoppingDaemonClosesBehindItsAnswers) {
