Sends that found nobody don't use up a request's tries

Cause: a request is sent to four targets at most, whatever became of the sends. That bound is for targets that refuse because they are full, of which most of a busy service are. A target that is gone says nothing of the others. Ruled out: the list (the four were listed and their daemons' links had just ended), the retry budget (nothing was reached).

Change: sends that reached no daemon, or one without its target, don't count; eight in all remain the bound. Why it holds: whoever is gone is out of reach or ejected for the next call, so that eight in a row are rare, and each costs one round trip or the 50 ms until its link is given up.

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -41,7 +41,9 @@
   // Methods of the called service, so that nothing is allocated later; more
   // can follow.
   std::uint32_t methods = 1;
-  // Tries of one call, the first included, over different targets.
+  // Tries of one call, the first included, over different targets. Those that
+  // found nobody don't count: after a loss of machines four in a row may be
+  // gone, while others are well.
   std::uint32_t max_tries = 3;
 };
 
@@ -71,10 +73,11 @@
 
 // Where one call has been tried already.
 struct tried_targets {
-  static constexpr std::uint32_t kMax = 4;
+  static constexpr std::uint32_t kMax = 8;
 
   std::array<target_ref, kMax> refs{};
   std::uint32_t count = 0;  // At most kMax.
+  std::uint32_t gone = 0;   // Of those, where nobody was.
 };
 
 struct placement_request {
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -18,9 +18,10 @@
 namespace pistachioweir {
 namespace {
 
-// Sends of one call, those that reach no target included. A refusal by the
-// daemon beside a target costs the target nothing, but each takes a round trip
-// and most of a busy service's targets are equally full.
+// Sends of one call, those that are refused before they reach a target
+// included. A refusal by the daemon beside a target costs the target nothing,
+// but each takes a round trip and most of a busy service's targets are equally
+// full. Sends that find nobody say nothing of the others, and don't count.
 constexpr std::uint32_t kMaxSends = 4;
 // A caller that doesn't say how long it waits, on a route without a timeout.
 constexpr milliseconds kDefaultTimeout{30000};
@@ -47,6 +48,13 @@
                                                : call_result::kFailed;
 }
 
+// No daemon could be reached, or the one that was has no target beside it.
+bool FoundNobody(const peer_answer& answer) {
+  return answer.answer.kind == outcome_kind::kNotExecuted &&
+         !answer.answer.reached_target &&
+         (!answer.heard || answer.answer.why == reason::kNotReady);
+}
+
 }  // namespace
 
 origin::origin(boost::asio::io_context& context,
@@ -347,6 +355,9 @@
       options_.on_stale_target();
     }
   }
+  if (FoundNobody(answer)) {
+    ++call.placing.tried.gone;
+  }
   if (answer.answer.reached_target ||
       answer.answer.kind == outcome_kind::kUnknown) {
     ++call.reached;
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -359,7 +359,7 @@
 
 bool balancer::MayTryElsewhere(const placement_request& request,
                                time_point now) const {
-  if (request.tried.count >= options_.max_tries ||
+  if (request.tried.count - request.tried.gone >= options_.max_tries ||
       request.tried.count >= tried_targets::kMax) {
     return false;
   }
--- a/tests/expected_end_test.cc
+++ b/tests/expected_end_test.cc
@@ -164,5 +164,31 @@
   EXPECT_EQ(chooser_.VmOf(second.target), "far-1");
 }
 
+// Machines are lost and daemons restarted: the four targets that a call is sent
+// to one after the other are gone, and it was refused after the fourth although
+// the fifth was well (log: four times answer why=not_ready, then answered
+// why=not_ready).
+TEST_F(expected_end_test, TargetsThatAreGoneDontUseUpTheTries) {
+  balancer chooser({.policy = placement_policy::kExpectedEnd, .max_tries = 4});
+  std::vector<target_info> targets;
+  for (int i = 0; i < 6; ++i) {
+    targets.push_back({.vm = "vm-" + std::to_string(i), .slots = 10});
+  }
+  chooser.SetTargets(targets, kStart);
+  placement_request request;
+  for (int i = 0; i < 4; ++i) {
+    const placement placed = chooser.Place(request, kStart, random_());
+    chooser.Finish(placed.target, 0, call_result::kFailed, milliseconds(50),
+                   nullptr, kStart);
+    request.tried.refs[request.tried.count++] = placed.target;
+    ++request.tried.gone;
+    EXPECT_TRUE(chooser.MayTryElsewhere(request, kStart)) << i;
+  }
+  EXPECT_TRUE(chooser.Place(request, kStart, random_()).placed);
+  // Refusals of targets that are there do: the fourth is the last.
+  request.tried.gone = 0;
+  EXPECT_FALSE(chooser.MayTryElsewhere(request, kStart));
+}
+
 }  // namespace
 }  // namespace pistachioweir
