A suspect that has completed anywhere is cleared everywhere

After two lost machines some daemons refused a harmless kind of work for a minute, with Retry-After 60, though others served it (log: `answered why=quarantined` for a path that crashes nothing). It comes where many callers send the same request and a daemon has not seen one complete within ten seconds: after a start, or where it is slow and rare.

Cause: that a request completes, which clears it, was known to each daemon for itself alone. Ruled out: equal fingerprints of different requests (route, path and body are in them).

Change: who knows better answers the daemon that tells of a suspect; a suspect that completes, refused or not, is cleared, and whoever had suspected it passes that on once. On the wire it is an entry without time or crashes, which says nothing to a daemon of before.

Why it holds: a request that crashes each target that runs it never completes, so that completing is proof, and the test holds a bad one beside a cleared one.

--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -28,7 +28,11 @@
 // fingerprint of one that was in progress by chance, and two crashes would
 // refuse a whole kind of work. So what has completed lately is no suspect and
 // is not refused; daemons beside callers know that of all targets, those beside
-// targets of their own.
+// targets of their own. A daemon that has just started, or one that sees such a
+// request rarely, knows nothing of it, and refused all of the kind for a minute
+// after two lost machines. So whoever knows better says so to the daemon that
+// told the suspects, and a suspect that completes is cleared everywhere. A
+// request that crashes each target never completes, so nothing clears it.
 //
 // Pure logic; the owner has one for its target.
 class crash_suspects {
@@ -52,12 +56,18 @@
   void OnCut(const request_fingerprint& request,
              time_point began,
              time_point now);
-  // A run that began at `began` was answered.
-  void OnAnswered(const request_fingerprint& request,
+  // A run that began at `began` was answered. True as OnCompleted().
+  bool OnAnswered(const request_fingerprint& request,
                   time_point began,
                   time_point now);
-  // A request of a caller here has completed, at whatever target.
-  void OnCompleted(const request_fingerprint& request, time_point now);
+  // A request of a caller here has completed, at whatever target. True if it
+  // was suspected: others should know that it crashes nothing.
+  bool OnCompleted(const request_fingerprint& request, time_point now);
+  // Others have seen these complete. Returns those that were suspected here:
+  // each daemon passes them on, as it did when it heard of them as suspects.
+  std::vector<request_fingerprint> OnCleared(
+      const std::vector<request_fingerprint>& requests,
+      time_point now);
   // The target is dead. Returns what other daemons should know, if anything.
   [[nodiscard]] std::vector<quarantine_entry> OnDied(time_point now);
   // What another daemon told. Returns what of it is news: each daemon passes
@@ -66,6 +76,11 @@
   std::vector<quarantine_entry> Import(
       const std::vector<quarantine_entry>& entries,
       time_point now);
+  // Those of the suspects that have completed here lately: whoever tells of
+  // them should know.
+  [[nodiscard]] std::vector<request_fingerprint> Innocent(
+      const std::vector<quarantine_entry>& entries,
+      time_point now) const;
   // What a daemon should know that connects now, and heard nothing before.
   [[nodiscard]] std::vector<quarantine_entry> Known(time_point now) const {
     return quarantine_.Export(now, kMostKnown);
--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -53,6 +53,8 @@
   // The request ran to its end: it was in progress by chance. Clears a
   // suspect, not a request that is quarantined.
   void OnCompleted(const request_fingerprint& request);
+  // The request crashes nothing. True if it was suspected or quarantined.
+  bool Clear(const request_fingerprint& request);
 
   // How long the request is still refused; zero if it isn't.
   [[nodiscard]] milliseconds Remaining(const request_fingerprint& request,
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -108,14 +108,28 @@
   }
 }
 
-void executor::ImportSuspects(const std::vector<quarantine_entry>& entries) {
-  std::vector<quarantine_entry> news =
-      suspects_.Import(entries, monotonic_clock::now());
-  LogEvent("suspects_heard",
-           {{.name = "requests", .value = std::to_string(entries.size())},
-            {.name = "news", .value = std::to_string(news.size())}});
+suspects_frame executor::ImportSuspects(const suspects_frame& told) {
+  const time_point now = monotonic_clock::now();
+  suspects_frame reply{.cleared = suspects_.Innocent(told.entries, now)};
+  const suspects_frame news{.entries = suspects_.Import(told.entries, now),
+                            .cleared = suspects_.OnCleared(told.cleared, now)};
+  LogEvent(
+      "suspects_heard",
+      {{.name = "requests", .value = std::to_string(told.entries.size())},
+       {.name = "news", .value = std::to_string(news.entries.size())},
+       {.name = "innocent", .value = std::to_string(reply.cleared.size())},
+       {.name = "cleared", .value = std::to_string(told.cleared.size())},
+       {.name = "cleared_news", .value = std::to_string(news.cleared.size())}});
   if (!news.empty() && on_suspects_) {
-    on_suspects_(std::move(news));
+    on_suspects_(news);
+  }
+  return reply;
+}
+
+void executor::TellCleared(const request_fingerprint& request) {
+  LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"}});
+  if (on_suspects_) {
+    on_suspects_({.cleared = {request}});
   }
 }
 
@@ -133,7 +147,10 @@
 void executor::NoteCompleted(const std::string& route,
                              const relayed_request& request,
                              time_point now) {
-  suspects_.OnCompleted(FingerprintOf(route, request), now);
+  const request_fingerprint fingerprint = FingerprintOf(route, request);
+  if (suspects_.OnCompleted(fingerprint, now)) {
+    TellCleared(fingerprint);
+  }
 }
 
 void executor::TellTargetDied(time_point now) {
@@ -144,7 +161,7 @@
   LogWarning("target_crashed",
              {{.name = "suspects", .value = std::to_string(told.size())}});
   if (on_suspects_) {
-    on_suspects_(std::move(told));
+    on_suspects_({.entries = std::move(told)});
   }
 }
 
@@ -359,7 +376,9 @@
                             const run_result& result,
                             time_point now) {
   if (result.end == run_end::kAnswered) {
-    suspects_.OnAnswered(served.fingerprint, served.started, now);
+    if (suspects_.OnAnswered(served.fingerprint, served.started, now)) {
+      TellCleared(served.fingerprint);
+    }
   } else if (result.end == run_end::kLost && result.cut) {
     suspects_.OnCut(served.fingerprint, served.started, now);
   }
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -56,9 +56,9 @@
  public:
   using callback = std::function<void(answer_frame)>;
 
-  // Hears of requests that may have crashed the target, for other daemons.
-  using suspects_listener =
-      std::function<void(std::vector<quarantine_entry> entries)>;
+  // Hears of requests that may have crashed the target, and of those that
+  // crash nothing after all, for other daemons.
+  using suspects_listener = std::function<void(const suspects_frame&)>;
 
   executor(boost::asio::io_context& context,
            target_runner run,
@@ -84,8 +84,8 @@
     on_suspects_ = std::move(listener);
   }
   // Another daemon told of requests that may have crashed a target. What is
-  // news goes on to the listener.
-  void ImportSuspects(const std::vector<quarantine_entry>& entries);
+  // news goes on to the listener. Returns what the other one doesn't know.
+  suspects_frame ImportSuspects(const suspects_frame& told);
   // For a daemon that connects.
   [[nodiscard]] std::vector<quarantine_entry> KnownSuspects() const;
   // Whether a request from a caller here is refused because such a one has
@@ -183,6 +183,7 @@
                     const run_result& result,
                     time_point now);
   void TellTargetDied(time_point now);
+  void TellCleared(const request_fingerprint& request);
   [[nodiscard]] bool TargetDown(time_point now) const;
 
   const target_runner run_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -97,7 +97,7 @@
                 .self = incarnation_,
                 .on_suspects =
                     [this](const suspects_frame& told) {
-                      executor_.ImportSuspects(told.entries);
+                      return executor_.ImportSuspects(told);
                     },
                 .on_view = [this](const told_view& told) { OnTold(told); }},
                executor_),
@@ -130,8 +130,7 @@
           .value = std::to_string(static_cast<std::uint64_t>(incarnation_))}});
     ScheduleLogFlush([this] { ArmFlush(); });
     AwaitSignal();
-    executor_.OnSuspects([this](std::vector<quarantine_entry> entries) {
-      const suspects_frame told{.entries = std::move(entries)};
+    executor_.OnSuspects([this](const suspects_frame& told) {
       peers_.Tell(told);
       origin_.TellSuspects(told);
     });
@@ -179,7 +178,7 @@
         .repeat_window = settings.repeat_window,
         .on_suspects =
             [this](const suspects_frame& told) {
-              executor_.ImportSuspects(told.entries);
+              return executor_.ImportSuspects(told);
             },
         .on_revision =
             [this](std::uint64_t revision) { views_.NoteRevision(revision); },
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -45,7 +45,7 @@
   double repeat_ratio = 0.1;
   std::uint32_t repeat_reserve = 10;
   milliseconds repeat_window{10000};
-  std::function<void(const suspects_frame&)> on_suspects;
+  std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // Another daemon has read this revision of the platform's store.
   std::function<void(std::uint64_t revision)> on_revision;
   // A target turned out to be another one than the view has at its address.
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -63,9 +63,8 @@
           [this, ip](const neighbour_report& report) { OnReport(ip, report); },
       .on_suspects =
           [this](const suspects_frame& suspects) {
-            if (options_.on_suspects) {
-              options_.on_suspects(suspects);
-            }
+            return options_.on_suspects ? options_.on_suspects(suspects)
+                                        : suspects_frame{};
           },
       .known_suspects =
           [this] { return suspects_frame{.entries = local_.KnownSuspects()}; },
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -116,12 +116,18 @@
       .Finish(frame_kind::kPong);
 }
 
+// A request that is cleared is an entry without time or crashes, which says
+// nothing to a daemon that doesn't know of clearing.
 std::string Encode(const suspects_frame& frame) {
+  std::vector<quarantine_entry> entries = frame.entries;
+  for (const request_fingerprint& cleared : frame.cleared) {
+    entries.push_back({.fingerprint = cleared});
+  }
   const auto count = static_cast<std::uint32_t>(
-      std::min<std::size_t>(frame.entries.size(), kMaxSuspects));
+      std::min<std::size_t>(entries.size(), kMaxSuspects));
   frame_writer writer(count * kFieldsPerSuspect);
   for (std::uint32_t i = 0; i < count; ++i) {
-    const quarantine_entry& entry = frame.entries[i];
+    const quarantine_entry& entry = entries[i];
     writer.Put(entry.fingerprint.high).Put(entry.fingerprint.low);
     for (const crash_id crash : entry.crashes) {
       writer.Put(static_cast<std::uint64_t>(crash));
@@ -248,7 +254,11 @@
       crash = crash_id{reader.Unsigned()};
     }
     entry.remaining = ReadMilliseconds(reader);
-    frame.entries.push_back(entry);
+    if (entry.remaining > milliseconds(0)) {
+      frame.entries.push_back(entry);
+    } else {
+      frame.cleared.push_back(entry.fingerprint);
+    }
   }
   if (!reader.ok()) {
     return std::nullopt;
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -110,6 +110,12 @@
 
 struct suspects_frame {
   std::vector<quarantine_entry> entries;
+  // Requests that were suspected and crash nothing.
+  std::vector<request_fingerprint> cleared;
+
+  [[nodiscard]] bool empty() const {
+    return entries.empty() && cleared.empty();
+  }
 };
 
 [[nodiscard]] std::string Encode(const hello_frame& frame);
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -228,7 +228,10 @@
       return;
     case frame_kind::kSuspects:
       if (const auto suspects = DecodeSuspectsFrame(frame.payload)) {
-        events_.on_suspects(*suspects);
+        const suspects_frame reply = events_.on_suspects(*suspects);
+        if (!reply.empty()) {
+          stream->Send(Encode(reply));
+        }
         return;
       }
       break;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -57,7 +57,8 @@
   std::function<void(bool leaving)> on_leaving;
   std::function<void(const load_report&)> on_load;
   std::function<void(const neighbour_report&)> on_report;
-  std::function<void(const suspects_frame&)> on_suspects;
+  // Returns what the peer doesn't know.
+  std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // What a peer is told that has just been connected to.
   std::function<suspects_frame()> known_suspects;
   // The view in use as a frame, if it is newer than `revision`: the peer has
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -119,7 +119,10 @@
       case frame_kind::kSuspects: {
         const auto suspects = DecodeSuspectsFrame(frame.payload);
         if (suspects && server_.options_.on_suspects) {
-          server_.options_.on_suspects(*suspects);
+          const suspects_frame reply = server_.options_.on_suspects(*suspects);
+          if (!reply.empty()) {
+            Send(Encode(reply));
+          }
         }
         return suspects.has_value();
       }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -29,7 +29,8 @@
   endpoint address;
   incarnation_id self{};
   // Called with what another daemon told of requests that crash targets.
-  std::function<void(const suspects_frame&)> on_suspects;
+  // Returns what that one doesn't know.
+  std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // Called with another daemon's view that AskForView() asked for.
   std::function<void(const told_view&)> on_view;
 };
--- a/src/quarantine/crash_suspects.cc
+++ b/src/quarantine/crash_suspects.cc
@@ -15,18 +15,42 @@
   cut_.push_back({.request = request, .began = began, .cut = now});
 }
 
-void crash_suspects::OnAnswered(const request_fingerprint& request,
+bool crash_suspects::OnAnswered(const request_fingerprint& request,
                                 time_point began,
                                 time_point now) {
   std::erase_if(cut_,
                 [began](const cut_run& each) { return each.cut < began; });
-  OnCompleted(request, now);
+  return OnCompleted(request, now);
 }
 
-void crash_suspects::OnCompleted(const request_fingerprint& request,
+bool crash_suspects::OnCompleted(const request_fingerprint& request,
                                  time_point now) {
   completed_[request.low % kCompletedPlaces] = {.request = request, .at = now};
-  quarantine_.OnCompleted(request);
+  return quarantine_.Clear(request);
+}
+
+std::vector<request_fingerprint> crash_suspects::OnCleared(
+    const std::vector<request_fingerprint>& requests,
+    time_point now) {
+  std::vector<request_fingerprint> news;
+  for (const request_fingerprint& request : requests) {
+    if (OnCompleted(request, now)) {
+      news.push_back(request);
+    }
+  }
+  return news;
+}
+
+std::vector<request_fingerprint> crash_suspects::Innocent(
+    const std::vector<quarantine_entry>& entries,
+    time_point now) const {
+  std::vector<request_fingerprint> innocent;
+  for (const quarantine_entry& entry : entries) {
+    if (HasCompletedLately(entry.fingerprint, now)) {
+      innocent.push_back(entry.fingerprint);
+    }
+  }
+  return innocent;
 }
 
 bool crash_suspects::HasCompletedLately(const request_fingerprint& request,
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -58,6 +58,10 @@
   }
 }
 
+bool quarantine::Clear(const request_fingerprint& request) {
+  return entries_.erase(request) > 0;
+}
+
 milliseconds quarantine::Remaining(const request_fingerprint& request,
                                    time_point now) const {
   const auto found = entries_.find(request);
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -169,6 +169,69 @@
   EXPECT_LE(frames, 2 * kDaemons * kConnections);
 }
 
+// Two machines are lost, and at both the same slow lookup was in progress, as
+// many callers send it. Daemons that have not seen it complete lately, such as
+// one that has just started, refused all of that kind for a minute (log:
+// refused as quarantined, 72 of some 300 such lookups in 20 s). Whoever has
+// seen it complete tells the daemon that suspects it, and the word goes on from
+// there.
+TEST_F(crash_suspects_test, WhoeverKnowsBetterClearsIt) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects knows(incarnation_id{2});
+  crash_suspects fresh(incarnation_id{3});
+  knows.OnCompleted(kBad, now_);
+  for (int i = 0; i < 2; ++i) {
+    Crash(one, kBad);
+    fresh.Import(told_, now_);
+    EXPECT_TRUE(knows.Import(told_, now_).empty());
+  }
+  EXPECT_TRUE(Refuses(one, kBad));
+  EXPECT_TRUE(Refuses(fresh, kBad));
+  const auto reply = knows.Innocent(told_, now_);
+  ASSERT_EQ(reply.size(), 1U);
+  const auto news = one.OnCleared(reply, now_);
+  EXPECT_EQ(news, reply);
+  EXPECT_EQ(fresh.OnCleared(news, now_), reply);
+  EXPECT_FALSE(Refuses(one, kBad));
+  EXPECT_FALSE(Refuses(fresh, kBad));
+  // It ends: what is known to be cleared is no news.
+  EXPECT_TRUE(one.OnCleared(reply, now_).empty());
+  // And the memory of completion has passed without it being refused again.
+  now_ += seconds(30);
+  EXPECT_FALSE(Refuses(one, kBad));
+}
+
+// Nobody had seen the lookup complete when it was suspected. One that was in
+// progress elsewhere then completes.
+TEST_F(crash_suspects_test, ASuspectThatCompletesIsClearedForAll) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  for (int i = 0; i < 2; ++i) {
+    Crash(one, kBad);
+    other.Import(told_, now_);
+  }
+  EXPECT_TRUE(Refuses(other, kBad));
+  EXPECT_TRUE(other.OnAnswered(kBad, now_, now_ + milliseconds(5)));
+  EXPECT_FALSE(other.OnAnswered(kBad, now_, now_ + milliseconds(6)));
+  EXPECT_EQ(one.OnCleared({kBad}, now_).size(), 1U);
+  EXPECT_FALSE(Refuses(one, kBad));
+}
+
+// A request that crashes each target never completes, and stays refused
+// whatever else completes and is cleared.
+TEST_F(crash_suspects_test, NothingElseClearsARequestThatCrashes) {
+  crash_suspects suspects(incarnation_id{1});
+  const request_fingerprint harmless = Request("/look/same");
+  for (int i = 0; i < 2; ++i) {
+    suspects.OnCut(harmless, now_, now_ + seconds(5));
+    Crash(suspects, kBad);
+  }
+  EXPECT_TRUE(Refuses(suspects, harmless));
+  suspects.OnCleared({harmless}, now_);
+  EXPECT_FALSE(Refuses(suspects, harmless));
+  EXPECT_TRUE(Refuses(suspects, kBad));
+}
+
 // A daemon starts after both crashes. Nobody tells it of them again, and the
 // request would crash its target too.
 TEST_F(crash_suspects_test, OneThatConnectsLaterIsToldWhatIsKnown) {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -218,7 +218,8 @@
             .on_leaving = [this](bool leaving) { leaving_ = leaving; },
             .on_load = [](const load_report&) {},
             .on_report = [](const neighbour_report&) {},
-            .on_suspects = [](const suspects_frame&) {},
+            .on_suspects =
+                [](const suspects_frame&) { return suspects_frame{}; },
             .known_suspects = [] { return suspects_frame{}; },
             .newer_view = std::move(newer_view)});
     return link_;
@@ -466,6 +467,22 @@
   EXPECT_TRUE(AnswerTo("a").heard);
 }
 
+// One daemon tells of suspects, and the other has seen one of them complete.
+TEST(SuspectsFrameTest, CarriesSuspectsAndWhatIsCleared) {
+  const suspects_frame told{.entries = {{.fingerprint = {.high = 1, .low = 2},
+                                         .crashes = {crash_id{3}},
+                                         .remaining = milliseconds(60000)}},
+                            .cleared = {{.high = 4, .low = 5}}};
+  const std::string bytes = Encode(told);
+  frame_view frame;
+  ASSERT_EQ(NextFrame(bytes, bytes.size(), &frame), frame_state::kWhole);
+  const auto read = DecodeSuspectsFrame(frame.payload);
+  ASSERT_TRUE(read.has_value());
+  ASSERT_EQ(read->entries.size(), 1U);
+  EXPECT_EQ(read->entries[0].crashes[0], crash_id{3});
+  EXPECT_EQ(read->cleared, told.cleared);
+}
+
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
 TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
--- a/tools/soaking/availability.py
+++ b/tools/soaking/availability.py
@@ -89,6 +89,15 @@
     return found
 
 
+def wrong_suspects(world):
+    """Requests refused for crashing targets, although none like them ever did."""
+    why = refusals(one.log for one in world.daemons)
+    return [f"{told.request}: refused as quarantined by daemon {told.daemon}, "
+            f"though it crashes nothing"
+            for told in world.ledger.told
+            if not told.poison and why.get(told.request) == "quarantined"]
+
+
 def summary(found):
     """Counts by reason of the lines of avoidable_refusals()."""
     why = collections.Counter(line.split(" refused as ", 1)[1].split(" ", 1)[0]
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -23,6 +23,7 @@
     end: object = None
     reusable: bool = False  # The connection can carry another request.
     retry_after: bool = False
+    poison: bool = False  # It crashes targets.
     during_stop: bool = False
     calm: bool = False  # Nothing had disturbed the daemon when it ended.
 
@@ -36,10 +37,12 @@
 
 
 class Callers:
-    def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts, services):
+    def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts, services,
+                 alike=0.0):
         self.daemon, self.ledger, self.dice = daemon, ledger, dice
         self.hosts = hosts  # To choose from.
         self.services = services  # By host.
+        self.alike = alike  # The part of requests that are the same as others.
         self.ended = False
 
     async def run(self, workers):
@@ -73,7 +76,10 @@
         told = Told(request, kind, self.daemon.index, time.monotonic(),
                     service=self.services[host], during_stop=self.daemon.stopping)
         self.ledger.told.append(told)
+        told.poison = path is not None
         body = b"b" * (self.dice.randrange(2000) if path is None else 10)
+        if self.alike and path is None and self.dice.random() < self.alike:
+            path, body = f"/{kind}/same", b""
         writer.write(
             f"POST {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
             f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n"
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -89,7 +89,8 @@
             return
         self.running += 1
         try:
-            await asyncio.sleep(self.dice.uniform(0.01, 0.12))
+            slow = path.endswith("/same")
+            await asyncio.sleep(self.dice.uniform(*((1.0, 2.5) if slow else (0.01, 0.12))))
         finally:
             self.running = max(0, self.running - 1)
         if start != self.id:
