Soak: two requests that crash targets, for longer than they are refused; stops judged at both ends

A request counts as sent during a planned stop if the stop had begun at its beginning or at its end; until now one that was sent just before the signal and cut by the stop was not judged. A kill is no planned stop any more.

--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -24,7 +24,7 @@
     reusable: bool = False  # The connection can carry another request.
     retry_after: bool = False
     poison: bool = False  # It crashes targets.
-    during_stop: bool = False
+    during_stop: bool = False  # At its beginning or its end.
     calm: bool = False  # Nothing had disturbed the daemon when it ended.
 
 
@@ -74,7 +74,8 @@
         number = next(self.ledger.numbers)
         request = f"r{self.daemon.index}-{number}"
         told = Told(request, kind, self.daemon.index, time.monotonic(),
-                    service=self.services[host], during_stop=self.daemon.stopping)
+                    service=self.services[host],
+                    during_stop=self.daemon.planned_stop)
         self.ledger.told.append(told)
         told.poison = path is not None
         body = b"b" * (self.dice.randrange(2000) if path is None else 10)
@@ -94,6 +95,7 @@
             told.end = "closed"
         finally:
             told.ended_at = time.monotonic()
+            told.during_stop |= self.daemon.planned_stop
             told.calm = self.daemon.undisturbed_for() > 4
         return told
 
--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -42,6 +42,7 @@
         self.process = None
         self.disturbed_at = time.monotonic()  # Last fault of this process.
         self.stopping = False
+        self.planned_stop = False  # And as planned, not killed.
         self.closed = False  # Must not be started any more.
         self.history = History()  # Of its processes; faults are unplanned ones.
         self.paused = History()
@@ -57,7 +58,7 @@
                 self.binary, "serve", "--settings", str(self.settings),
                 stdout=log, stderr=log, preexec_fn=end_with_parent)
         self.history.begin(time.monotonic())
-        self.stopping = False
+        self.stopping = self.planned_stop = False
         self.note_fault()
 
     def note_fault(self):
@@ -79,7 +80,7 @@
 
     async def stop(self):
         """A planned stop; it has to end by itself within its time."""
-        self.stopping = True
+        self.stopping = self.planned_stop = True
         self.signal(signal.SIGTERM)
         await self.awake.wait()  # A paused process doesn't hear of it before.
         try:
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -13,7 +13,7 @@
     "store_slow", "store_lossy", "store_history", "config", "configs", "crash",
     "drain", "lose_answers", "reuse", "poison")
 # Only where they are named, so that seeds keep their meaning.
-EXTRA_KINDS = ("kill_all",)
+EXTRA_KINDS = ("kill_all", "poisons")
 
 
 class Faults:
@@ -194,7 +194,18 @@
         """One request that crashes targets comes again and again, anywhere."""
         kind, host = dice.choice(["look", "sign"]), dice.choice(self.world.hosts)
         path = f"/{kind}/poison-{dice.randrange(10**6)}"
-        for _ in range(25):
+        await self._ask_again(dice, kind, host, path, 25)
+
+    async def poisons(self, dice):
+        """Two such requests beside each other, for longer than they are refused."""
+        kind, host = dice.choice(["look", "sign"]), dice.choice(self.world.hosts)
+        await asyncio.gather(*(
+            self._ask_again(random.Random(dice.random()), kind, host,
+                            f"/{kind}/poison-{dice.randrange(10**6)}", 250)
+            for _ in range(2)))
+
+    async def _ask_again(self, dice, kind, host, path, times):
+        for _ in range(times):
             daemon = dice.choice(self.world.daemons)
             caller = callers.Callers(daemon, self.world.ledger, dice, [host],
                                      self.world.service_of)
