--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -36,7 +36,8 @@
         acceptor_(Listen(context, options.address)),
         state_(std::make_shared<caller_port_state>(
             caller_port_state{.calls = calls,
-                              .max_held_bytes = options.max_held_bytes})) {
+                              .max_held_bytes = options.max_held_bytes,
+                              .longest = recent_maximum()})) {
     Accept();
   }
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -126,8 +126,10 @@
   return reply;
 }
 
-void executor::TellCleared(const request_fingerprint& request) {
-  LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"}});
+void executor::TellCleared(const request_fingerprint& request,
+                           const std::string& request_id) {
+  LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"},
+                               {.name = "request", .value = request_id}});
   if (on_suspects_) {
     on_suspects_({.cleared = {request}});
   }
@@ -146,10 +148,11 @@
 
 void executor::NoteCompleted(const std::string& route,
                              const relayed_request& request,
+                             const std::string& request_id,
                              time_point now) {
   const request_fingerprint fingerprint = FingerprintOf(route, request);
   if (suspects_.OnCompleted(fingerprint, now)) {
-    TellCleared(fingerprint);
+    TellCleared(fingerprint, request_id);
   }
 }
 
@@ -377,7 +380,7 @@
                             time_point now) {
   if (result.end == run_end::kAnswered) {
     if (suspects_.OnAnswered(served.fingerprint, served.started, now)) {
-      TellCleared(served.fingerprint);
+      TellCleared(served.fingerprint, served.call.request_id);
     }
   } else if (result.end == run_end::kLost && result.cut) {
     suspects_.OnCut(served.fingerprint, served.started, now);
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -97,6 +97,7 @@
   // A request of a caller here has been answered by its target.
   void NoteCompleted(const std::string& route,
                      const relayed_request& request,
+                     const std::string& request_id,
                      time_point now);
   // Once a second.
   void Tick(time_point now) { suspects_.Expire(now); }
@@ -183,7 +184,8 @@
                     const run_result& result,
                     time_point now);
   void TellTargetDied(time_point now);
-  void TellCleared(const request_fingerprint& request);
+  void TellCleared(const request_fingerprint& request,
+                   const std::string& request_id);
   [[nodiscard]] bool TargetDown(time_point now) const;
 
   const target_runner run_;
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -408,7 +408,8 @@
     return;
   }
   if (told.kind == outcome_kind::kCompleted) {
-    local_.NoteCompleted(call->matched->name, call->call.request, now);
+    local_.NoteCompleted(call->matched->name, call->call.request, call->call.id,
+                         now);
     Finish(id, {.kind = outcome_kind::kCompleted,
                 .response = std::move(told.response)});
     return;
--- a/tests/stop_plan_test.cc
+++ b/tests/stop_plan_test.cc
@@ -103,8 +103,7 @@
 // three seconds, 1,621 of 6,207 requests (log: refused_at_entrance
 // why=draining).
 TEST(StopPlanTest, ServesCallersThatStayUntilItEnds) {
-  const stop_result few =
-      StopUnder(4, milliseconds(65), milliseconds(75));
+  const stop_result few = StopUnder(4, milliseconds(65), milliseconds(75));
   EXPECT_EQ(few.refused, 0);
   EXPECT_EQ(few.cut, 0);
   // And it doesn't wait for callers that never go.
@@ -112,8 +111,7 @@
 }
 
 TEST(StopPlanTest, ABusyDaemonTurnsNobodyAwayEither) {
-  const stop_result many =
-      StopUnder(60, milliseconds(120), milliseconds(0));
+  const stop_result many = StopUnder(60, milliseconds(120), milliseconds(0));
   EXPECT_EQ(many.refused, 0);
   EXPECT_EQ(many.cut, 0);
   EXPECT_GT(many.took, milliseconds(4500));
