Origin: what it believes of services has a file of its own; daemons vouch

The view in use, targets that the store has lost and the state of services move to origin_views.cc unchanged; origin.cc keeps the life of a request, origin_links.cc the links. Comments and names say "vouch" throughout, where "word" and "speaks for" stood beside it.

--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -1,5 +1,5 @@
 // lapsed_targets: targets that the platform's store has lost and that stay in
-// use, since the daemons beside them speak for them.
+// use, since the daemons beside them vouch for them.
 #pragma once
 
 #include <map>
@@ -14,10 +14,10 @@
 // The other half of target_vouching. An entry that vanishes from the store has
 // left or has run out, and the store doesn't say which. It has run out if the
 // daemon beside the target says that it can't read the store and that the
-// target answers it. The word is a lease: it ends when it isn't renewed, when
+// target answers it. Vouching is a lease: it ends when it isn't renewed, when
 // the daemon takes it back, when the target is listed again or another one is
-// listed at its address (guard ADDRESS_FREE in spec/lapsed_targets.pml). A word
-// for another start of the target keeps nothing (guard SAME_START in
+// listed at its address (guard ADDRESS_FREE in spec/lapsed_targets.pml).
+// Vouching for another start of the target keeps nothing (guard SAME_START in
 // spec/lapsed_targets.pml).
 //
 // With six of 16 VMs cut off from the store for 12 s, all targets of one
@@ -26,16 +26,16 @@
 // Pure logic; the origin keeps one.
 class lapsed_targets {
  public:
-  // How long a word holds. Connections without calls are tried once a second,
+  // How long vouching holds. Connections without calls are tried once a second,
   // and an answer to that may be late by as much.
   static constexpr milliseconds kHolds{2000};
-  // The word may come after the entry has gone: a daemon notices that its
+  // It may come after the entry has gone: a daemon notices that its
   // connection to the store is dead only after some seconds.
   static constexpr milliseconds kRemembered{6000};
 
   // The store's list is `listed` now.
   void SetListed(std::vector<target_entry> listed, time_point now);
-  // The daemon at `ip` spoke for this start of its target, or, if empty, for
+  // The daemon at `ip` vouched for this start of its target, or, if empty, for
   // none.
   void OnVouched(const std::string& ip,
                  const std::string& start,
@@ -47,13 +47,13 @@
   void Expire(time_point now);
 
  private:
-  struct word {
+  struct voucher {
     std::string start;
     time_point heard;
   };
   struct removed_target {
     target_entry entry;
-    time_point last_needed;  // Of its removal, or of the last word for it.
+    time_point last_needed;  // Of its removal, or of the last vouching.
   };
 
   [[nodiscard]] bool IsListed(const target_entry& entry) const;
@@ -61,7 +61,7 @@
 
   std::vector<target_entry> listed_;
   std::map<std::string, removed_target> removed_;  // By id; none is listed.
-  std::map<std::string, word> words_;              // By IP number.
+  std::map<std::string, voucher> vouchers_;        // By IP number.
 };
 
 }  // namespace pistachioweir
--- a/include/forward/target_vouching.h
+++ b/include/forward/target_vouching.h
@@ -1,4 +1,4 @@
-// target_vouching: whether a daemon speaks for the target beside it while
+// target_vouching: whether a daemon vouches for the target beside it while
 // neither of them reaches the platform's store.
 #pragma once
 
@@ -17,7 +17,7 @@
 // can't read the store either, the target answers it, and it tells so on frames
 // that flow anyway.
 //
-// It must not speak for a target that has left. While it reads the store it
+// It must not vouch for a target that has left. While it reads the store it
 // never does: what vanishes then has left (guard STORE_LOST in
 // spec/lapsed_targets.pml). A target that leaves while its daemon is turned
 // away by the store ends its connections behind its answers, and an ended one
@@ -52,7 +52,7 @@
     }
   }
 
-  // The start that the daemon speaks for; empty for none.
+  // The start that the daemon vouches for; empty for none.
   [[nodiscard]] std::string Vouched(const view_state& view,
                                     time_point now) const {
     const bool lost = view.lost_since && now - *view.lost_since >= kLost;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -303,7 +303,7 @@
         }
       }
     }
-    // A daemon speaks for its target by what it has read itself.
+    // A daemon vouches for its target by what it has read itself.
     executor_.SetReadyTarget(views_.state().revision != 0 ? ready_target
                                                           : std::string());
     const bool usable = view->config != nullptr;
--- a/src/forward/lapsed_targets.cc
+++ b/src/forward/lapsed_targets.cc
@@ -1,4 +1,4 @@
-// Removed targets and the words for them.
+// Removed targets and the daemons that vouch for them.
 #include "include/forward/lapsed_targets.h"
 
 #include <algorithm>
@@ -15,8 +15,8 @@
 
 bool lapsed_targets::IsVouched(const target_entry& entry,
                                time_point now) const {
-  const auto found = words_.find(entry.address.ip);
-  return found != words_.end() && now - found->second.heard <= kHolds &&
+  const auto found = vouchers_.find(entry.address.ip);
+  return found != vouchers_.end() && now - found->second.heard <= kHolds &&
          found->second.start == StartName(entry);
 }
 
@@ -38,10 +38,10 @@
                                const std::string& start,
                                time_point now) {
   if (start.empty()) {
-    words_.erase(ip);
+    vouchers_.erase(ip);
     return;
   }
-  words_.insert_or_assign(ip, word{.start = start, .heard = now});
+  vouchers_.insert_or_assign(ip, voucher{.start = start, .heard = now});
 }
 
 std::vector<target_entry> lapsed_targets::Kept(time_point now) const {
@@ -63,7 +63,7 @@
   std::erase_if(removed_, [&](const auto& each) {
     return now - each.second.last_needed > kRemembered;
   });
-  std::erase_if(words_, [&](const auto& each) {
+  std::erase_if(vouchers_, [&](const auto& each) {
     return now - each.second.heard > kHolds;
   });
 }
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -18,11 +18,6 @@
 namespace pistachioweir {
 namespace {
 
-// Sends of one call, those that are refused before they reach a target
-// included. A refusal by the daemon beside a target costs the target nothing,
-// but each takes a round trip and most of a busy service's targets are equally
-// full. Sends that find nobody say nothing of the others, and don't count.
-constexpr std::uint32_t kMaxSends = 4;
 // A caller that doesn't say how long it waits, on a route without a timeout.
 constexpr milliseconds kDefaultTimeout{30000};
 // When to come back if nothing tells better.
@@ -73,84 +68,6 @@
   }
 }
 
-void origin::SetView(std::shared_ptr<const service_view> view) {
-  const time_point now = monotonic_clock::now();
-  listed_ = std::move(view);
-  lapsed_.SetListed(listed_->targets, now);
-  SetKept(lapsed_.Kept(now));
-  UseTargets(now);
-}
-
-void origin::UseTargets(time_point now) {
-  if (kept_.empty()) {
-    view_ = listed_;
-  } else {
-    auto used = std::make_shared<service_view>(*listed_);
-    used->targets.insert(used->targets.end(), kept_.begin(), kept_.end());
-    view_ = std::move(used);
-  }
-  targets_by_id_.clear();
-  std::set<std::string> ips;
-  std::map<std::string, std::vector<target_info>> by_service;
-  for (std::size_t i = 0; i < view_->targets.size(); ++i) {
-    const target_entry& target = view_->targets[i];
-    targets_by_id_.emplace(target.id, i);
-    ips.insert(target.address.ip);
-    by_service[target.service].push_back(
-        {.vm = target.id,
-         .data_centre = target.data_centre,
-         .incarnation = target.start,
-         .leaving = target.state == target_state::kLeaving,
-         .cold = target.warm_up_left > milliseconds(0),
-         .warm_up_left = target.warm_up_left,
-         .slots = target.slots});
-  }
-  reserve_share_.NoteDaemons(ips.size(), now);
-  ShareReserve(now);
-  for (auto& [service, state] : services_) {
-    by_service.try_emplace(service);
-  }
-  for (const auto& [service, targets] : by_service) {
-    StateOf(service).targets.SetTargets(targets, now);
-  }
-  CloseUnusedLinks();
-}
-
-origin::service_state& origin::StateOf(const std::string& service) {
-  const auto found = services_.find(service);
-  if (found != services_.end()) {
-    return found->second;
-  }
-  return services_
-      .try_emplace(service,
-                   balancer_options{.data_centre = options_.data_centre,
-                                    .policy = placement_policy::kExpectedEnd,
-                                    .methods = kind_index::kMost,
-                                    .max_tries = kMaxSends},
-                   RepeatOptions(monotonic_clock::now()))
-      .first->second;
-}
-
-repeat_budget_options origin::RepeatOptions(time_point now) {
-  return {.window = options_.repeat_window,
-          .ratio = options_.repeat_ratio,
-          .reserve = options_.repeat_reserve * reserve_share_.Part(now)};
-}
-
-// The part changes with the list of daemons, and with time after that.
-void origin::ShareReserve(time_point now) {
-  const repeat_budget_options repeating = RepeatOptions(now);
-  for (auto& [service, state] : services_) {
-    state.repeats.Configure(repeating);
-  }
-}
-
-const target_entry* origin::FindTarget(std::string_view id) const {
-  const auto found = targets_by_id_.find(std::string(id));
-  return found == targets_by_id_.end() ? nullptr
-                                       : &view_->targets[found->second];
-}
-
 bool origin::FindRoute(placed_call& call, reason* why) const {
   if (view_ == nullptr || view_->config == nullptr) {
     *why = reason::kNotReady;
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -85,36 +85,6 @@
   KeepLapsed(now);
 }
 
-// Targets that the store has lost come into use, or end it, as words for them
-// come and run out.
-void origin::KeepLapsed(time_point now) {
-  std::vector<target_entry> kept = lapsed_.Kept(now);
-  if (kept != kept_) {
-    SetKept(std::move(kept));
-    UseTargets(now);
-  }
-}
-
-void origin::SetKept(std::vector<target_entry> kept) {
-  const std::vector<target_entry> before =
-      std::exchange(kept_, std::move(kept));
-  for (const target_entry& target : kept_) {
-    if (std::ranges::find(before, target) == before.end()) {
-      LogWarning("target_kept",
-                 {{.name = "start", .value = StartName(target)},
-                  {.name = "why", .value = "its daemon speaks for it"}});
-    }
-  }
-  for (const target_entry& target : before) {
-    if (std::ranges::find(kept_, target) == kept_.end()) {
-      LogEvent("target_not_kept",
-               {{.name = "start", .value = StartName(target)},
-                {.name = "why",
-                 .value = "listed again, or its daemon's word has ended"}});
-    }
-  }
-}
-
 void origin::ForTargetsAt(
     const std::string& ip,
     const std::function<void(balancer&, target_ref)>& work) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -49,7 +49,7 @@
 struct neighbour_report {
   // The newest change of the platform's store that it has read.
   std::uint64_t revision = 0;
-  // The start of the target beside it that it speaks for, since it can't reach
+  // The start of the target beside it that it vouches for, since it can't reach
   // the store and so can't the target; empty otherwise. See target_vouching.h.
   std::string vouched;
 };
--- a/tests/expected_end_test.cc
+++ b/tests/expected_end_test.cc
@@ -170,8 +170,10 @@
 // why=not_ready).
 TEST_F(expected_end_test, TargetsThatAreGoneDontUseUpTheTries) {
   balancer chooser({.policy = placement_policy::kExpectedEnd, .max_tries = 4});
+  constexpr std::size_t kTargets = 6;
   std::vector<target_info> targets;
-  for (int i = 0; i < 6; ++i) {
+  targets.reserve(kTargets);
+  for (std::size_t i = 0; i < kTargets; ++i) {
     targets.push_back({.vm = "vm-" + std::to_string(i), .slots = 10});
   }
   chooser.SetTargets(targets, kStart);
--- a/tests/lapsed_targets_test.cc
+++ b/tests/lapsed_targets_test.cc
@@ -130,7 +130,7 @@
   EXPECT_EQ(kept(kStart + milliseconds(6)), 0U);
 }
 
-// The target starts again under its id; its daemon speaks for the new start.
+// The target starts again under its id; its daemon vouches for the new start.
 // What the store had was the old one.
 TEST_F(lapsed_targets_test, AWordForAnotherStartKeepsNothing) {
   List({1}, kStart);
@@ -151,7 +151,7 @@
 }
 
 // Whatever comes in which order: nothing is kept that is listed, whose address
-// is taken, or whose last word isn't a fresh one for just this start.
+// is taken, or whose vouching isn't a fresh one for just this start.
 RC_GTEST_PROP(LapsedTargetsTest, NothingIsKeptWithoutAFreshWord, ()) {
   lapsed_targets targets;
   std::vector<bool> listed(4, false);
--- a/tests/startup_view_test.cc
+++ b/tests/startup_view_test.cc
@@ -65,7 +65,7 @@
 // with the newest that was told before the store answered.
 RC_GTEST_PROP(StartupViewTest,
               UsesTheNewestOfAllThatWasTold,
-              (std::vector<std::uint8_t> revisions)) {
+              (const std::vector<std::uint8_t>& revisions)) {
   startup_view startup;
   std::uint64_t newest = 0;
   for (const std::uint8_t revision : revisions) {
