--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -53,10 +53,13 @@
     async def start(self):
         if self.closed:
             return
+        # In a session of its own: when the shell that started the soak ends, the
+        # kernel hangs up all of a process group in which one is stopped.
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 self.binary, "serve", "--settings", str(self.settings),
-                stdout=log, stderr=log, preexec_fn=end_with_parent)
+                stdout=log, stderr=log, preexec_fn=end_with_parent,
+                start_new_session=True)
         self.history.begin(time.monotonic())
         self.stopping = self.planned_stop = False
         self.note_fault()
