--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -23,6 +23,7 @@
 #include "src/forward/origin.h"
 #include "src/forward/target_pool.h"
 #include "tests/support/fake_http_target.h"
+#include "tests/support/run_until.h"
 
 namespace pistachioweir {
 namespace {
@@ -30,9 +31,6 @@
 using tcp = boost::asio::ip::tcp;
 using connection_ptr = fake_http_target::connection_ptr;
 
-// Only ends a test that hangs.
-constexpr milliseconds kPatience{20000};
-
 class forward_path {
  public:
   forward_path()
@@ -86,15 +84,7 @@
   }
 
   ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
-    const time_point end = monotonic_clock::now() + kPatience;
-    while (!done()) {
-      if (monotonic_clock::now() > end) {
-        return ::testing::AssertionFailure() << "nothing happened";
-      }
-      context.restart();
-      context.run_one_for(milliseconds(10));
-    }
-    return ::testing::AssertionSuccess();
+    return pistachioweir::RunUntil(context, done);
   }
 
   void RunFor(milliseconds time) {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -23,15 +23,13 @@
 #include "src/forward/executor.h"
 #include "src/peer/peer_server.h"
 #include "src/peer/view_frame.h"
+#include "tests/support/run_until.h"
 
 namespace pistachioweir {
 namespace {
 
 using tcp = boost::asio::ip::tcp;
 
-// Only ends a test that hangs.
-constexpr milliseconds kPatience{20000};
-
 call_frame CallNamed(const std::string& id,
                      repeat_policy repeats = repeat_policy::kAtMostOnce) {
   return {.target_id = "target-1",
@@ -234,15 +232,7 @@
 
   // Runs until `done` holds.
   ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
-    const time_point end = monotonic_clock::now() + kPatience;
-    while (!done()) {
-      if (monotonic_clock::now() > end) {
-        return ::testing::AssertionFailure() << "nothing happened";
-      }
-      context_.restart();
-      context_.run_one_for(milliseconds(20));
-    }
-    return ::testing::AssertionSuccess();
+    return pistachioweir::RunUntil(context_, done);
   }
 
   // Lets everything that is on its way arrive.
--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -16,12 +16,11 @@
 
 #include "include/forward/service_view.h"
 #include "tests/support/fake_http_target.h"
+#include "tests/support/run_until.h"
 
 namespace pistachioweir::platform {
 namespace {
 
-// Only ends a test that hangs.
-constexpr milliseconds kPatience{20000};
 // Longer than any test waits, so that what comes before its end has been asked
 // for early.
 constexpr milliseconds kEndlessPause = std::chrono::hours(1);
@@ -125,15 +124,7 @@
   }
 
   ::testing::AssertionResult RunUntil(const std::function<bool()>& done) {
-    const time_point end = monotonic_clock::now() + kPatience;
-    while (!done()) {
-      if (monotonic_clock::now() > end) {
-        return ::testing::AssertionFailure() << "nothing happened";
-      }
-      context_.restart();
-      context_.run_one_for(milliseconds(10));
-    }
-    return ::testing::AssertionSuccess();
+    return pistachioweir::RunUntil(context_, done);
   }
 
   boost::asio::io_context context_;
