What turns up behind the end of a stop is dropped or refused

Cause: several connections may be taken from the port at a time. The second turned up behind the moment at which nothing was in progress and the daemon had closed its port, and was served. Ruled out: another daemon's call (the request's caller is this daemon's), the end of the time to stop (3.4 s of 6 had passed).

Change: a connection that turns up behind the closing of the port is dropped, nothing of it read; what still comes on open ones or from other daemons is refused in the last 25 ms. Test: forward_path_test, AConnectionThatTurnsUpBehindTheEndIsDropped; without the change the second connection stays open and is served.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -56,6 +56,7 @@
   // Takes no more connections: callers that come are refused by the kernel and
   // know that nothing of theirs was read. Those that are open go on.
   void StopListening() {
+    listening_ = false;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
   }
@@ -91,7 +92,10 @@
   void Accept() {
     acceptor_.async_accept(
         [this](boost::system::error_code error, tcp::socket socket) {
-          if (error == boost::asio::error::operation_aborted) {
+          // A connection may have been taken before the port was closed and
+          // only turn up here behind it, since several are taken at a time.
+          // Served, its request would be in progress when the daemon ends.
+          if (error == boost::asio::error::operation_aborted || !listening_) {
             return;
           }
           if (!error && state_->sessions < options_.max_connections) {
@@ -115,6 +119,7 @@
 
   const caller_server_options options_;
   tcp::acceptor acceptor_;
+  bool listening_ = true;
   std::shared_ptr<caller_port_state> state_;
   std::list<std::weak_ptr<session>> sessions_;
 };
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -382,7 +382,11 @@
          {.name = "longest_ms", .value = std::to_string(longest.count())}});
   }
 
+  // Nothing is in progress. Whatever still comes is refused: it would be cut
+  // off when the process ends, a moment later.
   void Stop() {
+    executor_.Drain();
+    callers_.RefuseNew();
     callers_.Close();
     views_.Stop();
     // Answers that were handed to the kernel go out; give the last ones a turn.
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -597,6 +597,26 @@
   EXPECT_EQ(path_.target.requests.size(), 1U);
 }
 
+// Two callers connect at the moment at which a stopping daemon finds nothing in
+// progress and ends. Both connections have been taken, one of them unseen. Its
+// request was begun, and cut off 25 ms later with its target at work: the
+// caller of a signature doesn't know whether it ran (soak: cut by a planned
+// stop).
+TEST_F(forward_path_test, AConnectionThatTurnsUpBehindTheEndIsDropped) {
+  path_.Configure();
+  AnswerAll();
+  caller first(path_);
+  caller second(path_);
+  first.Request("GET", "/look/1", "id-1");
+  second.Request("GET", "/look/2", "id-2");
+  ASSERT_TRUE(
+      path_.RunUntil([&] { return path_.server.state().sessions == 1; }));
+  path_.server.Close();
+  ASSERT_TRUE(path_.RunUntil([&] { return first.ended && second.ended; }));
+  EXPECT_TRUE(path_.target.requests.empty());
+  EXPECT_TRUE(second.answers.empty());
+}
+
 TEST_F(forward_path_test, AnswersNonsenseWithAClearRefusal) {
   path_.Configure();
   AnswerAll();
