A peer that was out of reach for long is reached again

Cause: a link without calls is closed after 60 s, or after 3 s if it was made to tell of crashing requests. A target that is out of reach gets no calls, so its link was closed as unused; nothing tried to reach the peer any more, and the target stayed marked. Ruled out: the peer (it served others), its entry (listed all the time), ejection (ends by itself).

Change: a link that is out of reach isn't closed as unused. Why it holds: a link ends only when it is well, or its target is gone from the list.

--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -133,7 +133,11 @@
   for (auto place = links_.begin(); place != links_.end();) {
     const milliseconds idle =
         place->second->carries_calls() ? kLinkIdle : kToldIdle;
-    const bool unused = place->second->outstanding() == 0 &&
+    // A link that is out of reach is the only one to find out when that ends:
+    // its targets get no calls, so that nothing else would ask. Closed, it left
+    // a target unused for good that was well again after a minute.
+    const bool unused = place->second->reachable() &&
+                        place->second->outstanding() == 0 &&
                         now - place->second->last_used() > idle;
     if (unused) {
       place->second->Close();
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -102,6 +102,8 @@
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
   // Since when nothing was asked of the peer.
   [[nodiscard]] time_point last_used() const { return last_used_; }
+  // False once the peer was found to be out of reach, until it answers again.
+  [[nodiscard]] bool reachable() const { return reachable_; }
   // Whether a call was ever sent.
   [[nodiscard]] bool carries_calls() const { return carries_calls_; }
 
--- /dev/null
+++ b/tests/origin_links_test.cc
@@ -0,0 +1,126 @@
+// An origin's connections to the daemons beside targets, over real sockets.
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "include/base/call_log.h"
+#include "include/forward/service_view.h"
+#include "src/forward/executor.h"
+#include "src/forward/origin.h"
+#include "src/net/tcp_listener.h"
+#include "src/peer/peer_server.h"
+#include "tests/support/run_until.h"
+
+namespace pistachioweir {
+namespace {
+
+const std::string kFarIp = "127.0.0.9";
+
+// A daemon whose target answers each run at once.
+class far_daemon {
+ public:
+  far_daemon(boost::asio::io_context& context, std::uint16_t port)
+      : calls(
+            context,
+            [this](target_run, std::function<void(run_result)> done) {
+              ++runs;
+              run_result result{.end = run_end::kAnswered};
+              result.response = {.status = 200};
+              done(std::move(result));
+              return [] {};
+            },
+            log),
+        server(context,
+               {.address = {.ip = kFarIp, .port = port},
+                .self = incarnation_id{9}},
+               calls) {
+    calls.SetSlots(8);
+  }
+
+  call_log log{{}};
+  int runs = 0;
+  executor calls;
+  peer_server server;
+};
+
+class origin_links_test : public testing::Test {
+ protected:
+  origin_links_test()
+      : port_(FreePort(context_)),
+        local_(
+            context_,
+            [](target_run, std::function<void(run_result)>) { return [] {}; },
+            log_),
+        calls_(context_,
+               {.vm = "vm-1",
+                .service = "registry",
+                .peer_port = port_,
+                .self = incarnation_id{7}},
+               local_,
+               log_) {
+    auto config = std::make_shared<service_config>();
+    std::string problem;
+    config->routes = *route_table::Make({{.name = "look",
+                                          .host = "a.example",
+                                          .prefix = "/",
+                                          .timeout = milliseconds(2000),
+                                          .parts = {{.service = "registry"}}}},
+                                        &problem);
+    auto view = std::make_shared<service_view>();
+    view->config = config;
+    view->targets = {{.id = "target-1",
+                      .service = "registry",
+                      .address = {.ip = kFarIp, .port = 1},
+                      .slots = 8}};
+    calls_.SetView(view);
+  }
+
+  static std::uint16_t FreePort(boost::asio::io_context& context) {
+    const auto listener = Listen(context, {.ip = kFarIp, .port = 0});
+    return LocalEndpoint(listener).port;
+  }
+
+  // What becomes of one request.
+  outcome_kind Ask() {
+    std::optional<outcome_kind> told;
+    calls_.Submit({.id = "id",
+                   .host = "a.example",
+                   .request = {.verb = "GET", .target = "/look"},
+                   .received = monotonic_clock::now()},
+                  [&](const relayed_result& result) { told = result.kind; });
+    EXPECT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
+    return told.value_or(outcome_kind::kUnknown);
+  }
+
+  boost::asio::io_context context_;
+  const std::uint16_t port_;
+  call_log log_{{}};
+  executor local_;
+  origin calls_;
+};
+
+// A VM is cut off for longer than connections without calls are kept. Nobody
+// sends it calls meanwhile, since it is known to be out of reach, so its
+// connection counted as unused, and with it ended the only attempts to reach
+// it: a daemon went without that target for good, and refused requests when the
+// others were gone (soak seed 506: peer_reachable reachable=no, and none with
+// yes for 13 s though the peer was well).
+TEST_F(origin_links_test, APeerThatComesBackAfterALongTimeIsUsedAgain) {
+  EXPECT_EQ(Ask(), outcome_kind::kNotExecuted);
+  calls_.Tick(monotonic_clock::now() + seconds(61));
+  far_daemon back(context_, port_);
+  ASSERT_TRUE(RunUntil(context_, [&] { return back.server.sessions() == 1; }));
+  ASSERT_TRUE(
+      RunUntil(context_, [&] { return Ask() == outcome_kind::kCompleted; }));
+  EXPECT_EQ(back.runs, 1);
+}
+
+}  // namespace
+}  // namespace pistachioweir
