--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -29,7 +29,8 @@
   far_daemon(boost::asio::io_context& context, std::uint16_t port)
       : calls(
             context,
-            [this](target_run, std::function<void(run_result)> done) {
+            [this](const target_run&,
+                   const std::function<void(run_result)>& done) {
               ++runs;
               run_result result{.end = run_end::kAnswered};
               result.response = {.status = 200};
@@ -56,7 +57,9 @@
       : port_(FreePort(context_)),
         local_(
             context_,
-            [](target_run, std::function<void(run_result)>) { return [] {}; },
+            [](const target_run&, const std::function<void(run_result)>&) {
+              return [] {};
+            },
             log_),
         calls_(context_,
                {.vm = "vm-1",
