Tests: the far target answers once its run has begun

The fake answered inside the call that hands it the run, which no target does; the address sanitizer showed the executor using the run behind it. Passes three times, and under the address sanitizer.

--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -23,18 +24,20 @@
 
 const std::string kFarIp = "127.0.0.9";
 
-// A daemon whose target answers each run at once.
+// A daemon whose target answers each run as soon as it has begun.
 class far_daemon {
  public:
   far_daemon(boost::asio::io_context& context, std::uint16_t port)
       : calls(
             context,
-            [this](const target_run&,
-                   const std::function<void(run_result)>& done) {
+            [this, &context](const target_run&,
+                             const std::function<void(run_result)>& done) {
               ++runs;
-              run_result result{.end = run_end::kAnswered};
-              result.response = {.status = 200};
-              done(std::move(result));
+              boost::asio::post(context, [done] {
+                run_result result{.end = run_end::kAnswered};
+                result.response = {.status = 200};
+                done(std::move(result));
+              });
               return [] {};
             },
             log),
