Soak: the daemons' lines are read once for both checks on refusals

Two checks each read and parsed the logs of all daemons, which are some hundred files with 200 of them.

--- a/tools/soaking/availability.py
+++ b/tools/soaking/availability.py
@@ -67,10 +67,9 @@
             daemon.history.calm(since, until))
 
 
-def avoidable_refusals(world):
+def avoidable_refusals(world, why):
     """Requests refused for want of a view, a target or by a stop, with a target of
-    their service well."""
-    why = refusals(one.log for one in world.daemons)
+    their service well. `why` is that of refusals()."""
     pairs = list(zip(world.targets, world.daemons))
     found = []
     for told in world.ledger.told:
@@ -89,9 +88,8 @@
     return found
 
 
-def wrong_suspects(world):
+def wrong_suspects(world, why):
     """Requests refused for crashing targets, although none like them ever did."""
-    why = refusals(one.log for one in world.daemons)
     return [f"{told.request}: refused as quarantined by daemon {told.daemon}, "
             f"though it crashes nothing"
             for told in world.ledger.told
