--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -101,7 +101,7 @@
       answer["items"] = Json::Value(Json::arrayValue);
       answer["has-more"] = false;
     }
-    answer["store-revision"] = 1;
+    answer["store-revision"] = newest_;
     from->Send(fake_http_target::Answer(request, Text(answer)));
   }
 
@@ -127,12 +127,18 @@
     return pistachioweir::RunUntil(context_, done);
   }
 
+  void RunFor(milliseconds time) {
+    const time_point end = monotonic_clock::now() + time;
+    RunUntil([&] { return monotonic_clock::now() >= end; });
+  }
+
   boost::asio::io_context context_;
   fake_http_target store_{context_};
   forward_settings settings_;
   std::shared_ptr<const service_view> view_;
   int watches_ = 0;
-  read_request watch_;  // The one that waits.
+  unsigned newest_ = 1;  // The store's revision.
+  read_request watch_;   // The one that waits.
   fake_http_target::connection_ptr watcher_;
   store_views views_;
 };
@@ -192,5 +198,46 @@
   EXPECT_EQ(watches_, 1);
 }
 
+// Changes come one after the other, and the answer to this daemon's watch was
+// lost. Its neighbours tell of each change. Each time the patience with the
+// watch began anew, so that until the end of the series, or of the watch, the
+// daemon handled requests by a configuration that had been replaced (lines:
+// config_taken of all others, and none of this one).
+TEST_F(store_views_test, ALostAnswerShowsWhileChangesGoOn) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  for (std::uint64_t revision = 2; revision < 8; ++revision) {
+    views_.NoteRevision(revision);
+    RunFor(milliseconds(100));
+  }
+  EXPECT_GE(watches_, 2);
+}
+
+// As above, but the store tells watches nothing for a while, so that the answer
+// to the second one is lost as well. One doubt for each piece of news left the
+// daemon to wait for the end of that watch.
+TEST_F(store_views_test, ASecondLostAnswerShowsToo) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  views_.NoteRevision(2);
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 3; }));
+  Register("i-1", 2);
+  ASSERT_TRUE(RunUntil([&] { return Lists("i-1"); }));
+}
+
+// As above, and the store has forgotten its history by the time that the daemon
+// asks again: everything is read anew, and the newest is in force.
+TEST_F(store_views_test, ALostAnswerBeforeTheHistoryIsGone) {
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  views_.NoteRevision(2);
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  newest_ = 2;
+  constexpr int kGone = 410;
+  watcher_->Send(fake_http_target::Answer(watch_, "{}", kGone));
+  ASSERT_TRUE(RunUntil([&] { return views_.state().revision == 2; }));
+}
+
 }  // namespace
 }  // namespace pistachioweir::platform
