The last target in reach is not ejected

Cause: a target that fails three times is ejected if others can take its calls. Targets that are out of reach counted among those others.

Ruled out: the list of targets (usable= counts those that are listed and reachable, and the two others were neither).

Change: only targets in reach count as replacement. Before: NeverEjectsTheLastTargetInReach red, nothing placed after three failures. After: green, all twenty calls are placed. It holds because the count is now over the same targets that Place() chooses from.

--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -442,11 +442,14 @@
   failed.failures = kFailuresToEject - 1;  // One more failure ejects again.
 }
 
+// Targets that can't be reached take no calls in place of an ejected one. If
+// they counted, the last target that answers could be ejected for two lost
+// answers, and requests would be refused beside a target that is well.
 bool balancer::MayEject(time_point now) const {
   std::uint32_t ejected = 0;
   std::uint32_t eligible = 0;
   for (const target& candidate : targets_) {
-    if (candidate.listed && !candidate.leaving) {
+    if (candidate.listed && !candidate.leaving && !candidate.unreachable) {
       ++eligible;
       ejected += candidate.ejected_until > now ? 1 : 0;
     }
--- a/tests/balancer_test.cc
+++ b/tests/balancer_test.cc
@@ -68,5 +68,23 @@
   EXPECT_GE(chooser.usable(kStart), 2U);
 }
 
+// One of three daemons has stopped and one is paused, so neither can be
+// reached. Some answers of the third target are lost. With the other two
+// counted it was ejected, and requests were refused although it was well (log:
+// not_placed why=no_target usable=0).
+TEST(BalancerTest, NeverEjectsTheLastTargetInReach) {
+  balancer chooser({.data_centre = "waw-1"});
+  chooser.SetTargets(ThreeTargets(), kStart);
+  chooser.SetReachable(*chooser.RefOf("a"), false);
+  chooser.SetReachable(*chooser.RefOf("b"), false);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < 20; ++i) {
+    const auto choice = chooser.Place({}, kStart, random());
+    ASSERT_TRUE(choice.placed);
+    chooser.Finish(choice.target, 0, call_result::kFailed, {}, nullptr, kStart);
+  }
+  EXPECT_EQ(chooser.usable(kStart), 1U);
+}
+
 }  // namespace
 }  // namespace pistachioweir
