A request that finds nobody looks again for a moment

The daemon beside a good target was out of reach for 44 ms (not_ready heard=no), the only other one was 2.7 s into its stop and refused. Nobody tried the first again, though its connection was being made anew.

Cause: a search that ends without a target refuses the request at once, whether the reason is want of room or a gap that ends by itself.

Ruled out: the number of tries (sends that find nobody don't count).

Line: looks_again why= in_ms=.

Before: ARequestOutlivesAMomentWithoutTargets red, refused after 0 ms. After: completed.

--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -12,6 +12,7 @@
 #include "include/base/call_log.h"
 #include "include/base/log.h"
 #include "include/base/random_bits.h"
+#include "include/retry/target_wait.h"
 #include "src/forward/executor.h"
 #include "src/forward/run_outcome.h"
 
@@ -44,7 +45,7 @@
 }
 
 // No daemon could be reached, or the one that was has no target beside it.
-bool FoundNobody(const peer_answer& answer) {
+bool NobodyThere(const peer_answer& answer) {
   return answer.answer.kind == outcome_kind::kNotExecuted &&
          !answer.answer.reached_target &&
          (!answer.heard || answer.answer.why == reason::kNotReady);
@@ -175,7 +176,7 @@
         id, call->call.id, "not_placed",
         {{.name = "why", .value = std::string(kReasonNames.Name(placed.why))},
          {.name = "usable", .value = Text(state.targets.usable(now))}});
-    FinishWithoutAnswer(id);
+    FinishOrLookAgain(id);
     return;
   }
   call->target = placed.target;
@@ -272,7 +273,7 @@
       options_.on_stale_target();
     }
   }
-  if (FoundNobody(answer)) {
+  if (NobodyThere(answer)) {
     ++call.placing.tried.gone;
   }
   if (answer.answer.reached_target ||
@@ -331,7 +332,39 @@
                 .response = std::move(told.response)});
     return;
   }
-  FinishWithoutAnswer(id);
+  FinishOrLookAgain(id);
+}
+
+void origin::FinishOrLookAgain(call_id id) {
+  const placed_call& call = *calls_.at(id);
+  const bool nothing_sent = call.reached == 0 && !call.may_have_run;
+  const auto pause = nothing_sent
+                         ? NextLook({.received = call.call.received,
+                                     .deadline = call.deadline,
+                                     .objective = call.placing.objective,
+                                     .why = call.why},
+                                    monotonic_clock::now())
+                         : std::nullopt;
+  if (pause) {
+    LookAgainIn(id, *pause);
+  } else {
+    FinishWithoutAnswer(id);
+  }
+}
+
+void origin::LookAgainIn(call_id id, milliseconds pause) {
+  placed_call& call = *calls_.at(id);
+  log_.Add(id, call.call.id, "looks_again",
+           {{.name = "why", .value = std::string(kReasonNames.Name(call.why))},
+            {.name = "in_ms", .value = std::to_string(pause.count())}});
+  call.placing.tried = {};
+  call.pause.expires_after(pause);
+  call.pause.async_wait([this, id](boost::system::error_code error) {
+    // The caller may have left just as the pause ended.
+    if (!error && calls_.contains(id)) {
+      Try(id);
+    }
+  });
 }
 
 // Another target is asked for a request that has not run, and for one that may
@@ -437,6 +470,7 @@
   const call_ptr call = found->second;
   calls_.erase(found);
   call->timer.cancel();
+  call->pause.cancel();
   if (call->by_target) {
     local_.NoteCallOfTarget(result.kind != outcome_kind::kCompleted ||
                                 IsServerError(result.response.status),
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -119,7 +119,8 @@
     std::string service;
     time_point deadline;
     placement_request placing;
-    boost::asio::steady_timer timer;
+    boost::asio::steady_timer timer;  // Of the deadline.
+    boost::asio::steady_timer pause;  // Until the next search for a target.
     // The send in progress, if there is one.
     target_ref target;
     std::string target_id;
@@ -137,7 +138,8 @@
     reason why = reason::kNone;  // Of the last send that gave no answer.
     milliseconds retry_after{0};
 
-    explicit placed_call(boost::asio::io_context& context) : timer(context) {}
+    explicit placed_call(boost::asio::io_context& context)
+        : timer(context), pause(context) {}
   };
 
   using call_ptr = std::shared_ptr<placed_call>;
@@ -155,6 +157,9 @@
                                  const answer_frame& answer,
                                  time_point now);
   void OnTimeout(call_id id);
+  // Refuses the call, or has it look for a target again in a moment.
+  void FinishOrLookAgain(call_id id);
+  void LookAgainIn(call_id id, milliseconds pause);
   void Finish(call_id id, relayed_result result);
   void FinishWithoutAnswer(call_id id);
   void CancelSend(placed_call& call);
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -128,5 +128,23 @@
   EXPECT_EQ(back.runs, 1);
 }
 
+// The daemon beside the only target is reached again 20 ms after a request has
+// found nobody. The request was refused, with 2 s left, and its caller had to
+// spend a retry on that.
+TEST_F(origin_links_test, ARequestOutlivesAMomentWithoutTargets) {
+  std::optional<outcome_kind> told;
+  calls_.Submit({.id = "id",
+                 .host = "a.example",
+                 .request = {.verb = "GET", .target = "/look"},
+                 .received = monotonic_clock::now()},
+                [&](const relayed_result& result) { told = result.kind; });
+  // The connection is refused as soon as the context runs, not before.
+  const time_point refused = monotonic_clock::now() + milliseconds(20);
+  RunUntil(context_, [&] { return monotonic_clock::now() >= refused; });
+  const far_daemon back(context_, port_);
+  ASSERT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
+  EXPECT_EQ(*told, outcome_kind::kCompleted);
+}
+
 }  // namespace
 }  // namespace pistachioweir
