--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -20,10 +20,13 @@
 class Daemon:
     def __init__(self, binary, folder, index, network, service, zone, ports, timed,
                  proxied=True):
-        self.binary, self.index = binary, index
+        self.binary, self.index, self.zone = binary, index, zone
         self.longest_stop = STOP_TIMEOUT + 1 if timed else HANG
         self.ip = f"127.{network}.0.{index}"
         self.caller = (self.ip, ports["caller"])
+        self.admin = (self.ip, ports["admin"])
+        # The store tells daemons apart by the address that they call.
+        self.store = (f"127.{network}.3.{index}", ports["store"])
         # Without a proxy in front, where other daemons look for it.
         self.peer = (self.ip if proxied else f"127.{network}.1.{index}", ports["peer"])
         self.log = folder / f"daemon-{index}.log"
@@ -35,7 +38,7 @@
             "ready": f"{self.ip}:{ports['ready']}",
             "admin": f"{self.ip}:{ports['admin']}",
             "target": f"127.{network}.1.{index}:{ports['target']}",
-            "platform": [f"127.{network}.2.1:{ports['store']}"],
+            "platform": [f"{self.store[0]}:{self.store[1]}"],
             "memory_mb": 260, "max_descriptors": 4100,
             "stop_timeout": f"{int(STOP_TIMEOUT * 1000)}ms",
             "repeat_ratio": 0.2, "repeat_reserve": 47}))
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -13,7 +13,8 @@
     "store_slow", "store_lossy", "store_history", "config", "configs", "crash",
     "drain", "lose_answers", "reuse", "poison")
 # Only where they are named, so that seeds keep their meaning.
-EXTRA_KINDS = ("kill_all", "poisons")
+EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
+               "readers_cut", "readers_silence", "readers_busy")
 
 
 class Faults:
@@ -75,6 +76,60 @@
         if not daemon.stopping and daemon.awake.is_set():
             await daemon.pause(dice.uniform(0.2, 4.0))
 
+    def _readers(self, dice):
+        """Daemons that read the store for others: those of one data centre, or all."""
+        reading = [self.world.daemons[i - 1] for i in self.world.store.readers()]
+        zone = dice.choice([*self.world.zones, None])
+        return [one for one in reading if zone in (None, one.zone)]
+
+    def _gates(self, daemons):
+        histories = [one.history for one in daemons]
+        return [gate for gate in self.world.proxies if gate.behind in histories]
+
+    async def readers_pause(self, dice):
+        seconds = dice.uniform(1.0, 4.0)
+        await asyncio.gather(*(one.pause(seconds) for one in self._readers(dice)
+                               if not one.stopping and one.awake.is_set()))
+
+    async def readers_kill(self, dice):
+        async def kill(daemon):
+            daemon.stopping = True
+            await daemon.kill()
+            await asyncio.sleep(0.5)
+            await daemon.start()
+        await asyncio.gather(*(kill(one) for one in self._readers(dice) if not one.stopping))
+
+    async def readers_stop(self, dice):
+        for daemon in self._readers(dice):
+            self.tasks.add(asyncio.create_task(self.stop(dice, daemon)))
+            await asyncio.sleep(dice.uniform(0.1, 1.0))
+
+    async def readers_cut(self, dice):
+        gates, side = self._gates(self._readers(dice)), dice.choice(["mute_in", "mute_out"])
+        end = time.monotonic() + dice.uniform(1.0, 4.0)
+        for gate in gates:
+            setattr(gate, side, True)
+        while (left := end - time.monotonic()) > 0:
+            for gate in gates:
+                self.world.disturb_links(gate)
+            await asyncio.sleep(min(left, 0.2))
+        for gate in gates:
+            setattr(gate, side, False)
+            self.world.disturb_links(gate)
+
+    async def readers_silence(self, dice):
+        for gate in self._gates(self._readers(dice)):
+            gate.silence_all()
+            self.world.disturb_links(gate)
+
+    async def readers_busy(self, dice):
+        """The store turns away just those that read it for others."""
+        indices = {one.index for one in self._readers(dice)}
+        self.world.store.turned_away |= indices
+        self.world.disturb_links()
+        await asyncio.sleep(dice.uniform(0.5, 5.0))
+        self.world.store.turned_away -= indices
+
     async def hup(self, dice):
         for daemon in dice.sample(self.world.daemons, k=2):
             if not daemon.stopping:
--- a/tools/soaking/platform_store.py
+++ b/tools/soaking/platform_store.py
@@ -4,9 +4,11 @@
 import base64
 import json
 import random
+import time
 import urllib.parse
 
 HISTORY = 400  # Changes that are kept.
+WATCHES = 4.0  # Seconds; a daemon that watches has begun a watch so lately.
 
 
 class Store:
@@ -19,6 +21,8 @@
         # up, silent (no answers), busy (503), reset, slow, lossy (some answers
         # are lost, and nothing more comes on their connections).
         self.mode = "up"
+        self.turned_away = set()  # Indices of daemons that get 503.
+        self.watched_at = {}  # By index of a daemon: when it last watched.
 
     async def put(self, key, value):
         self.revision += 1
@@ -71,7 +75,12 @@
         events = [e for e in self.events if e["revision"] > after]
         return 200, {"events": events, "store-revision": self.revision}
 
-    async def serve(self, reader, writer):
+    def readers(self):
+        """Indices of the daemons that watch."""
+        now = time.monotonic()
+        return sorted(i for i, at in self.watched_at.items() if now - at < WATCHES)
+
+    async def serve(self, reader, writer, index):
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -85,8 +94,12 @@
                 if self.mode == "slow":
                     await asyncio.sleep(0.3)
                 status, body = 503, {}
-                if self.mode != "busy":
+                if self.mode != "busy" and index not in self.turned_away:
+                    if path.path.endswith("kv-watch"):
+                        self.watched_at[index] = time.monotonic()
                     status, body = await self._answer(path.path, query)
+                    if index in self.turned_away:
+                        status, body = 503, {}
                 if self.mode == "silent" or (
                         self.mode == "lossy" and self.dice.random() < 0.3):
                     await asyncio.sleep(3600)
