Shared views: reports, heartbeats and confirmation, by the field's words

A newcomer read "words", "beats" and "vouching" for what the field calls reports, heartbeats and confirmation; vouching stays for targets. Names, comments, model and pages; no behaviour changes. Ruled out: renaming the vouching of targets, which is another matter with a page of its own.

--- a/include/forward/view_changes.h
+++ b/include/forward/view_changes.h
@@ -25,7 +25,7 @@
 };
 
 // Everything that changed behind one revision of the store up to another. The
-// store has one count of changes, so that of any two daemons' words the newer
+// store has one count of changes, so that of any two daemons' reports the newer
 // one can be told. Whatever is told, and however late it comes, a daemon takes
 // only what ends behind what it knows (guard NEWER_ONLY in
 // spec/shared_views.pml), or what was withdrawn would come back; and only what
--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -25,19 +25,19 @@
 struct view_following_options {
   daemon_place self;
   // Daemons that read the store for their data centre. With two, one that is
-  // frozen or cut off costs nobody time: the other's word comes as before.
+  // frozen or cut off costs nobody time: the other's reports come as before.
   std::size_t readers = 2;
   // Followers that one pair of daemons has. Bounds what a change costs each
   // daemon, whatever the size of its data centre.
   std::size_t fan_out = 32;
-  // A source that has said nothing useful for this long is replaced. Two words
-  // of it are missing then.
+  // A source that has said nothing useful for this long is replaced. Two
+  // heartbeats of it are missing then.
   milliseconds silence{550};
-  // If nobody who reads the store vouched for the own view so lately, a daemon
+  // If nobody who reads the store confirmed the own view so lately, a daemon
   // reads by itself; half of the two seconds in which a change may have to be
-  // in force. A word that is older than this is of no use. Each daemon that it
-  // comes by adds at most the time between two words, and it comes by three at
-  // most.
+  // in force. A report that is older than this is of no use. Each daemon that
+  // it comes by adds at most the time between two heartbeats, and it comes by
+  // three at most.
   milliseconds alone{1000};
   // How long a source that was replaced is passed over if it isn't heard from.
   milliseconds passed_over{30000};
@@ -64,15 +64,15 @@
 //
 // A source may be frozen, cut off, slow, turned away by the store, or wrong.
 // None of that is told by a broken connection alone, so it is told by time:
-// each word says how long ago somebody who reads the store vouched for it, and
+// each report says how long ago somebody who reads the store confirmed it, and
 // that age counts on through every daemon it comes by (guard AGE_COUNTS in
 // spec/shared_views.pml); without that, daemons that follow each other in a
-// ring // would find each other's words fresh for ever. A source without useful
-// words is replaced by the next in the order, and so is one that should read
-// and only passes on what it hears: it may hear it from this daemon. A daemon
-// that hears nothing useful from anybody reads by itself (guard READS_ALONE in
-// spec/shared_views.pml). If the store is away for everybody, only the first of
-// each data centre ask for it eagerly.
+// ring would find each other's reports fresh for ever. A source without
+// useful reports is replaced by the next in the order, and so is one that
+// should read and only passes on what it hears: it may hear it from this
+// daemon. A daemon that hears nothing useful from anybody reads by itself
+// (guard READS_ALONE in spec/shared_views.pml). If the store is away for
+// everybody, only the first of each data centre ask for it eagerly.
 //
 // Pure logic; the daemon keeps one.
 class view_following {
@@ -83,12 +83,12 @@
   void SetDaemons(const std::vector<daemon_place>& daemons);
 
   // The daemon at `ip` has a view that isn't older than the own one. Somebody
-  // who reads the store vouched for it `age` ago; zero if it reads the store
+  // who reads the store confirmed it `age` ago; zero if it reads the store
   // itself. `same` if its view is as new as the own one.
-  void OnWord(const std::string& ip,
-              milliseconds age,
-              bool same,
-              time_point now);
+  void OnReport(const std::string& ip,
+                milliseconds age,
+                bool same,
+                time_point now);
   // The daemon at `ip` can't be reached, or is stopping.
   void OnLost(const std::string& ip, time_point now);
   // How the own reading of the store goes; only while there is one.
@@ -97,7 +97,7 @@
   // What to do from now on. Call several times within `silence`.
   [[nodiscard]] following_plan Plan(time_point now);
 
-  // How long ago somebody who reads the store vouched for the own view, as far
+  // How long ago somebody who reads the store confirmed the own view, as far
   // as is known. Zero only if this daemon reads it.
   [[nodiscard]] milliseconds Age(time_point now) const;
   // Whether that is so lately that the view can be relied on.
@@ -109,7 +109,7 @@
   struct source {
     time_point since;                // When it was chosen.
     bool should_read = false;        // It stands in front of its data centre.
-    time_point word;                 // Its last useful one.
+    time_point reported;             // Its last useful one.
     std::optional<time_point> lost;  // Since when it is passed over.
   };
 
@@ -138,8 +138,8 @@
   // Since when somebody could have spoken: there was nobody to follow before,
   // or this daemon stood still.
   std::optional<time_point> listens_since_;
-  time_point
-      vouched_;  // When somebody who reads the store vouched for the view.
+  // When somebody who reads the store confirmed the view.
+  time_point confirmed_;
   bool reads_well_ = false;
   bool reads_badly_ = false;  // It was tried, and the store failed.
 };
--- a/spec/shared_views.pml
+++ b/spec/shared_views.pml
@@ -8,9 +8,9 @@
  * starts knows nothing.
  *
  * What a daemon knows is the set of changes that it has, as bits: a view is whole
- * if it has all up to its newest. Words carry an age: how many beats ago somebody
- * who reads the store vouched for them. The third daemon reads by itself once no
- * word is young enough.
+ * if it has all up to its newest. Reports carry an age: how many heartbeats ago somebody
+ * who reads the store confirmed them. The third daemon reads by itself once no
+ * report is young enough.
  *
  * NO_X takes out guard X. GOAL_X asserts that a good end is never reached, and
  * so must fail.
@@ -31,9 +31,9 @@
 byte to[3];
 
 bool reads[2];         /* Whether the first two read the store. */
-byte age[3];           /* Beats since somebody who reads vouched for the view. */
+byte age[3];           /* Heartbeats since somebody who reads confirmed the view. */
 bool third_reads;
-byte unvouched;        /* Beats in which nobody has read the store. */
+byte unconfirmed;        /* Heartbeats in which nobody has read the store. */
 
 inline believe(i, upto, bits) {
   newest[i] = upto;
@@ -47,7 +47,7 @@
 inline read_store(i) {
   believe(i, store, ALL(store));
   age[i] = 0;
-  unvouched = 0
+  unconfirmed = 0
 }
 
 /* Daemon j tells daemon i what it doesn't know, by what it knew when it asked. */
@@ -116,18 +116,18 @@
   od
 }
 
-/* A beat: everybody's word grows older, and is heard by the others. */
-active proctype beats() {
+/* A heartbeat: everybody's report grows older, and is heard by the others. */
+active proctype heartbeats() {
   byte least;
   do
   :: atomic {
-       unvouched = ((reads[0] || reads[1] || third_reads) -> 0 :
-                    (unvouched < 2 * OLD -> unvouched + 1 : unvouched));
+       unconfirmed = ((reads[0] || reads[1] || third_reads) -> 0 :
+                    (unconfirmed < 2 * OLD -> unconfirmed + 1 : unconfirmed));
        least = age[0];
        if :: age[1] < least -> least = age[1] :: else fi;
        if :: age[2] < least -> least = age[2] :: else fi;
 #ifdef NO_AGE_COUNTS
-       /* A word counts as new because it has just been heard. */
+       /* A report counts as new because it has just been heard. */
        age[0] = 0; age[1] = 0; age[2] = 0;
 #else
        if :: least < OLD + 1 -> least++ :: else fi;
@@ -142,7 +142,7 @@
 #endif
        if :: third_reads -> read_store(2) :: else fi;
        /* Nobody reads, and the third daemon has not noticed. */
-       assert(unvouched < 2 * OLD || third_reads)
+       assert(unconfirmed < 2 * OLD || third_reads)
      }
   od
 }
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -80,7 +80,7 @@
     }
   }
   // Tell how well the daemon keeps up with the platform's store, and how long
-  // ago a daemon that reads it vouched for the view.
+  // ago a daemon that reads it confirmed the view.
   void SetViewState(std::function<view_state()> view,
                     std::function<milliseconds()> age) {
     view_state_ = std::move(view);
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -229,7 +229,7 @@
             [this](std::uint64_t revision) { peers_.AskForChanges(revision); },
         .tell_followers =
             [this](const std::string& except) { peers_.TellFollowers(except); },
-        .beat = [this] { peers_.Beat(); }};
+        .heartbeat = [this] { peers_.Heartbeat(); }};
   }
 
   // Of the ratio that the operator allows for repeats, what one service's
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -66,7 +66,7 @@
                            std::uint64_t value) {
     Add(name, help, MetricType::Counter, static_cast<double>(value), families);
   };
-  Add("view_age_seconds", "Since a reader of the store vouched for the view",
+  Add("view_age_seconds", "Since a reader of the store confirmed the view",
       MetricType::Gauge, std::chrono::duration<double>(view.age).count(),
       families);
   Add("reads_store", "Whether this daemon reads the store", MetricType::Gauge,
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -20,7 +20,7 @@
 // How new the view in use is, and by whom.
 struct view_page {
   std::uint64_t revision = 0;  // Of the store; zero without a view.
-  milliseconds age{0};  // Since a daemon that reads the store vouched for it.
+  milliseconds age{0};  // Since a daemon that reads the store confirmed it.
   store_reading reading = store_reading::kEager;
   std::uint64_t store_calls = 0;
   std::size_t followers = 0;
--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -47,22 +47,22 @@
   SortByPlace(&far_);
 }
 
-void view_following::OnWord(const std::string& ip,
-                            milliseconds age,
-                            bool same,
-                            time_point now) {
+void view_following::OnReport(const std::string& ip,
+                              milliseconds age,
+                              bool same,
+                              time_point now) {
   if (age > options_.alone) {
     return;
   }
   if (same) {
-    vouched_ = std::max(vouched_, now - age);
+    confirmed_ = std::max(confirmed_, now - age);
   }
   const auto known = sources_.find(ip);
   if (known == sources_.end()) {
     return;
   }
   if (age == milliseconds(0) || !known->second.should_read) {
-    known->second.word = now;
+    known->second.reported = now;
     known->second.lost.reset();
   }
 }
@@ -84,7 +84,7 @@
     return milliseconds(0);
   }
   return std::max(milliseconds(1),
-                  std::chrono::duration_cast<milliseconds>(now - vouched_));
+                  std::chrono::duration_cast<milliseconds>(now - confirmed_));
 }
 
 bool view_following::IsPassedOver(const std::string& ip, time_point now) const {
@@ -106,7 +106,7 @@
       each.since = now;
     }
     if (!each.lost &&
-        now - std::max(each.since, each.word) > options_.silence) {
+        now - std::max(each.since, each.reported) > options_.silence) {
       each.lost = now;
     }
   }
@@ -169,7 +169,7 @@
   }
 }
 
-// Those that are passed over are kept until then: a word of theirs ends that.
+// Those that are passed over are kept until then: a report of theirs ends that.
 void view_following::Choose(const std::vector<std::string>& sources,
                             const std::vector<std::string>& serving,
                             time_point now) {
@@ -180,7 +180,8 @@
       static_cast<std::ptrdiff_t>(std::min(serving.size(), options_.readers));
   for (const std::string& ip : sources) {
     source& chosen =
-        sources_.try_emplace(ip, source{.since = now, .word = {}, .lost = {}})
+        sources_
+            .try_emplace(ip, source{.since = now, .reported = {}, .lost = {}})
             .first->second;
     const bool in_front = std::find(serving.begin(), serving.begin() + front,
                                     ip) != serving.begin() + front;
@@ -191,8 +192,8 @@
   }
 }
 
-// Of a source that is passed over a word is still wanted: it ends that. Only of
-// those in front, which others turn to first; while the store is away for
+// Of a source that is passed over a report is still wanted: it ends that. Only
+// of those in front, which others turn to first; while the store is away for
 // everybody, all sources are passed over one after the other.
 void view_following::AddPassedOver(std::vector<std::string>* sources) const {
   const std::size_t most = std::min(near_.size(), 2 * options_.readers);
@@ -210,8 +211,9 @@
   if (IsAmongFirst(serving) && !reads_badly_) {
     return store_reading::kEager;
   }
-  const bool alone = !listens_since_ ||
-                     now - std::max(vouched_, *listens_since_) > options_.alone;
+  const bool alone =
+      !listens_since_ ||
+      now - std::max(confirmed_, *listens_since_) > options_.alone;
   if (!alone) {
     return reads_badly_ ? store_reading::kPatient : store_reading::kNone;
   }
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -1,4 +1,4 @@
-// Beats, plans and questions.
+// Heartbeats, plans and questions.
 #include "src/forward/view_sharing.h"
 
 #include <algorithm>
@@ -11,7 +11,7 @@
 namespace {
 
 // Followers hear this often that the daemon is there, and what it knows.
-constexpr milliseconds kBeatInterval{250};
+constexpr milliseconds kHeartbeatInterval{250};
 // The store answers within some 10 ms of a start, so that nobody is asked as
 // long as it is well; a caller hardly notices the time.
 constexpr milliseconds kFirstQuestion{100};
@@ -39,19 +39,19 @@
                            view_sharing_parts parts)
     : options_(std::move(options)),
       parts_(std::move(parts)),
-      beat_(context),
+      heartbeat_(context),
       ask_(context),
       start_(context),
       following_({.self = options_.self}) {}
 
 void view_sharing::Start() {
   AskConnected(kFirstQuestion);
-  Beat();
+  Heartbeat();
 }
 
 void view_sharing::Stop() {
   stopped_ = true;
-  beat_.cancel();
+  heartbeat_.cancel();
   ask_.cancel();
   start_.cancel();
 }
@@ -73,7 +73,7 @@
   });
 }
 
-void view_sharing::Beat() {
+void view_sharing::Heartbeat() {
   const time_point now = monotonic_clock::now();
   if (options_.readers == reader_policy::kFew) {
     Plan(now);
@@ -81,11 +81,11 @@
     following_.OnReading(parts_.state().reads_well);
   }
   frame_ = nullptr;
-  parts_.beat();
-  beat_.expires_after(kBeatInterval);
-  beat_.async_wait([this](boost::system::error_code error) {
+  parts_.heartbeat();
+  heartbeat_.expires_after(kHeartbeatInterval);
+  heartbeat_.async_wait([this](boost::system::error_code error) {
     if (!error && !stopped_) {
-      Beat();
+      Heartbeat();
     }
   });
 }
@@ -141,8 +141,8 @@
     own_gone_ = monotonic_clock::now();
   }
   own_ready_ = own_ready;
-  // The first view that names others ends the start: the next beat would be
-  // late for all of a fleet that starts as a whole, and each would read by
+  // The first view that names others ends the start: the next heartbeat would
+  // be late for all of a fleet that starts as a whole, and each would read by
   // itself.
   if (sources_.empty() && options_.readers == reader_policy::kFew) {
     Plan(monotonic_clock::now());
@@ -162,8 +162,8 @@
   }
   const std::uint64_t known = revision();
   if (known != 0 && report.revision >= known) {
-    following_.OnWord(ip, report.age, report.revision == known,
-                      monotonic_clock::now());
+    following_.OnReport(ip, report.age, report.revision == known,
+                        monotonic_clock::now());
   }
   if (report.revision > known && report.revision >= heard_) {
     heard_ = report.revision;
--- a/src/forward/view_sharing.h
+++ b/src/forward/view_sharing.h
@@ -44,7 +44,7 @@
   // Connections from other daemons.
   std::function<void(std::uint64_t revision)> ask_connected;
   std::function<void(const std::string& except)> tell_followers;
-  std::function<void()> beat;
+  std::function<void()> heartbeat;
 };
 
 struct view_sharing_counters {
@@ -85,7 +85,7 @@
   [[nodiscard]] std::uint64_t revision() const {
     return parts_.state().revision;
   }
-  // How long ago a daemon that reads the store vouched for the view.
+  // How long ago a daemon that reads the store confirmed the view.
   [[nodiscard]] milliseconds age() const;
   [[nodiscard]] store_reading reading() const { return reading_; }
   [[nodiscard]] const view_sharing_counters& counters() const {
@@ -93,7 +93,7 @@
   }
 
  private:
-  void Beat();
+  void Heartbeat();
   void Plan(time_point now);
   void AskConnected(milliseconds pause);
   void ArmAsk(milliseconds patience);
@@ -101,7 +101,7 @@
 
   const view_sharing_options options_;
   const view_sharing_parts parts_;
-  boost::asio::steady_timer beat_;
+  boost::asio::steady_timer heartbeat_;
   boost::asio::steady_timer ask_;
   boost::asio::steady_timer start_;
   view_following following_;
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -51,7 +51,7 @@
 struct neighbour_report {
   // The newest change of the platform's store that it knows of.
   std::uint64_t revision = 0;
-  // How long ago a daemon that reads the store vouched for that.
+  // How long ago a daemon that reads the store confirmed that.
   milliseconds age{0};
   // The start of the target beside it that it vouches for, since it can't reach
   // the store and so can't the target; empty otherwise. See target_vouching.h.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -417,7 +417,7 @@
   }
 }
 
-void peer_server::Beat() {
+void peer_server::Heartbeat() {
   std::shared_ptr<const std::string> pong;
   for (const auto& [sender, to] : by_sender_) {
     if (!to->followed() || to->reads_slowly()) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -68,7 +68,7 @@
   void TellFollowers(const std::string& except);
   // Tells them that this daemon is there, and how old its view is. Call several
   // times a second.
-  void Beat();
+  void Heartbeat();
   // Once a second.
   void Tick(time_point now);
 
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -483,7 +483,7 @@
   ASSERT_TRUE(RunUntil([&] { return changes_.size() == 2; }));
   EXPECT_EQ(changes_[1].after, 39U);
   const int before = reports_;
-  far.server.Beat();
+  far.server.Heartbeat();
   ASSERT_TRUE(RunUntil([&] { return reports_ > before; }));
   EXPECT_EQ(changes_.size(), 2U);
   link_->Unfollow();
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -1,5 +1,6 @@
 // Who reads the store and who follows whom, on a virtual clock. What is told is
-// played by a few lines here: a word comes or doesn't, some milliseconds later.
+// played by a few lines here: a report comes or doesn't, some milliseconds
+// later.
 #include "include/forward/view_following.h"
 
 #include <gtest/gtest.h>
@@ -20,7 +21,7 @@
 namespace {
 
 const time_point kStart{seconds(1000)};
-constexpr milliseconds kBeat{250};
+constexpr milliseconds kHeartbeat{250};
 constexpr milliseconds kWay{2};
 // Within half of the two seconds that a change may take.
 constexpr milliseconds kInForce{1000};
@@ -30,15 +31,15 @@
          std::to_string(index / 256 % 256) + "." + std::to_string(index % 256);
 }
 
-// A fleet beside a store that changes. Daemons beat at moments of their own; a
-// beat tells followers what is known, as the daemon does, and a change is told
-// on at once.
+// A fleet beside a store that changes. Daemons send heartbeats at moments of
+// their own; a heartbeat tells followers what is known, as the daemon does, and
+// a change is told on at once.
 class fleet {
  public:
   struct options {
     std::size_t daemons = 300;
     std::size_t data_centres = 5;
-    double loss = 0;  // Of words.
+    double loss = 0;  // Of reports.
     std::uint64_t seed = 1;
   };
 
@@ -61,7 +62,7 @@
         known.push_back(places[j]);
       }
       next.following.SetDaemons(known);
-      next.beat = kStart + milliseconds(random_() % kBeat.count());
+      next.heartbeat = kStart + milliseconds(random_() % kHeartbeat.count());
       daemons_.push_back(std::move(next));
     }
   }
@@ -72,7 +73,7 @@
     view_following following;
     std::uint64_t revision = 1;
     time_point knows_since = kStart;
-    time_point beat;
+    time_point heartbeat;
     std::set<std::size_t> followers;
     std::set<std::size_t> sources;
     store_reading reading = store_reading::kNone;
@@ -82,7 +83,7 @@
     bool store_fails = false;  // For this one.
   };
 
-  // Plays for so long; time goes on in steps of a word's way.
+  // Plays for so long; time goes on in steps of a report's way.
   void Run(milliseconds time) {
     for (const time_point end = now_ + time; now_ < end; now_ += kWay) {
       Deliver();
@@ -91,8 +92,8 @@
         if (each.frozen) {
           continue;
         }
-        if (now_ >= each.beat) {
-          Beat(i);
+        if (now_ >= each.heartbeat) {
+          Heartbeat(i);
         }
         if (each.reading != store_reading::kNone && now_ >= each.next_read) {
           Read(i);
@@ -148,7 +149,7 @@
   int calls() const { return calls_; }
 
  private:
-  struct word {
+  struct report {
     time_point due;
     std::size_t from;
     std::size_t to;
@@ -157,17 +158,17 @@
   };
 
   void Deliver() {
-    while (!words_.empty() && words_.front().due <= now_) {
-      const word next = words_.front();
-      words_.pop_front();
+    while (!reports_.empty() && reports_.front().due <= now_) {
+      const report next = reports_.front();
+      reports_.pop_front();
       daemon& to = daemons_[next.to];
       if (to.frozen || to.cut_off || daemons_[next.from].cut_off) {
         continue;
       }
       Learn(next.to, next.revision);
       if (next.revision >= to.revision) {
-        to.following.OnWord(IpOf(next.from), next.age,
-                            next.revision == to.revision, now_);
+        to.following.OnReport(IpOf(next.from), next.age,
+                              next.revision == to.revision, now_);
       }
     }
   }
@@ -185,18 +186,18 @@
     const daemon& each = daemons_[index];
     for (const std::size_t to : each.followers) {
       if (std::generate_canonical<double, 32>(random_) >= options_.loss) {
-        words_.push_back({.due = now_ + kWay,
-                          .from = index,
-                          .to = to,
-                          .revision = each.revision,
-                          .age = each.following.Age(now_)});
+        reports_.push_back({.due = now_ + kWay,
+                            .from = index,
+                            .to = to,
+                            .revision = each.revision,
+                            .age = each.following.Age(now_)});
       }
     }
   }
 
-  void Beat(std::size_t index) {
+  void Heartbeat(std::size_t index) {
     daemon& each = daemons_[index];
-    each.beat = now_ + kBeat;
+    each.heartbeat = now_ + kHeartbeat;
     if (each.reading != store_reading::kNone) {
       each.following.OnReading(!each.store_fails);
     }
@@ -219,11 +220,11 @@
       // Whoever is asked tells at once what it knows.
       if (daemons_[source].followers.insert(index).second &&
           !daemons_[source].frozen) {
-        words_.push_back({.due = now_ + 2 * kWay,
-                          .from = source,
-                          .to = index,
-                          .revision = daemons_[source].revision,
-                          .age = daemons_[source].following.Age(now_)});
+        reports_.push_back({.due = now_ + 2 * kWay,
+                            .from = source,
+                            .to = index,
+                            .revision = daemons_[source].revision,
+                            .age = daemons_[source].following.Age(now_)});
       }
     }
     each.sources = std::move(sources);
@@ -249,7 +250,7 @@
   std::mt19937_64 random_;
   std::map<std::string, std::size_t> index_;
   std::vector<daemon> daemons_;
-  std::deque<word> words_;  // All take equally long, so they are in order.
+  std::deque<report> reports_;  // All take equally long, so they are in order.
   std::uint64_t store_ = 1;
   time_point changed_ = kStart;
   time_point now_ = kStart;
@@ -306,7 +307,7 @@
     }
     fleet.Change();
     fleet.Run(seconds(3));
-    EXPECT_LE(fleet.Latest(), kInForce + kBeat) << frozen;
+    EXPECT_LE(fleet.Latest(), kInForce + kHeartbeat) << frozen;
   }
 }
 
@@ -365,8 +366,8 @@
   EXPECT_LE(fleet.Readers(), 14U);
 }
 
-// A tenth of all words is lost, in a series of changes. A daemon that misses
-// one has the other source's, and the next beat's.
+// A tenth of all reports is lost, in a series of changes. A daemon that misses
+// one has the other source's, and the next heartbeat's.
 TEST(ViewFollowingTest, LostWordsAreMadeUpFor) {
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
     fleet fleet({.loss = 0.1, .seed = seed});
@@ -402,8 +403,8 @@
   }
 }
 
-// Two daemons follow each other, and nobody reads. Each word is as old as what
-// it was made from, so that they notice.
+// Two daemons follow each other, and nobody reads. Each report is as old as
+// what it was made from, so that they notice.
 TEST(ViewFollowingTest, ARingOfFollowersIsNotFresh) {
   const daemon_place a{.ip = "10.0.0.1", .data_centre = "a"};
   const daemon_place b{.ip = "10.0.0.2", .data_centre = "a"};
@@ -412,13 +413,13 @@
   one.SetDaemons({a, b, c});
   time_point now = kStart;
   one.Plan(now);
-  one.OnWord(a.ip, milliseconds(0), true, now);
+  one.OnReport(a.ip, milliseconds(0), true, now);
   for (int i = 0; i < 5; ++i) {
-    now += kBeat;
+    now += kHeartbeat;
     // What comes back is what this daemon said before.
     const milliseconds age = one.Age(now);
-    one.OnWord(a.ip, age, true, now);
-    one.OnWord(b.ip, age, true, now);
+    one.OnReport(a.ip, age, true, now);
+    one.OnReport(b.ip, age, true, now);
     one.Plan(now);
   }
   EXPECT_FALSE(one.IsFresh(now));
