A daemon that begins to read the store has to be answered before it says so

What callers could see, found by reading: the readers of a data centre are gone, the next daemon begins to read in their place, and the store doesn't answer just that one.

Ruled out: established readers, whose silent watch is bounded by its wait and by the other reader and whoever tells of newer changes.

--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -317,6 +317,22 @@
   EXPECT_TRUE(following_.state().reads_well);
 }
 
+// The readers of a data centre are gone, and this daemon begins to read in
+// their place, but the store doesn't answer it. If it said to its followers
+// that it reads, they would rely on a view that nobody keeps up to date for as
+// long as a watch may wait.
+TEST_F(shared_store_views_test, WhoeverBeginsToReadHasToBeAnsweredFirst) {
+  following_.Start();
+  ASSERT_TRUE(RunUntil([&] { return following_.state().revision == 1; }));
+  RunFor(milliseconds(750));
+  following_.SetReading(store_reading::kEager);
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  EXPECT_FALSE(following_.state().reads_well);
+  EXPECT_TRUE(watch_.target.ends_with("wait-ms=1"));
+  Register("i-1", 2);
+  ASSERT_TRUE(RunUntil([&] { return following_.state().reads_well; }));
+}
+
 // The VM is cut off from the store alone: its target can't renew its entry, and
 // others drop a target that they reach, unless its daemon can say so. It makes
 // no calls, so that it has to notice by its idle connection.
