A daemon starts where a sheet has fractions

Callers on the small twins of the shifted deployment reached nobody: each daemon ended with status 2 at its start, '/repeat_reserve: 21.6279; expected a whole number'. The sheet's reserve of repeats is scaled with the deployment, and the setting took whole numbers only. Ruled out: the template, which passes the figure on as it is. The reserve, the store's rate and the memory may be fractions now, as everything on a sheet that is an amount and no count; ports, descriptors and lists are counts and stay whole. The test reads the sheet's own figure; before the change it fails with the message above.

--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -38,20 +38,20 @@
   std::vector<endpoint> platform;  // The store of views.
 
   // What the process may take.
-  std::uint32_t memory_mb = 256;
+  double memory_mb = 256;
   std::uint32_t max_descriptors = 1024;
 
   // How long a stopping daemon has before it is killed.
   milliseconds stop_timeout{6000};
   // Calls a second that the platform's store takes of all daemons; zero if not
   // told.
-  std::uint32_t store_calls_per_second = 0;
+  double store_calls_per_second = 0;
   reader_policy store_readers = reader_policy::kFew;
 
   // Bounds on how often requests are sent again, over all daemons: in each
   // window, a part of the requests of a service and a reserve.
   double repeat_ratio = 0.2;
-  std::uint32_t repeat_reserve = 10;
+  double repeat_reserve = 10;
   milliseconds repeat_window{10000};
 };
 
--- a/include/forward/watch_pace.h
+++ b/include/forward/watch_pace.h
@@ -31,7 +31,7 @@
 struct watch_pace_options {
   // Calls a second that the store takes of all daemons together; zero if not
   // told.
-  std::uint32_t store_calls_per_second = 0;
+  double store_calls_per_second = 0;
   reader_policy readers = reader_policy::kFew;
   milliseconds most_pause = kMostWatchPause;
   milliseconds least_pause = kLeastWatchPause;  // If it is ended early.
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -13,18 +13,24 @@
 namespace {
 
 constexpr std::size_t kMaxPlatformAddresses = 8;
-constexpr std::uint64_t kMinMemoryMb = 16;
-constexpr std::uint64_t kMaxMemoryMb = 1 << 20;
+constexpr double kMinMemoryMb = 16;
+constexpr double kMaxMemoryMb = 1 << 20;
 constexpr std::uint64_t kMinDescriptors = 64;
 constexpr std::uint64_t kMaxDescriptors = 1 << 24;
-constexpr std::uint64_t kMaxStoreCalls = 100000000;
-constexpr std::uint64_t kMaxReserve = 1000000;
+constexpr double kMaxStoreCalls = 100000000;
+constexpr double kMaxReserve = 1000000;
 constexpr double kMaxRatio = 10;
 
 auto ReadDuration(milliseconds forward_settings::*member) {
   return ReadWith(member, ParseDuration);
 }
 
+auto ReadFraction(double forward_settings::*member, double min, double max) {
+  return ReadWith(member, [min, max](const json_node& node) {
+    return ParseFraction(node, min, max);
+  });
+}
+
 std::optional<reader_policy> ParseReaders(const json_node& node) {
   const auto text = node.ReadString();
   if (!text) {
@@ -52,20 +58,17 @@
       {"platform", kRequired,
        ReadList(&s::platform, 1, kMaxPlatformAddresses, ParseEndpoint)},
       {"memory_mb", kOptional,
-       ReadNumber(&s::memory_mb, kMinMemoryMb, kMaxMemoryMb)},
+       ReadFraction(&s::memory_mb, kMinMemoryMb, kMaxMemoryMb)},
       {"max_descriptors", kOptional,
        ReadNumber(&s::max_descriptors, kMinDescriptors, kMaxDescriptors)},
       {"stop_timeout", kOptional, ReadDuration(&s::stop_timeout)},
       {"store_calls_per_second", kOptional,
-       ReadNumber(&s::store_calls_per_second, 0, kMaxStoreCalls)},
+       ReadFraction(&s::store_calls_per_second, 0, kMaxStoreCalls)},
       {"store_readers", kOptional, ReadWith(&s::store_readers, ParseReaders)},
       {"repeat_ratio", kOptional,
-       ReadWith(&s::repeat_ratio,
-                [](const json_node& node) {
-                  return ParseFraction(node, 0, kMaxRatio);
-                })},
+       ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
-       ReadNumber(&s::repeat_reserve, 0, kMaxReserve)},
+       ReadFraction(&s::repeat_reserve, 0, kMaxReserve)},
       {"repeat_window", kOptional, ReadDuration(&s::repeat_window)},
   };
 }
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -117,7 +117,8 @@
         callers_(context_,
                  {.address = settings.caller,
                   .max_connections = settings.max_descriptors / 2,
-                  .max_held_bytes = settings.memory_mb * kHeldBytesPerMb},
+                  .max_held_bytes = static_cast<std::size_t>(
+                      settings.memory_mb * kHeldBytesPerMb)},
                  origin_),
         views_(context_,
                settings_,
@@ -173,7 +174,7 @@
   // Heads of answers; as much as servers commonly send.
   static constexpr std::size_t kMaxResponseHead = 64 << 10;
   // A quarter of the memory may be held for bodies of requests.
-  static constexpr std::size_t kHeldBytesPerMb = (1 << 20) / 4;
+  static constexpr double kHeldBytesPerMb = (1 << 20) / 4;
   static constexpr milliseconds kTickInterval{1000};
   // Log lines are written this long after the first, many at a time.
   static constexpr milliseconds kFlushDelay{50};
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -43,7 +43,7 @@
   incarnation_id self{};
   // Of all daemons together, for each called service and window.
   double repeat_ratio = 0.1;
-  std::uint32_t repeat_reserve = 10;
+  double repeat_reserve = 10;
   milliseconds repeat_window{10000};
   std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // The daemon at `ip` told how new its view is.
--- a/tests/forward_settings_test.cc
+++ b/tests/forward_settings_test.cc
@@ -26,6 +26,18 @@
   EXPECT_EQ(all.value.store_readers, reader_policy::kAll);
 }
 
+// Guards against a daemon that doesn't start where a sheet has fractions.
+TEST(ForwardSettingsTest, RatesReservesAndMemoryMayBeFractions) {
+  const auto parsed = ParseForwardSettings(
+      With(R"(, "repeat_reserve": 21.627906976744185,
+             "store_calls_per_second": 1395.35, "memory_mb": 160.5)"),
+      "a.json");
+  ASSERT_TRUE(parsed.ok());
+  EXPECT_DOUBLE_EQ(parsed.value.repeat_reserve, 21.627906976744185);
+  EXPECT_DOUBLE_EQ(parsed.value.store_calls_per_second, 1395.35);
+  EXPECT_DOUBLE_EQ(parsed.value.memory_mb, 160.5);
+}
+
 // An operator misspells the value at night: the daemon must not start with
 // something else than was meant.
 TEST(ForwardSettingsTest, AnUnknownPolicyIsAnErrorThatNamesItsPlace) {
