API keys and organisations, and keys that are withdrawn

Cause: the daemon knew no organisations; all headers were passed on as they came, and a view had no age that could be relied on. Its age for 'in force within two seconds' counts from the arrival of a report and takes a watch that is open for news; ruled out for keys, since a report may wait in the socket of a process that stands still, and a watch may be open behind a cut.

The daemon that takes a request from its caller decides, for each request, and again before each further send; the daemon beside the target is told the name and gives it to the target. An organisation's priority goes before its route's. Where there are no organisations, credentials are passed on as before. view_freshness proves an age from the moment of a question: of the store by a reader, of a reader by its followers, further daemons when that gets old. Past four fifths of the bound, requests with keys are refused as not run; a request that is let in must start within what is left.

Why it holds: each age is bounded from below by the time at which the store was asked, whatever is delayed behind that.

--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -48,6 +48,11 @@
   double store_calls_per_second = 0;
   reader_policy store_readers = reader_policy::kFew;
 
+  // Within this time of its withdrawal an API key must not be served any more,
+  // also by a daemon that can't learn of it; zero if such a daemon goes on with
+  // what it knows.
+  milliseconds key_withdrawal{0};
+
   // Bounds on how often requests are sent again, over all daemons: in each
   // window, a part of the requests of a service and a reserve.
   double repeat_ratio = 0.2;
--- a/include/forward/service_view.h
+++ b/include/forward/service_view.h
@@ -15,6 +15,7 @@
 #include "include/base/ids.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
+#include "include/organisation/organisation_table.h"
 #include "include/route/route_table.h"
 
 namespace pistachioweir {
@@ -68,6 +69,8 @@
   route_table routes;
   std::unordered_map<std::string, service_entry> services;
   caller_limits limits;
+  // nullptr if requests carry no keys.
+  std::shared_ptr<const organisation_table> organisations;
 };
 
 struct service_view {
--- a/include/forward/view_state.h
+++ b/include/forward/view_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "include/base/boot_clock.h"
 #include "include/base/time.h"
 
 namespace pistachioweir {
@@ -12,6 +13,9 @@
   // The newest change of the store that the view has; zero before the first.
   // Counts up for all daemons alike.
   std::uint64_t revision = 0;
+  // When the store was asked last for its newest state, and answered. The view
+  // holds all that the store had then.
+  std::optional<boot_time> store_asked;
   // Whether this daemon reads the store, and its last call there went well.
   bool reads_well = false;
   // Since when this daemon can't reach the store, if that was so last.
--- a/include/forward/watch_pace.h
+++ b/include/forward/watch_pace.h
@@ -33,6 +33,7 @@
   // told.
   double store_calls_per_second = 0;
   reader_policy readers = reader_policy::kFew;
+  milliseconds longest_wait{0};  // Of a watch; zero for no bound.
   milliseconds most_pause = kMostWatchPause;
   milliseconds least_pause = kLeastWatchPause;  // If it is ended early.
 };
@@ -100,7 +101,11 @@
       std::clamp(kFleetRenewal * static_cast<milliseconds::rep>(daemons),
                  kLeastWatchWait, most);
   const milliseconds spread = (even - kLeastWatchWait) / 2;
-  return even - spread * static_cast<milliseconds::rep>(random % 1024) / 1024;
+  const milliseconds wait =
+      even - spread * static_cast<milliseconds::rep>(random % 1024) / 1024;
+  return options.longest_wait > milliseconds(0)
+             ? std::min(wait, options.longest_wait)
+             : wait;
 }
 
 }  // namespace pistachioweir
--- a/include/route/route_table.h
+++ b/include/route/route_table.h
@@ -43,6 +43,7 @@
   // Most targets that one request may be sent to.
   std::uint32_t max_targets = 1;
   std::uint32_t rank = 0;         // 0 matters most.
+  bool is_public = false;         // Its requests need no API key.
   std::vector<route_part> parts;  // At least one.
 };
 
--- a/src/admin/reason_text.cc
+++ b/src/admin/reason_text.cc
@@ -31,6 +31,13 @@
      "see whether its VMs are live: status, targets"},
     {"no route in force matches the request's host and path",
      "check the address against the configuration"},
+    {"the request has no API key, or one that no organisation holds",
+     "give a key of the configuration in force"},
+    {"the daemon's configuration is too old to judge API keys by",
+     "come back after the time given; see whether the daemon reaches the "
+     "platform's store"},
+    {"the organisation has used up its quota",
+     "come back after the time given, or raise the quota"},
     {"another target is at the address where this one was expected",
      "send again; the list of targets has changed"},
     {"the service is overloaded and the call's priority is below its admission "
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -65,6 +65,7 @@
       {"store_calls_per_second", kOptional,
        ReadFraction(&s::store_calls_per_second, 0, kMaxStoreCalls)},
       {"store_readers", kOptional, ReadWith(&s::store_readers, ParseReaders)},
+      {"key_withdrawal", kOptional, ReadDuration(&s::key_withdrawal)},
       {"repeat_ratio", kOptional,
        ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
--- a/src/daemon/caller_protocol.cc
+++ b/src/daemon/caller_protocol.cc
@@ -33,6 +33,9 @@
     503,  // kDraining
     503,  // kNoTarget
     404,  // kNoRoute
+    401,  // kUnauthenticated
+    503,  // kKeysUnconfirmed
+    429,  // kOverQuota
     503,  // kWrongTarget
     503,  // kOverload
     503,  // kWasted
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -247,8 +247,10 @@
 // earn its caller a part only and take a slot from one that is in time. One
 // that has no objective left is late already, and its deadline decides.
 time_point executor::StartBy(const served_call& served, time_point now) {
-  return served.objective > now ? std::min(served.objective, served.deadline)
-                                : served.deadline;
+  const time_point wanted =
+      served.objective > now ? std::min(served.objective, served.deadline)
+                             : served.deadline;
+  return std::min(wanted, served.start_by);
 }
 
 // What refuses the call before there is any question of room.
@@ -283,6 +285,9 @@
   served.done = std::move(done);
   served.arrived = now;
   served.deadline = now + served.call.remaining;
+  served.start_by = served.call.start_within > milliseconds(0)
+                        ? now + served.call.start_within
+                        : served.deadline;
   served.kind = kinds_.IndexOf(served.call.route);
   served.objective = now + served.call.objective_left;
   served.fingerprint = FingerprintOf(served.call.route, served.call.request);
@@ -365,6 +370,7 @@
                  .request_id = served.call.request_id,
                  .target_id = served.call.target_id,
                  .caller_service = served.call.caller_service,
+                 .organisation = served.call.organisation,
                  .repeats = served.call.repeats,
                  .deadline = served.deadline};
   served.give_up = run_(std::move(run), [this, id](run_result result) {
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -149,6 +149,7 @@
     time_point arrived;
     time_point started;
     time_point deadline;
+    time_point start_by;     // The latest start, whatever else bounds it.
     time_point objective;    // Within which an answer is worth most.
     std::uint32_t kind = 0;  // Of work, for the estimates of its duration.
     request_fingerprint fingerprint;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -109,6 +109,7 @@
                     [this](std::uint64_t revision) {
                       return sharing_.FrameSince(revision);
                     },
+                .proof = [this] { return sharing_.Proof(); },
                 .on_changes =
                     [this](const view_changes& told) {
                       sharing_.OnChanges(told);
@@ -129,7 +130,8 @@
                  {.self = {.ip = settings.target.ip,
                            .data_centre = settings.data_centre},
                   .own_target = settings.target,
-                  .readers = settings.store_readers},
+                  .readers = settings.store_readers,
+                  .max_key_age = MaxKeyAge(settings)},
                  SharingParts()),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         tick_(context_),
@@ -198,6 +200,8 @@
                   sharing_.OnReport(ip, report);
                 },
             .on_lost = [this](const std::string& ip) { sharing_.OnLost(ip); },
+            .proven_age = [this] { return sharing_.proven_age(); },
+            .max_key_age = MaxKeyAge(settings),
             .on_stale_target = [this] { views_.NoteStaleTarget(); },
             .revision = [this] { return sharing_.revision(); },
             .changes_since =
@@ -205,7 +209,18 @@
                   return sharing_.FrameSince(revision);
                 },
             .on_changes =
-                [this](const view_changes& told) { sharing_.OnChanges(told); }};
+                [this](const view_changes& told) { sharing_.OnChanges(told); },
+            .on_proof =
+                [this](const freshness_proof& proof, boot_time asked) {
+                  sharing_.OnProof(proof, asked);
+                }};
+  }
+
+  // A request that is let in still takes a while until its target begins it.
+  static milliseconds MaxKeyAge(const forward_settings& settings) {
+    constexpr double kPartForEntrance = 0.8;
+    return std::chrono::duration_cast<milliseconds>(settings.key_withdrawal *
+                                                    kPartForEntrance);
   }
 
   view_sharing_parts SharingParts() {
@@ -226,6 +241,10 @@
               origin_.Follow(ips);
             },
         .ask = [this](const std::string& ip) { origin_.AskChanges(ip); },
+        .ask_proofs =
+            [this](const std::vector<std::string>& ips, std::size_t others) {
+              origin_.AskProofs(ips, others);
+            },
         .ask_connected =
             [this](std::uint64_t revision) { peers_.AskForChanges(revision); },
         .tell_followers =
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -21,6 +21,9 @@
 
 // A caller that doesn't say how long it waits, on a route without a timeout.
 constexpr milliseconds kDefaultTimeout{30000};
+// When to come back if the configuration is too old to judge keys by: a newer
+// one is asked for several times in it.
+constexpr milliseconds kUnconfirmedRetryAfter{500};
 // When to come back if nothing tells better.
 constexpr milliseconds kDefaultRetryAfter{200};
 
@@ -44,6 +47,17 @@
                                                : call_result::kFailed;
 }
 
+reason RefusalOf(key_verdict verdict) {
+  switch (verdict) {
+    case key_verdict::kNotHeld:
+      return reason::kUnauthenticated;
+    case key_verdict::kUnconfirmed:
+      return reason::kKeysUnconfirmed;
+    default:
+      return reason::kNone;
+  }
+}
+
 // No daemon could be reached, or the one that was has no target beside it.
 bool NobodyThere(const peer_answer& answer) {
   return answer.answer.kind == outcome_kind::kNotExecuted &&
@@ -84,6 +98,65 @@
   return true;
 }
 
+key_answer origin::CheckKeyOf(const placed_call& call) const {
+  return CheckKey(
+      {.organisations = view_->config->organisations.get(),
+       .is_public = call.matched->is_public,
+       .api_key = call.call.api_key,
+       .proven_age = options_.proven_age ? options_.proven_age() : std::nullopt,
+       .max_age = options_.max_key_age});
+}
+
+bool origin::Identify(call_id id) {
+  placed_call& call = *calls_.at(id);
+  const key_answer key = CheckKeyOf(call);
+  const reason refusal = RefusalOf(key.verdict);
+  if (refusal == reason::kNone) {
+    call.rank = key.holder != nullptr
+                    ? key.holder->rank.value_or(call.matched->rank)
+                    : call.matched->rank;
+    call.organisation = key.holder != nullptr ? key.holder->name : "";
+    return true;
+  }
+  const auto age = options_.proven_age ? options_.proven_age() : std::nullopt;
+  log_.Add(id, call.call.id, "key_refused",
+           {{.name = "verdict",
+             .value = std::string(kKeyVerdictNames.Name(key.verdict))},
+            {.name = "route", .value = call.matched->name},
+            {.name = "config", .value = Text(view_->config->version)},
+            {.name = "proven_age_ms",
+             .value = age ? std::to_string(age->count()) : "none"},
+            {.name = "max_age_ms",
+             .value = std::to_string(options_.max_key_age.count())}});
+  call.why = refusal;
+  call.retry_after = refusal == reason::kKeysUnconfirmed
+                         ? kUnconfirmedRetryAfter
+                         : milliseconds(0);
+  FinishWithoutAnswer(id);
+  return false;
+}
+
+// The shorter of what the caller and the route say.
+milliseconds origin::TimeoutOf(const placed_call& call) const {
+  milliseconds timeout = call.call.caller_timeout;
+  const milliseconds longest = call.matched->timeout;
+  if (timeout == milliseconds(0) ||
+      (longest > milliseconds(0) && longest < timeout)) {
+    timeout = longest;
+  }
+  return timeout == milliseconds(0) ? kDefaultTimeout : timeout;
+}
+
+void origin::StartTimer(call_id id) {
+  placed_call& call = *calls_.at(id);
+  call.timer.expires_at(call.deadline);
+  call.timer.async_wait([this, id](boost::system::error_code error) {
+    if (!error) {
+      OnTimeout(id);
+    }
+  });
+}
+
 origin::call_id origin::Submit(relayed_call call, relayed_callback done) {
   const call_id id = next_id_++;
   auto placed = std::make_shared<placed_call>(context_);
@@ -101,6 +174,12 @@
                 .retry_after = kDefaultRetryAfter});
     return id;
   }
+  if (!Identify(id)) {
+    return id;
+  }
+  if (view_->config->organisations == nullptr) {
+    placed->call.request.header_block += placed->call.credential_headers;
+  }
   const route& matched = *placed->matched;
   const auto split =
       splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
@@ -108,17 +187,10 @@
   service_state& state = StateOf(placed->service);
   state.repeats.OnRequest(placed->call.received);
 
-  milliseconds timeout = placed->call.caller_timeout;
-  if (timeout == milliseconds(0) ||
-      (matched.timeout > milliseconds(0) && matched.timeout < timeout)) {
-    timeout = matched.timeout;
-  }
-  if (timeout == milliseconds(0)) {
-    timeout = kDefaultTimeout;
-  }
+  const milliseconds timeout = TimeoutOf(*placed);
   placed->deadline = placed->call.received + timeout;
   placed->placing = {.method = state.kinds.IndexOf(matched.name),
-                     .level = PriorityOfRank(matched.rank),
+                     .level = PriorityOfRank(placed->rank),
                      .ticket = static_cast<std::uint8_t>(RandomBits32()),
                      .objective = matched.latency_objective > milliseconds(0)
                                       ? matched.latency_objective
@@ -129,7 +201,8 @@
             {.name = "service", .value = placed->service},
             {.name = "config", .value = Text(view_->config->version)},
             {.name = "targets", .value = Text(view_->targets_version)},
-            {.name = "rank", .value = Text(matched.rank)},
+            {.name = "organisation", .value = placed->organisation},
+            {.name = "rank", .value = Text(placed->rank)},
             {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
   if (local_.IsQuarantined(matched.name, placed->call.request,
                            placed->call.received)) {
@@ -138,12 +211,7 @@
                 .retry_after = kQuarantineRetryAfter});
     return id;
   }
-  placed->timer.expires_at(placed->deadline);
-  placed->timer.async_wait([this, id](boost::system::error_code error) {
-    if (!error) {
-      OnTimeout(id);
-    }
-  });
+  StartTimer(id);
   Try(id);
   return id;
 }
@@ -153,6 +221,13 @@
       .hopeless.IsHopeless(call.placing.method, call.deadline - now, now);
 }
 
+// A key may have been withdrawn while its request waited.
+void origin::TryAgain(call_id id) {
+  if (Identify(id)) {
+    Try(id);
+  }
+}
+
 void origin::Try(call_id id) {
   const call_ptr call = calls_.at(id);
   service_state& state = StateOf(call->service);
@@ -198,15 +273,24 @@
                            time_point now) const {
   const auto waited =
       std::chrono::duration_cast<milliseconds>(now - call.call.received);
+  milliseconds start_within{0};
+  if (!call.organisation.empty() && options_.max_key_age > milliseconds(0)) {
+    const auto age = options_.proven_age();
+    start_within = std::max(milliseconds(1),
+                            options_.max_key_age -
+                                age.value_or(options_.max_key_age));
+  }
   return {.target_id = target.id,
           .route = call.matched->name,
-          .rank = call.matched->rank,
+          .rank = call.rank,
           .ticket = call.placing.ticket,
           .repeats = call.matched->repeats,
           .remaining = TimeLeft(call.deadline, now),
           .objective_left = std::max(milliseconds(0),
                                      call.matched->latency_objective - waited),
+          .start_within = start_within,
           .caller_service = options_.service,
+          .organisation = call.organisation,
           .request_id = call.call.id,
           .request = call.call.request};
 }
@@ -322,7 +406,7 @@
       call->failure = std::move(told.response);
     }
     ++counters_.sent_again;
-    Try(id);
+    TryAgain(id);
     return;
   }
   if (told.kind == outcome_kind::kCompleted) {
@@ -362,7 +446,7 @@
   call.pause.async_wait([this, id](boost::system::error_code error) {
     // The caller may have left just as the pause ended.
     if (!error && calls_.contains(id)) {
-      Try(id);
+      TryAgain(id);
     }
   });
 }
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -20,6 +20,7 @@
 #include "include/config/settings.h"
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
+#include "include/organisation/key_check.h"
 #include "include/retry/hopeless_sends.h"
 #include "include/retry/repeat_budget.h"
 #include "include/retry/reserve_share.h"
@@ -51,6 +52,11 @@
       on_report;
   // It can't be reached, or is stopping.
   std::function<void(const std::string& ip)> on_lost;
+  // How long ago the configuration is proven to have been the newest one;
+  // nothing if that was never proven.
+  std::function<std::optional<milliseconds>()> proven_age;
+  // Oldest configuration that API keys may be judged by; zero if any may.
+  milliseconds max_key_age{0};
   // A target turned out to be another one than the view has at its address.
   std::function<void()> on_stale_target;
   // The newest change of the platform's store that is known of.
@@ -60,6 +66,8 @@
       changes_since;
   // Another daemon told what has changed.
   std::function<void(const view_changes&)> on_changes;
+  // Another daemon proved how new its view is; it was asked at `asked`.
+  std::function<void(const freshness_proof&, boot_time asked)> on_proof;
 };
 
 struct origin_counters {
@@ -97,6 +105,9 @@
   void Follow(const std::vector<std::string>& ips);
   // Asks the daemon at `ip` for it once.
   void AskChanges(const std::string& ip);
+  // Asks the daemons at these IP numbers how new their views are, and up to
+  // `others` more that are connected, different ones each time.
+  void AskProofs(const std::vector<std::string>& ips, std::size_t others);
   // Once a second.
   void Tick(time_point now);
 
@@ -130,6 +141,8 @@
     std::shared_ptr<const service_view> view;  // Keeps `matched` valid.
     const route* matched = nullptr;
     std::string service;
+    std::string organisation;  // Whose key the caller gave; may be empty.
+    std::uint32_t rank = 0;    // The organisation's, or else the route's.
     time_point deadline;
     placement_request placing;
     boost::asio::steady_timer timer;  // Of the deadline.
@@ -158,7 +171,15 @@
   using call_ptr = std::shared_ptr<placed_call>;
 
   [[nodiscard]] bool FindRoute(placed_call& call, reason* why) const;
+  // Who holds the caller's key, by the view in use.
+  [[nodiscard]] key_answer CheckKeyOf(const placed_call& call) const;
+  // Names the organisation, or ends the call. False if it has ended.
+  bool Identify(call_id id);
+  void StartTimer(call_id id);
+  [[nodiscard]] milliseconds TimeoutOf(const placed_call& call) const;
   [[nodiscard]] bool IsHopeless(const placed_call& call, time_point now);
+  // A search for a target behind the first.
+  void TryAgain(call_id id);
   void Try(call_id id);
   void Send(call_id id, const target_entry& target);
   [[nodiscard]] call_frame FrameOf(const placed_call& call,
@@ -208,6 +229,7 @@
   reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP number.
+  std::string last_proof_asked_;  // Of the `others`; an IP number.
   const std::shared_ptr<std::uint64_t> last_number_ =
       std::make_shared<std::uint64_t>(0);  // Of calls on all links.
   std::unordered_map<call_id, call_ptr> calls_;
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -81,7 +81,8 @@
           [this] { return suspects_frame{.entries = local_.KnownSuspects()}; },
       .revision = options_.revision,
       .changes_since = options_.changes_since,
-      .on_changes = options_.on_changes};
+      .on_changes = options_.on_changes,
+      .on_proof = options_.on_proof};
 }
 
 void origin::OnReport(const std::string& ip, const neighbour_report& report) {
@@ -138,6 +139,25 @@
   }
 }
 
+void origin::AskProofs(const std::vector<std::string>& ips,
+                       std::size_t others) {
+  for (const std::string& ip : ips) {
+    const auto found = links_.find(ip);
+    if (found != links_.end()) {
+      found->second->AskProof();
+    }
+  }
+  const std::size_t count = std::min(others, links_.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    auto next = links_.upper_bound(last_proof_asked_);
+    if (next == links_.end()) {
+      next = links_.begin();
+    }
+    last_proof_asked_ = next->first;
+    next->second->AskProof();
+  }
+}
+
 // Where daemons are that this one has no link to.
 std::vector<std::string> origin::Unlinked() const {
   std::set<std::string> ips;
--- a/src/forward/relayed_call.h
+++ b/src/forward/relayed_call.h
@@ -15,6 +15,10 @@
   // Names this attempt of the caller; may be empty.
   std::string id;
   std::string host;
+  // Of the organisation that the caller acts for; empty if it gave none.
+  std::string api_key;
+  // The headers that the key came in, as a block; not in `request`.
+  std::string credential_headers;
   relayed_request request;
   // How long the caller waits; zero if it doesn't say.
   milliseconds caller_timeout{0};
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -19,6 +19,7 @@
   std::string request_id;
   std::string target_id;  // The start of the target that must run it.
   std::string caller_service;
+  std::string organisation;  // That the request is for; may be empty.
   repeat_policy repeats = repeat_policy::kAtMostOnce;
   time_point deadline;
 };
--- /dev/null
+++ b/src/forward/view_freshness.cc
@@ -0,0 +1,40 @@
+// Proofs, and those that wait for the view.
+#include "include/forward/view_freshness.h"
+
+#include <algorithm>
+
+namespace pistachioweir {
+
+void view_freshness::Adopt(boot_time proven) {
+  proven_ = proven_ ? std::max(*proven_, proven) : proven;
+}
+
+void view_freshness::Confirm(const freshness_proof& proof, boot_time asked) {
+  if (proof.revision == 0) {
+    return;  // Of a daemon that has no view.
+  }
+  const boot_time proven = asked - proof.age;
+  if (proof.revision <= revision_) {
+    Adopt(proven);
+  } else if (!ahead_ || proven > ahead_->proven) {
+    ahead_ = moment{.revision = proof.revision, .proven = proven};
+  }
+}
+
+void view_freshness::SetRevision(std::uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+  if (ahead_ && ahead_->revision <= revision_) {
+    Adopt(ahead_->proven);
+    ahead_.reset();
+  }
+}
+
+std::optional<milliseconds> view_freshness::Age(boot_time now) const {
+  if (!proven_) {
+    return std::nullopt;
+  }
+  return std::max(milliseconds(0),
+                  std::chrono::ceil<milliseconds>(now - *proven_));
+}
+
+}  // namespace pistachioweir
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -24,6 +24,13 @@
 // lives.
 constexpr milliseconds kOwnGoneReads{6000};
 
+// Of the oldest view that keys may be judged by: from the first part on the
+// daemons that are followed are asked for a newer proof, from the second on
+// some others as well.
+constexpr int kAskSourcesPart = 5;
+constexpr int kAskOthersPart = 2;
+constexpr std::size_t kOthersAsked = 3;
+
 std::string Joined(const std::vector<std::string>& ips) {
   std::string text;
   for (const std::string& ip : ips) {
@@ -81,6 +88,7 @@
     following_.OnReading(parts_.state().reads_well);
   }
   frame_ = nullptr;
+  AskProofs();
   parts_.heartbeat();
   heartbeat_.expires_after(kHeartbeatInterval);
   heartbeat_.async_wait([this](boost::system::error_code error) {
@@ -225,6 +233,42 @@
              .value = std::to_string(told.learnt_ago.count())}});
 }
 
+// While any neighbour has a newer proof, requests with good keys go on.
+void view_sharing::AskProofs() {
+  if (options_.max_key_age == milliseconds(0)) {
+    return;
+  }
+  const auto age = proven_age();
+  if (age && *age < options_.max_key_age / kAskSourcesPart) {
+    return;
+  }
+  const bool old = !age || *age > options_.max_key_age / kAskOthersPart;
+  parts_.ask_proofs(sources_, old ? kOthersAsked : 0);
+}
+
+void view_sharing::OnProof(const freshness_proof& proof, boot_time asked) {
+  freshness_.Confirm(proof, asked);
+}
+
+std::optional<milliseconds> view_sharing::proven_age() {
+  const view_state state = parts_.state();
+  freshness_.SetRevision(state.revision);
+  if (state.store_asked) {
+    freshness_.Confirm({.revision = state.revision}, *state.store_asked);
+  }
+  return freshness_.Age(boot_clock::now());
+}
+
+// The age counts on through every daemon that it comes by (guard AGE_COUNTS in
+// spec/key_withdrawal.pml).
+std::optional<freshness_proof> view_sharing::Proof() {
+  const auto age = proven_age();
+  if (!age) {
+    return std::nullopt;
+  }
+  return freshness_proof{.revision = revision(), .age = *age};
+}
+
 void view_sharing::CountAge(milliseconds age) {
   const auto& bounds = view_sharing_counters::kBounds;
   const auto place = std::ranges::lower_bound(bounds, age.count());
--- a/src/forward/view_sharing.h
+++ b/src/forward/view_sharing.h
@@ -18,6 +18,7 @@
 #include "include/forward/service_view.h"
 #include "include/forward/view_changes.h"
 #include "include/forward/view_following.h"
+#include "include/forward/view_freshness.h"
 #include "include/forward/view_state.h"
 #include "src/peer/peer_frame.h"
 
@@ -27,6 +28,9 @@
   daemon_place self;
   endpoint own_target;
   reader_policy readers = reader_policy::kFew;
+  // How old the view may be proven to be before API keys can't be judged by it;
+  // zero if nobody wants to know.
+  milliseconds max_key_age{0};
 };
 
 // What the daemon's other parts do for it.
@@ -41,6 +45,8 @@
   // Connections to other daemons.
   std::function<void(const std::vector<std::string>& ips)> follow;
   std::function<void(const std::string& ip)> ask;
+  std::function<void(const std::vector<std::string>& ips, std::size_t others)>
+      ask_proofs;
   // Connections from other daemons.
   std::function<void(std::uint64_t revision)> ask_connected;
   std::function<void(const std::string& except)> tell_followers;
@@ -78,6 +84,8 @@
   // The daemon at `ip` can't be reached, or is stopping.
   void OnLost(const std::string& ip);
   void OnChanges(const view_changes& told);
+  // Another daemon, asked at `asked`, proved how new its view is.
+  void OnProof(const freshness_proof& proof, boot_time asked);
 
   // What changed behind `revision` as a frame; nullptr if nothing did.
   [[nodiscard]] std::shared_ptr<const std::string> FrameSince(
@@ -87,6 +95,9 @@
   }
   // How long ago a daemon that reads the store confirmed the view.
   [[nodiscard]] milliseconds age() const;
+  // How long ago the view is proven to have been the store's newest state.
+  [[nodiscard]] std::optional<milliseconds> proven_age();
+  [[nodiscard]] std::optional<freshness_proof> Proof();
   [[nodiscard]] store_reading reading() const { return reading_; }
   [[nodiscard]] const view_sharing_counters& counters() const {
     return counters_;
@@ -97,6 +108,7 @@
   void Plan(time_point now);
   void AskConnected(milliseconds pause);
   void ArmAsk(milliseconds patience);
+  void AskProofs();
   void CountAge(milliseconds age);
 
   const view_sharing_options options_;
@@ -105,6 +117,7 @@
   boost::asio::steady_timer ask_;
   boost::asio::steady_timer start_;
   view_following following_;
+  view_freshness freshness_;
   store_reading reading_ = store_reading::kEager;
   std::vector<std::string> sources_;
   // The newest change that another daemon told of, and which one.
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -7,15 +7,12 @@
 #include "include/base/ascii.h"
 
 namespace pistachioweir {
-namespace {
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return std::ranges::equal(
       a, b, [](char x, char y) { return ToLowerAscii(x) == ToLowerAscii(y); });
 }
 
-}  // namespace
-
 std::optional<std::string_view> FindHeader(const http_headers& headers,
                                            std::string_view name) {
   for (const http_header& header : headers) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -35,6 +35,9 @@
   bool close = false;
 };
 
+// In ASCII.
+[[nodiscard]] bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
 // The first header called `name`, in any case of letters, or nothing.
 [[nodiscard]] std::optional<std::string_view> FindHeader(
     const http_headers& headers,
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -11,9 +11,10 @@
 
 constexpr std::uint32_t kHelloFields = 3;
 constexpr std::uint32_t kWelcomeFields = 11;
-constexpr std::uint32_t kCallFields = 15;
+constexpr std::uint32_t kCallFields = 17;
 constexpr std::uint32_t kAnswerFields = 20;
 constexpr std::uint32_t kPongFields = 9;
+constexpr std::uint32_t kProofFields = 3;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
 constexpr microseconds kMaxMeasured = std::chrono::hours(24);
@@ -81,7 +82,9 @@
       .Put(static_cast<std::uint32_t>(frame.repeats))
       .Put(frame.remaining)
       .Put(frame.objective_left)
+      .Put(frame.start_within)
       .Put(frame.caller_service)
+      .Put(frame.organisation)
       .Put(frame.request_id)
       .Put(frame.request.verb)
       .Put(frame.request.target)
@@ -117,6 +120,14 @@
       .Finish(frame_kind::kPong);
 }
 
+std::string Encode(const proof_frame& frame) {
+  return frame_writer(kProofFields)
+      .Put(frame.number)
+      .Put(frame.proof.revision)
+      .Put(frame.proof.age)
+      .Finish(frame_kind::kProof);
+}
+
 // A request that is cleared is an entry without time or crashes, which says
 // nothing to a daemon that doesn't know of clearing.
 std::string Encode(const suspects_frame& frame) {
@@ -189,7 +200,9 @@
       decltype(kRepeatPolicyNames)::FromNumber(reader.Unsigned32());
   frame.remaining = ReadMilliseconds(reader);
   frame.objective_left = ReadMilliseconds(reader);
+  frame.start_within = ReadMilliseconds(reader);
   frame.caller_service = reader.String();
+  frame.organisation = reader.String();
   frame.request_id = reader.String();
   frame.request.verb = reader.String();
   frame.request.target = reader.String();
@@ -240,6 +253,18 @@
   return frame;
 }
 
+std::optional<proof_frame> DecodeProof(std::string_view payload) {
+  msgpack_reader reader(payload, kProofFields);
+  proof_frame frame;
+  frame.number = reader.Unsigned();
+  frame.proof.revision = reader.Unsigned();
+  frame.proof.age = ReadMilliseconds(reader);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
 std::optional<suspects_frame> DecodeSuspectsFrame(std::string_view payload) {
   auto reader = msgpack_reader::UpTo(payload, kMaxSuspects * kFieldsPerSuspect);
   if (!reader.ok() || reader.size() % kFieldsPerSuspect != 0) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -16,6 +16,7 @@
 #include "include/base/ids.h"
 #include "include/base/outcome.h"
 #include "include/base/time.h"
+#include "include/forward/view_freshness.h"
 #include "include/quarantine/quarantine.h"
 #include "include/route/route_table.h"
 #include "src/net/relayed_message.h"
@@ -37,14 +38,17 @@
   kChanges,     // That has.
   kFollow,      // As kAskChanges, and tell me what changes from now on.
   kUnfollow,    // No more.
+  kAskProof,    // How new is your view proven to be?
+  kProof,       // That new.
 };
 
-inline constexpr enum_table<frame_kind, 14> kFrameKindNames(
+inline constexpr enum_table<frame_kind, 16> kFrameKindNames(
     {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
-     "leaving", "suspects", "ask_changes", "changes", "follow", "unfollow"});
+     "leaving", "suspects", "ask_changes", "changes", "follow", "unfollow",
+     "ask_proof", "proof"});
 
 // Frames of another version are refused: the connection ends.
-inline constexpr std::uint32_t kPeerProtocolVersion = 4;
+inline constexpr std::uint32_t kPeerProtocolVersion = 5;
 inline constexpr std::size_t kFrameHeadBytes = 5;
 
 // What a daemon says of its view, on frames that flow anyway.
@@ -81,7 +85,11 @@
   repeat_policy repeats = repeat_policy::kAtMostOnce;
   milliseconds remaining{0};
   milliseconds objective_left{0};  // Of the latency objective.
+  // The target must have begun within this time; zero if only the deadline
+  // bounds that.
+  milliseconds start_within{0};
   std::string caller_service;
+  std::string organisation;  // Whose key the caller gave; may be empty.
   std::string request_id;
   relayed_request request;
 };
@@ -112,6 +120,11 @@
   neighbour_report report;
 };
 
+struct proof_frame {
+  std::uint64_t number = 0;  // Of the question.
+  freshness_proof proof;     // Revision zero if there is none.
+};
+
 struct suspects_frame {
   std::vector<quarantine_entry> entries;
   // Requests that were suspected and crash nothing.
@@ -127,9 +140,10 @@
 [[nodiscard]] std::string Encode(const call_frame& frame);
 [[nodiscard]] std::string Encode(const answer_frame& frame);
 [[nodiscard]] std::string Encode(const pong_frame& frame);
+[[nodiscard]] std::string Encode(const proof_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
-// revision of the asker's view, kPing, kLeaving and kUnfollow nothing. For
+// revision of the asker's view, kAskProof the number of the question, kPing, kLeaving and kUnfollow nothing. For
 // kChanges see changes_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
@@ -143,6 +157,7 @@
 [[nodiscard]] std::optional<answer_frame> DecodeAnswerFrame(
     std::string_view payload);
 [[nodiscard]] std::optional<pong_frame> DecodePong(std::string_view payload);
+[[nodiscard]] std::optional<proof_frame> DecodeProof(std::string_view payload);
 [[nodiscard]] std::optional<suspects_frame> DecodeSuspectsFrame(
     std::string_view payload);
 [[nodiscard]] std::optional<std::uint64_t> DecodeNumber(
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -27,6 +27,9 @@
 // Between attempts to reach a peer.
 constexpr milliseconds kRetryInterval{100};
 
+// Questions for a proof that may wait for their answers at a time.
+constexpr std::size_t kMostProofsAsked = 16;
+
 }  // namespace
 
 peer_link::peer_link(boost::asio::io_context& context,
@@ -82,6 +85,10 @@
   record.call.remaining -= waited;
   record.call.objective_left =
       std::max(milliseconds(0), record.call.objective_left - waited);
+  if (record.call.start_within > milliseconds(0)) {
+    record.call.start_within =
+        std::max(milliseconds(1), record.call.start_within - waited);
+  }
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
   current_->Send(Encode(record.call));
@@ -136,6 +143,35 @@
   }
 }
 
+void peer_link::AskProof() {
+  if (current_ == nullptr) {
+    return;
+  }
+  if (proofs_asked_.size() == kMostProofsAsked) {
+    proofs_asked_.pop_front();
+  }
+  proofs_asked_.emplace_back(++last_proof_number_, boot_clock::now());
+  current_->Send(
+      EncodeNumbered(frame_kind::kAskProof, last_proof_number_));
+}
+
+// Answers come in the order of the questions; one that got none was lost with
+// its connection.
+void peer_link::OnProof(const proof_frame& frame) {
+  while (!proofs_asked_.empty() &&
+         proofs_asked_.front().first < frame.number) {
+    proofs_asked_.pop_front();
+  }
+  if (proofs_asked_.empty() || proofs_asked_.front().first != frame.number) {
+    return;
+  }
+  const boot_time asked = proofs_asked_.front().second;
+  proofs_asked_.pop_front();
+  if (events_.on_proof) {
+    events_.on_proof(frame.proof, asked);
+  }
+}
+
 void peer_link::Close() {
   closed_ = true;
   timer_.cancel();
@@ -271,6 +307,12 @@
         return;
       }
       break;
+    case frame_kind::kProof:
+      if (const auto proof = DecodeProof(frame.payload)) {
+        OnProof(*proof);
+        return;
+      }
+      break;
     default:
       break;
   }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -4,17 +4,20 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "include/base/boot_clock.h"
 #include "include/base/ids.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
@@ -69,6 +72,8 @@
       changes_since;
   // The peer told what has changed.
   std::function<void(const view_changes&)> on_changes;
+  // The peer proved how new its view is; it was asked at `asked`.
+  std::function<void(const freshness_proof&, boot_time asked)> on_proof;
 };
 
 // A call that was sent. `heard` tells whether the answer came from the peer;
@@ -106,6 +111,8 @@
   void Unfollow();
   // Asks once, if there is a connection.
   void AskChanges();
+  // Likewise, how new the peer's view is.
+  void AskProof();
   void Close();
 
   [[nodiscard]] link_state state() const;
@@ -136,6 +143,7 @@
   void OnConnectFailed(std::uint64_t attempt, std::string_view why);
   void OnFrame(const stream_ptr& stream, const frame_view& frame);
   bool OnChanges(std::string_view payload);
+  void OnProof(const proof_frame& frame);
   void OnAskChanges(const stream_ptr& stream, std::uint64_t revision);
   void OnWelcome(const stream_ptr& stream, const welcome_frame& welcome);
   void OnAnswer(answer_frame answer);
@@ -165,6 +173,9 @@
   time_point last_asked_;      // When something was sent that is answered at
                                // once.
   time_point last_used_;
+  // Questions for a proof that have no answer yet, the oldest first.
+  std::deque<std::pair<std::uint64_t, boot_time>> proofs_asked_;
+  std::uint64_t last_proof_number_ = 0;
   bool carries_calls_ = false;
   bool follows_ = false;
   time_point unreachable_since_ = time_point::max();
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -164,6 +164,13 @@
         }
         return revision.has_value();
       }
+      case frame_kind::kAskProof: {
+        const auto number = DecodeNumber(frame.payload);
+        if (number) {
+          server_.OnAskProof(*this, *number);
+        }
+        return number.has_value();
+      }
       case frame_kind::kFollow: {
         const auto revision = DecodeNumber(frame.payload);
         server_.OnFollow(*this, revision);
@@ -392,6 +399,12 @@
   return true;
 }
 
+void peer_server::OnAskProof(session& from, std::uint64_t number) {
+  const auto proof = options_.proof ? options_.proof() : std::nullopt;
+  from.Send(Encode(proof_frame{
+      .number = number, .proof = proof.value_or(freshness_proof())}));
+}
+
 void peer_server::OnFollow(session& from,
                            std::optional<std::uint64_t> revision) {
   from.SetFollowed(revision);
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -17,6 +18,7 @@
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/forward/view_changes.h"
+#include "include/forward/view_freshness.h"
 #include "include/once/attempt_table.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
@@ -36,6 +38,8 @@
   // What changed in the store behind `revision` as a frame, if anything did.
   std::function<std::shared_ptr<const std::string>(std::uint64_t revision)>
       changes_since;
+  // How new the view is proven to be; nothing if it isn't.
+  std::function<std::optional<freshness_proof>()> proof;
   // Another daemon told what has changed, since AskForChanges() asked it.
   std::function<void(const view_changes&)> on_changes;
 };
@@ -93,6 +97,7 @@
   [[nodiscard]] pong_frame Pong() const;
   void SendRefusal(session& to, std::uint64_t number);
   bool TellChanges(session& to, std::uint64_t revision);
+  void OnAskProof(session& from, std::uint64_t number);
   void OnFollow(session& from, std::optional<std::uint64_t> revision);
   [[nodiscard]] session* Find(incarnation_id sender);
 
--- /dev/null
+++ b/tests/organisation_table_test.cc
@@ -0,0 +1,100 @@
+// Organisations by their keys, and what a request with a key may do.
+#include "include/organisation/organisation_table.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/organisation/key_check.h"
+
+namespace pistachioweir {
+namespace {
+
+std::vector<organisation> TwoOrganisations() {
+  return {{.name = "north", .api_keys = {"key-1", "key-2"}, .rank = 1},
+          {.name = "south", .api_keys = {"key-3"}}};
+}
+
+organisation_table Table() {
+  std::string problem;
+  return *organisation_table::Make(TwoOrganisations(), &problem);
+}
+
+TEST(OrganisationTableTest, FindsTheHolderOfEachKey) {
+  const organisation_table table = Table();
+  ASSERT_NE(table.Find("key-2"), nullptr);
+  EXPECT_EQ(table.Find("key-2")->name, "north");
+  EXPECT_EQ(table.Find("key-3")->name, "south");
+  EXPECT_EQ(table.Find("key-3")->id, IdOfOrganisation("south"));
+  for (const char* other : {"", "key", "key-4", "key-11", "KEY-1", "north"}) {
+    EXPECT_EQ(table.Find(other), nullptr) << other;
+  }
+}
+
+// Guards against a request that is counted for the wrong one of two holders.
+TEST(OrganisationTableTest, ASharedKeyIsRefusedWithoutTellingIt) {
+  std::vector<organisation> shared = TwoOrganisations();
+  shared[1].api_keys = {"key-3", "key-1"};
+  std::string problem;
+  EXPECT_FALSE(organisation_table::Make(shared, &problem).has_value());
+  EXPECT_NE(problem.find("north"), problem.npos);
+  EXPECT_NE(problem.find("south"), problem.npos);
+  EXPECT_EQ(problem.find("key-1"), problem.npos) << problem;
+}
+
+TEST(OrganisationTableTest, RefusesWhatMakesNoSense) {
+  const std::vector<organisation> broken = {
+      {.name = ""},
+      {.name = "south"},
+      {.name = "east", .api_keys = {""}},
+      {.name = "east", .rate = -1},
+      {.name = "east", .burst = -0.5},
+  };
+  for (const organisation& each : broken) {
+    std::vector<organisation> all = TwoOrganisations();
+    all.push_back(each);
+    std::string problem;
+    EXPECT_FALSE(organisation_table::Make(all, &problem).has_value());
+    EXPECT_FALSE(problem.empty());
+  }
+}
+
+TEST(KeyCheckTest, ARouteSaysWhetherAKeyIsNeeded) {
+  const organisation_table table = Table();
+  const auto check = [&](bool is_public, const char* key) {
+    return CheckKey({.organisations = &table,
+                     .is_public = is_public,
+                     .api_key = key});
+  };
+  EXPECT_EQ(check(false, "key-1").verdict, key_verdict::kHeld);
+  EXPECT_EQ(check(false, "key-1").holder->name, "north");
+  EXPECT_EQ(check(false, "").verdict, key_verdict::kNotHeld);
+  EXPECT_EQ(check(false, "key-9").verdict, key_verdict::kNotHeld);
+  EXPECT_EQ(check(true, "").verdict, key_verdict::kNotNeeded);
+  EXPECT_EQ(check(true, "key-9").verdict, key_verdict::kNotNeeded);
+  EXPECT_EQ(check(true, "key-1").holder->name, "north");
+  EXPECT_EQ(CheckKey({.api_key = "key-9"}).verdict, key_verdict::kNotNeeded);
+}
+
+// Guards against a withdrawn key that a daemon goes on taking while it can't
+// learn of the withdrawal.
+TEST(KeyCheckTest, AnOldConfigurationJudgesNoKeys) {
+  const organisation_table table = Table();
+  const auto check = [&](std::optional<milliseconds> age, bool is_public) {
+    return CheckKey({.organisations = &table,
+                     .is_public = is_public,
+                     .api_key = "key-1",
+                     .proven_age = age,
+                     .max_age = milliseconds(4000)})
+        .verdict;
+  };
+  EXPECT_EQ(check(milliseconds(4000), false), key_verdict::kHeld);
+  EXPECT_EQ(check(milliseconds(4001), false), key_verdict::kUnconfirmed);
+  EXPECT_EQ(check(std::nullopt, false), key_verdict::kUnconfirmed);
+  EXPECT_EQ(check(std::nullopt, true), key_verdict::kNotNeeded);
+}
+
+}  // namespace
+}  // namespace pistachioweir
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -60,6 +60,48 @@
   EXPECT_EQ(config->limits.idle_timeout, seconds(15));
 }
 
+std::string WithOrganisations(const std::string& rows) {
+  std::string text = Config("r12");
+  text.pop_back();
+  return text + R"(,"tenants":{"columns":["name","api-keys","priority",
+"rate-per-s","burst"],"rows":[)" +
+         rows + "]}}";
+}
+
+TEST(DocumentDecoderTest, ReadsOrganisations) {
+  std::string problem;
+  EXPECT_EQ(DecodeConfig(Config("r12"), &problem)->organisations, nullptr);
+  const auto config = DecodeConfig(
+      WithOrganisations(R"(["north",["a","b"],1,391.5,390],["south",["c"]])"),
+      &problem);
+  ASSERT_TRUE(config.has_value()) << problem;
+  ASSERT_NE(config->organisations, nullptr);
+  const organisation* const north = config->organisations->Find("b");
+  ASSERT_NE(north, nullptr);
+  EXPECT_EQ(north->name, "north");
+  EXPECT_EQ(north->rank, 1U);
+  EXPECT_DOUBLE_EQ(north->rate, 391.5);
+  EXPECT_DOUBLE_EQ(north->burst, 390);
+  const organisation* const south = config->organisations->Find("c");
+  ASSERT_NE(south, nullptr);
+  EXPECT_EQ(south->rank, std::nullopt);
+  EXPECT_DOUBLE_EQ(south->rate, 0);
+}
+
+// Guards against a mistake of the operator's that takes keys from some
+// organisations, or their limits, with the rest of a configuration.
+TEST(DocumentDecoderTest, RefusesAConfigurationWithBrokenOrganisations) {
+  for (const char* rows :
+       {R"(["north",["a"]],["south",["a"]])", R"(["north","a"])",
+        R"(["north",[7]])", R"(["north",["a"],-1])",
+        R"(["north",["a"],1,"many"])", R"(["north",["a"],1,-5])", "7"}) {
+    std::string problem;
+    EXPECT_FALSE(DecodeConfig(WithOrganisations(rows), &problem).has_value())
+        << rows;
+    EXPECT_FALSE(problem.empty());
+  }
+}
+
 TEST(DocumentDecoderTest, RefusesWhatNamesAMissingService) {
   std::string problem;
   EXPECT_FALSE(DecodeConfig(Config("r12", "nowhere"), &problem).has_value());
