Quotas that all daemons keep together

Cause: no limit was kept anywhere.

Each daemon reports what it let in to an earlier one in the order of a hash; the first keeps a bucket for each organisation and tells how full it is. A daemon without word leads what reports to it, with that part of each quota that the number of daemons has of the fleet. Buckets begin empty. What has not run is given back. Nothing is stored, nobody is elected, no request waits.

With it, ranks by organisation and route: an organisation's rank goes before the route's, and routes tell apart what is alike.

--- a/fuzz/peer_frame_fuzz.cc
+++ b/fuzz/peer_frame_fuzz.cc
@@ -7,6 +7,7 @@
 
 #include "src/peer/changes_frame.h"
 #include "src/peer/peer_frame.h"
+#include "src/peer/quota_frame.h"
 
 namespace {
 
@@ -42,6 +43,9 @@
   (void)pistachioweir::DecodePong(bytes);
   (void)pistachioweir::DecodeSuspectsFrame(bytes);
   (void)pistachioweir::DecodeNumber(bytes);
+  (void)pistachioweir::DecodeProof(bytes);
+  (void)pistachioweir::DecodeUsage(bytes);
+  (void)pistachioweir::DecodeQuota(bytes);
   CheckChanges(bytes);
   return 0;
 }
--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -53,6 +53,8 @@
   // back within about two seconds once the cause has gone.
   static constexpr double kIncrease = 0.03;
   static constexpr double kMostIncrease = 0.12;
+  // Requests that are ahead may be let in so many before their turn.
+  static constexpr double kMostBorrowed = 20;
   // Some always come in, or nothing would show that the cause has gone.
   static constexpr double kLeastShare = 0.1;
 
@@ -78,7 +80,8 @@
   // lets in more than fits in one moment and less in the next, and what is too
   // much fails. With two thirds of the calls fitting, 60 of 100 requests end
   // well instead of 46 (waste_guard_test).
-  [[nodiscard]] bool Admit();
+  // Those that are `ahead` are let in as long as others give way for them.
+  [[nodiscard]] bool Admit(bool ahead = false);
   // A run has ended; `well` if the target didn't answer that it failed.
   void OnEnd(bool well, time_point now);
   // The pressure on the services that the target calls, nothing if none of them
@@ -98,8 +101,8 @@
   time_point pressure_period_end_;
   bool makes_calls_ = false;
   double share_ = 1;   // Between kLeastShare and 1.
-  double credit_ = 1;  // Below 2; each request adds the share, one let in
-                       // takes 1.
+  // From -kMostBorrowed to 2; each request adds the share, one let in takes 1.
+  double credit_ = 1;
   double increase_ = kIncrease;  // Of the next period that ends well.
   std::uint32_t ended_ = 0;
   std::uint32_t failed_ = 0;
--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -53,6 +53,9 @@
   // what it knows.
   milliseconds key_withdrawal{0};
 
+  // Part by which organisations may exceed their quotas for some seconds.
+  double quota_overage = 0;
+
   // Bounds on how often requests are sent again, over all daemons: in each
   // window, a part of the requests of a service and a reserve.
   double repeat_ratio = 0.2;
--- a/include/forward/service_view.h
+++ b/include/forward/service_view.h
@@ -16,6 +16,7 @@
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/organisation/organisation_table.h"
+#include "include/organisation/precedence.h"
 #include "include/route/route_table.h"
 
 namespace pistachioweir {
@@ -71,6 +72,7 @@
   caller_limits limits;
   // nullptr if requests carry no keys.
   std::shared_ptr<const organisation_table> organisations;
+  precedence ranks;
 };
 
 struct service_view {
--- /dev/null
+++ b/include/quota/quota_rule.h
@@ -0,0 +1,117 @@
+// quota_rule: whether one daemon lets in one more request of an organisation.
+//
+// Answers the load of an organisation that sends more than its quota, spread
+// over all daemons in any way. Pure logic: time and randomness are arguments.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+// What a daemon knows of an organisation's quota and use.
+struct quota_inputs {
+  // Of the daemons that are in touch with this one, together.
+  double rate = 0;    // Requests a second.
+  double burst = 0;   // Requests that may come at once beyond that.
+  double level = 0;   // Of the burst, what is left; below zero if overspent.
+  double demand = 0;  // Requests a second, refused ones included.
+  // Of this daemon.
+  double own_demand = 0;
+  // Of all daemons of the fleet, in touch or not.
+  double fleet_rate = 0;
+  double fleet_burst = 0;
+  std::size_t daemons = 1;
+};
+
+template <typename Rule>
+concept quota_rule =
+    std::default_initializable<Rule> && requires(Rule rule,
+                                                 const quota_inputs& inputs,
+                                                 double random,
+                                                 time_point now) {
+  // `random` is from 0 up to 1.
+  { rule.Admit(inputs, random, now) } -> std::same_as<bool>;
+};
+
+// A bucket of tokens whose size and rate change.
+class token_bucket {
+ public:
+  [[nodiscard]] bool Take(double rate, double size, time_point now) {
+    const std::chrono::duration<double> passed = now - at_;
+    const bool first = at_ == time_point();
+    tokens_ = first ? 0 : std::min(size, tokens_ + rate * passed.count());
+    at_ = now;
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double tokens_ = 0;
+  time_point at_;
+};
+
+// Each daemon has an equal part of the quota. Needs no word from others, and
+// refuses whatever is unevenly spread.
+class equal_share_rule {
+ public:
+  [[nodiscard]] bool Admit(const quota_inputs& inputs,
+                           double /*random*/,
+                           time_point now) {
+    const auto daemons = static_cast<double>(inputs.daemons);
+    return bucket_.Take(inputs.fleet_rate / daemons,
+                        std::max(1.0, inputs.fleet_burst / daemons), now);
+  }
+
+ private:
+  token_bucket bucket_;
+};
+
+// Each daemon has a part as large as its part of the demand.
+class demand_share_rule {
+ public:
+  [[nodiscard]] bool Admit(const quota_inputs& inputs,
+                           double /*random*/,
+                           time_point now) {
+    const double demand = std::max(inputs.demand, inputs.own_demand);
+    const double part = demand > 0 ? inputs.own_demand / demand : 1;
+    return bucket_.Take(inputs.rate * part,
+                        std::max(1.0, inputs.level * part), now);
+  }
+
+ private:
+  token_bucket bucket_;
+};
+
+// All daemons admit the same part of their requests, so that together they use
+// the rate, and what is left of the burst within kSettling.
+class common_level_rule {
+ public:
+  static constexpr std::chrono::duration<double> kSettling{1.0};
+  // With more debt than the rate pays in this time nothing is let in: how large
+  // the demand is isn't known yet after a start.
+  static constexpr std::chrono::duration<double> kMostDebt{0.25};
+
+  [[nodiscard]] bool Admit(const quota_inputs& inputs,
+                           double random,
+                           time_point /*now*/) {
+    // A part that is smaller than one request is kept on average.
+    if (inputs.burst < 1) {
+      return random < inputs.level;
+    }
+    if (inputs.level < -inputs.rate * kMostDebt.count()) {
+      return false;
+    }
+    const double allowed = inputs.rate + inputs.level / kSettling.count();
+    return random * inputs.demand < allowed;
+  }
+};
+
+}  // namespace pistachioweir
--- a/src/admit/waste_guard.cc
+++ b/src/admit/waste_guard.cc
@@ -11,9 +11,10 @@
   borne_pressure_ = kBornePressure[place];
 }
 
-bool waste_guard::Admit() {
+bool waste_guard::Admit(bool ahead) {
   credit_ += share_;
-  if (credit_ < 1) {
+  const double least = ahead ? 1 - kMostBorrowed : 1;
+  if (credit_ < least) {
     return false;
   }
   credit_ = std::min(credit_ - 1, 1.0);
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -66,6 +66,8 @@
        ReadFraction(&s::store_calls_per_second, 0, kMaxStoreCalls)},
       {"store_readers", kOptional, ReadWith(&s::store_readers, ParseReaders)},
       {"key_withdrawal", kOptional, ReadDuration(&s::key_withdrawal)},
+      {"quota_overage", kOptional,
+       ReadFraction(&s::quota_overage, 0, kMaxRatio)},
       {"repeat_ratio", kOptional,
        ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -266,12 +266,12 @@
   }
   kind_state& kind = by_kind_[served.kind];
   kind.callers.Add(served.call.caller_service);
-  kind.waste.SetRank(served.call.rank);
+  kind.waste.SetRank(served.call.route_rank);
   kind.waste.OnPressure(DownstreamPressure(now), now);
   kind.level = PriorityOfRank(served.call.rank);
   kind.objective = served.call.objective_left;
   kind.came = now;
-  if (!kind.callers.IsMadeByTargets() && !kind.waste.Admit()) {
+  if (!kind.callers.IsMadeByTargets() && !kind.waste.Admit(served.call.ahead)) {
     return reason::kWasted;
   }
   return reason::kNone;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -31,6 +31,7 @@
 #include "src/forward/executor.h"
 #include "src/forward/forward_pages.h"
 #include "src/forward/origin.h"
+#include "src/forward/quota_sharing.h"
 #include "src/forward/stop_plan.h"
 #include "src/forward/target_pool.h"
 #include "src/forward/view_sharing.h"
@@ -109,6 +110,10 @@
                     [this](std::uint64_t revision) {
                       return sharing_.FrameSince(revision);
                     },
+                .on_usage =
+                    [this](incarnation_id sender, const usage_report& report) {
+                      return quotas_.OnUsage(sender, report);
+                    },
                 .proof = [this] { return sharing_.Proof(); },
                 .on_changes =
                     [this](const view_changes& told) {
@@ -133,6 +138,11 @@
                   .readers = settings.store_readers,
                   .max_key_age = MaxKeyAge(settings)},
                  SharingParts()),
+        quotas_(context_,
+                {.self = settings.target.ip, .overage = settings.quota_overage},
+                [this](const std::string& ip, const usage_frame& usage) {
+                  origin_.SendUsage(ip, usage);
+                }),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         tick_(context_),
         flush_(context_),
@@ -213,6 +223,14 @@
             .on_proof =
                 [this](const freshness_proof& proof, boot_time asked) {
                   sharing_.OnProof(proof, asked);
+                },
+            .admit =
+                [this](const organisation& of) { return quotas_.Admit(of); },
+            .give_back =
+                [this](organisation_id id) { quotas_.GiveBack(id); },
+            .on_quota =
+                [this](const std::string& ip, const quota_frame& quota) {
+                  quotas_.OnQuota(ip, quota);
                 }};
   }
 
@@ -316,6 +334,7 @@
     }
     executor_.SetListedTarget(std::move(own));
     sharing_.OnView(*view);
+    quotas_.OnView(*view);
     const bool usable = view->config != nullptr;
     origin_.SetView(std::move(view));
     if (usable && !std::exchange(ready_, true)) {
@@ -400,6 +419,7 @@
     callers_.Close();
     views_.Stop();
     sharing_.Stop();
+    quotas_.Stop();
     // Answers that were handed to the kernel go out; give the last ones a turn.
     stop_.expires_after(kStopPollInterval);
     stop_.async_wait([this](error_code) { stopped_.set_value(); });
@@ -445,6 +465,7 @@
   caller_server<typename Platform::callers> callers_;
   typename Platform::views views_;
   view_sharing sharing_;
+  quota_sharing quotas_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
   boost::asio::steady_timer flush_;
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -112,9 +112,9 @@
   const key_answer key = CheckKeyOf(call);
   const reason refusal = RefusalOf(key.verdict);
   if (refusal == reason::kNone) {
-    call.rank = key.holder != nullptr
-                    ? key.holder->rank.value_or(call.matched->rank)
-                    : call.matched->rank;
+    const precedence& ranks = view_->config->ranks;
+    call.rank = ranks.RankOf(key.holder, *call.matched);
+    call.ahead = ranks.IsAhead(key.holder);
     call.organisation = key.holder != nullptr ? key.holder->name : "";
     return true;
   }
@@ -136,6 +136,31 @@
   return false;
 }
 
+bool origin::Charge(call_id id) {
+  placed_call& call = *calls_.at(id);
+  const organisation* const holder = CheckKeyOf(call).holder;
+  if (holder == nullptr || !options_.admit) {
+    return true;
+  }
+  const quota_decision decision = options_.admit(*holder);
+  if (decision.admitted) {
+    call.charged = holder->id;
+    return true;
+  }
+  log_.Add(id, call.call.id, "over_quota",
+           {{.name = "organisation", .value = holder->name},
+            {.name = "route", .value = call.matched->name},
+            {.name = "config", .value = Text(view_->config->version)},
+            {.name = "rate", .value = std::to_string(decision.inputs.rate)},
+            {.name = "level", .value = std::to_string(decision.inputs.level)},
+            {.name = "demand",
+             .value = std::to_string(decision.inputs.demand)}});
+  call.why = reason::kOverQuota;
+  call.retry_after = decision.retry_after;
+  FinishWithoutAnswer(id);
+  return false;
+}
+
 // The shorter of what the caller and the route say.
 milliseconds origin::TimeoutOf(const placed_call& call) const {
   milliseconds timeout = call.call.caller_timeout;
@@ -177,6 +202,9 @@
   if (!Identify(id)) {
     return id;
   }
+  if (!Charge(id)) {
+    return id;
+  }
   if (view_->config->organisations == nullptr) {
     placed->call.request.header_block += placed->call.credential_headers;
   }
@@ -283,6 +311,8 @@
   return {.target_id = target.id,
           .route = call.matched->name,
           .rank = call.rank,
+          .route_rank = call.matched->rank,
+          .ahead = call.ahead,
           .ticket = call.placing.ticket,
           .repeats = call.matched->repeats,
           .remaining = TimeLeft(call.deadline, now),
@@ -555,6 +585,9 @@
   calls_.erase(found);
   call->timer.cancel();
   call->pause.cancel();
+  if (call->charged && result.kind == outcome_kind::kNotExecuted) {
+    options_.give_back(*call->charged);
+  }
   if (call->by_target) {
     local_.NoteCallOfTarget(result.kind != outcome_kind::kCompleted ||
                                 IsServerError(result.response.status),
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -21,6 +21,7 @@
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
 #include "include/organisation/key_check.h"
+#include "include/quota/quota_ledger.h"
 #include "include/retry/hopeless_sends.h"
 #include "include/retry/repeat_budget.h"
 #include "include/retry/reserve_share.h"
@@ -68,6 +69,12 @@
   std::function<void(const view_changes&)> on_changes;
   // Another daemon proved how new its view is; it was asked at `asked`.
   std::function<void(const freshness_proof&, boot_time asked)> on_proof;
+  // Whether one more request of the organisation is let in; all are if empty.
+  std::function<quota_decision(const organisation&)> admit;
+  // One that was let in has not run.
+  std::function<void(organisation_id)> give_back;
+  // The daemon at `ip` answered a report of use.
+  std::function<void(const std::string& ip, const quota_frame&)> on_quota;
 };
 
 struct origin_counters {
@@ -105,6 +112,8 @@
   void Follow(const std::vector<std::string>& ips);
   // Asks the daemon at `ip` for it once.
   void AskChanges(const std::string& ip);
+  // Tells the daemon at `ip` what was used of quotas.
+  void SendUsage(const std::string& ip, const usage_frame& usage);
   // Asks the daemons at these IP numbers how new their views are, and up to
   // `others` more that are connected, different ones each time.
   void AskProofs(const std::vector<std::string>& ips, std::size_t others);
@@ -142,7 +151,9 @@
     const route* matched = nullptr;
     std::string service;
     std::string organisation;  // Whose key the caller gave; may be empty.
-    std::uint32_t rank = 0;    // The organisation's, or else the route's.
+    std::optional<organisation_id> charged;  // Whose quota it was counted for.
+    std::uint32_t rank = 0;    // By organisation and route.
+    bool ahead = false;  // Other organisations are to give way to it.
     time_point deadline;
     placement_request placing;
     boost::asio::steady_timer timer;  // Of the deadline.
@@ -175,6 +186,9 @@
   [[nodiscard]] key_answer CheckKeyOf(const placed_call& call) const;
   // Names the organisation, or ends the call. False if it has ended.
   bool Identify(call_id id);
+  // Counts the call for its organisation's quota, or ends it. False if it has
+  // ended.
+  bool Charge(call_id id);
   void StartTimer(call_id id);
   [[nodiscard]] milliseconds TimeoutOf(const placed_call& call) const;
   [[nodiscard]] bool IsHopeless(const placed_call& call, time_point now);
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -82,7 +82,13 @@
       .revision = options_.revision,
       .changes_since = options_.changes_since,
       .on_changes = options_.on_changes,
-      .on_proof = options_.on_proof};
+      .on_proof = options_.on_proof,
+      .on_quota =
+          [this, ip](const quota_frame& quota) {
+            if (options_.on_quota) {
+              options_.on_quota(ip, quota);
+            }
+          }};
 }
 
 void origin::OnReport(const std::string& ip, const neighbour_report& report) {
@@ -139,6 +145,10 @@
   }
 }
 
+void origin::SendUsage(const std::string& ip, const usage_frame& usage) {
+  LinkTo(ip)->SendUsage(usage);
+}
+
 void origin::AskProofs(const std::vector<std::string>& ips,
                        std::size_t others) {
   for (const std::string& ip : ips) {
--- /dev/null
+++ b/src/forward/quota_sharing.cc
@@ -0,0 +1,113 @@
+// Reports and their answers.
+#include "src/forward/quota_sharing.h"
+
+#include <utility>
+#include <vector>
+
+#include "include/base/log.h"
+#include "include/base/random_bits.h"
+
+namespace pistachioweir {
+namespace {
+
+// How old the news of a surge may get at each level of the tree.
+constexpr milliseconds kReportInterval{250};
+// An answer that is not here after this time is lost.
+constexpr milliseconds kAnswerTime{600};
+// Of the excess that the operator allows, what parts of the fleet that can't
+// reach each other use together; the rest is for news that is on its way.
+constexpr double kOverageForParts = 0.5;
+
+// From 0 up to 1.
+double RandomPart() {
+  constexpr double kRange = 4294967296.0;
+  return static_cast<double>(RandomBits32()) / kRange;
+}
+
+}  // namespace
+
+quota_sharing::quota_sharing(boost::asio::io_context& context,
+                             const quota_sharing_options& options,
+                             sender send)
+    : timer_(context),
+      send_(std::move(send)),
+      ledger_({.overage = options.overage * kOverageForParts}),
+      tree_({.self = options.self}) {}
+
+void quota_sharing::Stop() {
+  timer_.cancel();
+}
+
+void quota_sharing::OnView(const service_view& view) {
+  if (view.config == nullptr || view.config->organisations == nullptr) {
+    return;
+  }
+  std::vector<std::string> ips;
+  ips.reserve(view.targets.size());
+  for (const target_entry& target : view.targets) {
+    ips.push_back(target.address.ip);
+  }
+  tree_.SetDaemons(std::move(ips));
+  ledger_.SetDaemons(tree_.daemons());
+  ledger_.Configure(*view.config->organisations, monotonic_clock::now());
+  if (!ledger_.empty() && !std::exchange(reporting_, true)) {
+    Report();
+  }
+}
+
+quota_decision quota_sharing::Admit(const organisation& of) {
+  return ledger_.Admit(of.id, RandomPart(), monotonic_clock::now());
+}
+
+void quota_sharing::Report() {
+  const time_point now = monotonic_clock::now();
+  std::optional<std::string> parent = tree_.Parent(now);
+  if (parent != parent_) {
+    LogEvent("quota_reports",
+             {{.name = "to", .value = parent.value_or("nobody")},
+              {.name = "before", .value = parent_.value_or("nobody")},
+              {.name = "in_touch",
+               .value = std::to_string(ledger_.InTouch(now))},
+              {.name = "daemons", .value = std::to_string(tree_.daemons())}});
+    parent_ = std::move(parent);
+    asked_.reset();
+  }
+  ledger_.SetFirst(!parent_);
+  ledger_.Tick(now);
+  // While an answer is out, what a further report told would be counted twice.
+  const bool waits = asked_ && now - *asked_ < kAnswerTime;
+  if (parent_ && !waits) {
+    asked_ = now;
+    send_(*parent_,
+          {.number = ++last_number_, .report = ledger_.TakeReport(now)});
+  }
+  Arm();
+}
+
+void quota_sharing::Arm() {
+  timer_.expires_after(kReportInterval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Report();
+    }
+  });
+}
+
+quota_report quota_sharing::OnUsage(incarnation_id sender,
+                                    const usage_report& report) {
+  const time_point now = monotonic_clock::now();
+  ledger_.OnUsage(static_cast<std::uint64_t>(sender), report, now);
+  return ledger_.Quota(now);
+}
+
+void quota_sharing::OnQuota(const std::string& ip, const quota_frame& quota) {
+  if (ip != parent_ || quota.number != last_number_) {
+    return;  // Of another report than the last; that one told everything.
+  }
+  asked_.reset();
+  const time_point now = monotonic_clock::now();
+  tree_.OnAnswer(ip, now);
+  ledger_.OnQuota(quota.report, now);
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/quota_sharing.h
@@ -0,0 +1,67 @@
+// quota_sharing: carries what daemons tell each other of organisations' quotas.
+//
+// Owns the ledger of this daemon and the choice of the one that it reports to.
+// Used on its context's thread only.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "include/base/ids.h"
+#include "include/forward/service_view.h"
+#include "include/quota/quota_ledger.h"
+#include "include/quota/usage_tree.h"
+#include "src/peer/quota_frame.h"
+
+namespace pistachioweir {
+
+struct quota_sharing_options {
+  std::string self;  // IP number.
+  // Part by which a quota may be exceeded, as the operator allows.
+  double overage = 0;
+};
+
+class quota_sharing {
+ public:
+  using ledger = quota_ledger<common_level_rule>;
+  using sender =
+      std::function<void(const std::string& ip, const usage_frame& usage)>;
+
+  quota_sharing(boost::asio::io_context& context,
+                const quota_sharing_options& options,
+                sender send);
+
+  void Stop();
+
+  // A view has come into use.
+  void OnView(const service_view& view);
+  [[nodiscard]] quota_decision Admit(const organisation& of);
+  void GiveBack(organisation_id id) { ledger_.GiveBack(id); }
+  // A daemon reported to this one.
+  [[nodiscard]] quota_report OnUsage(incarnation_id sender,
+                                     const usage_report& report);
+  // The daemon at `ip` answered.
+  void OnQuota(const std::string& ip, const quota_frame& quota);
+
+  [[nodiscard]] const ledger& state() const { return ledger_; }
+
+ private:
+  void Report();
+  void Arm();
+
+  boost::asio::steady_timer timer_;
+  const sender send_;
+  ledger ledger_;
+  usage_tree tree_;
+  std::optional<std::string> parent_;
+  std::uint64_t last_number_ = 0;
+  std::optional<time_point> asked_;  // The last report, if it has no answer.
+  bool reporting_ = false;
+};
+
+}  // namespace pistachioweir
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t kHelloFields = 3;
 constexpr std::uint32_t kWelcomeFields = 11;
-constexpr std::uint32_t kCallFields = 17;
+constexpr std::uint32_t kCallFields = 19;
 constexpr std::uint32_t kAnswerFields = 20;
 constexpr std::uint32_t kPongFields = 9;
 constexpr std::uint32_t kProofFields = 3;
@@ -78,6 +78,8 @@
       .Put(frame.target_id)
       .Put(frame.route)
       .Put(frame.rank)
+      .Put(frame.route_rank)
+      .Put(frame.ahead)
       .Put(static_cast<std::uint32_t>(frame.ticket))
       .Put(static_cast<std::uint32_t>(frame.repeats))
       .Put(frame.remaining)
@@ -195,6 +197,8 @@
   frame.target_id = reader.String();
   frame.route = reader.String();
   frame.rank = reader.Unsigned32();
+  frame.route_rank = reader.Unsigned32();
+  frame.ahead = reader.Bool();
   frame.ticket = static_cast<std::uint8_t>(reader.UnsignedUpTo(255));
   const auto repeats =
       decltype(kRepeatPolicyNames)::FromNumber(reader.Unsigned32());
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -40,12 +40,14 @@
   kUnfollow,    // No more.
   kAskProof,    // How new is your view proven to be?
   kProof,       // That new.
+  kUsage,       // What was let in here of organisations' quotas.
+  kQuota,       // The answer: what is left of them.
 };
 
-inline constexpr enum_table<frame_kind, 16> kFrameKindNames(
+inline constexpr enum_table<frame_kind, 18> kFrameKindNames(
     {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
      "leaving", "suspects", "ask_changes", "changes", "follow", "unfollow",
-     "ask_proof", "proof"});
+     "ask_proof", "proof", "usage", "quota"});
 
 // Frames of another version are refused: the connection ends.
 inline constexpr std::uint32_t kPeerProtocolVersion = 5;
@@ -80,7 +82,10 @@
   std::uint64_t settled_below = 0;
   std::string target_id;  // The start of the target that is meant.
   std::string route;      // Names the kind of work.
-  std::uint32_t rank = 0;
+  std::uint32_t rank = 0;        // 0 matters most.
+  std::uint32_t route_rank = 0;  // Of its kind, whoever it is for.
+  // Requests of its kind for other organisations are to give way to it.
+  bool ahead = false;
   std::uint8_t ticket = 0;
   repeat_policy repeats = repeat_policy::kAtMostOnce;
   milliseconds remaining{0};
@@ -144,7 +149,7 @@
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
 // revision of the asker's view, kAskProof the number of the question, kPing, kLeaving and kUnfollow nothing. For
-// kChanges see changes_frame.h.
+// kChanges see changes_frame.h, for kUsage and kQuota quota_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -113,6 +113,15 @@
   }
 }
 
+void peer_link::SendUsage(const usage_frame& usage) {
+  last_used_ = monotonic_clock::now();
+  if (current_ != nullptr) {
+    current_->Send(Encode(usage));
+  } else {
+    Probe();
+  }
+}
+
 void peer_link::Probe() {
   if (!closed_ && state() == link_state::kDown) {
     Connect();
@@ -307,6 +316,14 @@
         return;
       }
       break;
+    case frame_kind::kQuota:
+      if (const auto quota = DecodeQuota(frame.payload)) {
+        if (events_.on_quota) {
+          events_.on_quota(*quota);
+        }
+        return;
+      }
+      break;
     case frame_kind::kProof:
       if (const auto proof = DecodeProof(frame.payload)) {
         OnProof(*proof);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -24,6 +24,7 @@
 #include "include/forward/view_changes.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
+#include "src/peer/quota_frame.h"
 
 namespace pistachioweir {
 
@@ -74,6 +75,8 @@
   std::function<void(const view_changes&)> on_changes;
   // The peer proved how new its view is; it was asked at `asked`.
   std::function<void(const freshness_proof&, boot_time asked)> on_proof;
+  // The peer answered a report of use.
+  std::function<void(const quota_frame&)> on_quota;
 };
 
 // A call that was sent. `heard` tells whether the answer came from the peer;
@@ -103,6 +106,8 @@
   // The caller has gone: `done` is not called any more.
   void Cancel(std::uint64_t number);
   void SendSuspects(const suspects_frame& suspects);
+  // Tells what was used of quotas; connects if need be, for the next time.
+  void SendUsage(const usage_frame& usage);
   // Tries to reach the peer although there is nothing to send.
   void Probe();
   // Has the peer tell what changes in the store, from now on and over each
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -164,6 +164,15 @@
         }
         return revision.has_value();
       }
+      case frame_kind::kUsage: {
+        const auto usage = DecodeUsage(frame.payload);
+        if (usage && server_.options_.on_usage) {
+          Send(Encode(quota_frame{
+              .number = usage->number,
+              .report = server_.options_.on_usage(sender_, usage->report)}));
+        }
+        return usage.has_value();
+      }
       case frame_kind::kAskProof: {
         const auto number = DecodeNumber(frame.payload);
         if (number) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -22,6 +22,7 @@
 #include "include/once/attempt_table.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
+#include "src/peer/quota_frame.h"
 
 namespace pistachioweir {
 
@@ -38,6 +39,9 @@
   // What changed in the store behind `revision` as a frame, if anything did.
   std::function<std::shared_ptr<const std::string>(std::uint64_t revision)>
       changes_since;
+  // A daemon told what it used of quotas. Returns what is left of them.
+  std::function<quota_report(incarnation_id sender, const usage_report&)>
+      on_usage;
   // How new the view is proven to be; nothing if it isn't.
   std::function<std::optional<freshness_proof>()> proof;
   // Another daemon told what has changed, since AskForChanges() asked it.
--- a/tests/organisation_table_test.cc
+++ b/tests/organisation_table_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "include/organisation/key_check.h"
+#include "include/organisation/precedence.h"
 
 namespace pistachioweir {
 namespace {
@@ -61,6 +62,41 @@
   }
 }
 
+std::uint32_t RankOf(const precedence& ranks,
+                     std::optional<std::uint32_t> of,
+                     std::uint32_t taken) {
+  const organisation holder{.rank = of};
+  return ranks.RankOf(&holder, {.rank = taken});
+}
+
+TEST(PrecedenceTest, TheOrganisationComesFirstAndThenTheRoute) {
+  std::string problem;
+  const auto organisations = *organisation_table::Make(
+      {{.name = "north", .rank = 0}, {.name = "south", .rank = 1}}, &problem);
+  const auto add = [](const char* name, std::uint32_t rank, bool is_public) {
+    return route{.name = name,
+                 .host = "a",
+                 .prefix = std::string("/") + name + "/",
+                 .rank = rank,
+                 .is_public = is_public,
+                 .parts = {{.service = "s"}}};
+  };
+  const auto routes = *route_table::Make(
+      {add("sign", 0, false), add("look", 2, false), add("call", 1, true)},
+      &problem);
+  const precedence ranks = precedence::Make(organisations, routes);
+  EXPECT_EQ(RankOf(ranks, 0, 0), 0U);
+  EXPECT_EQ(RankOf(ranks, 0, 2), 1U);
+  EXPECT_EQ(RankOf(ranks, 1, 0), 2U);
+  EXPECT_EQ(RankOf(ranks, 1, 2), 3U);
+  EXPECT_EQ(ranks.RankOf(nullptr, add("call", 1, true)), 1U);
+  const organisation north{.rank = 0};
+  const organisation south{.rank = 1};
+  EXPECT_TRUE(ranks.IsAhead(&north));
+  EXPECT_FALSE(ranks.IsAhead(&south));
+  EXPECT_EQ(RankOf(precedence(), 1, 2), 2U);
+}
+
 TEST(KeyCheckTest, ARouteSaysWhetherAKeyIsNeeded) {
   const organisation_table table = Table();
   const auto check = [&](bool is_public, const char* key) {
--- /dev/null
+++ b/tests/quota_ledger_test.cc
@@ -0,0 +1,210 @@
+// Quotas that daemons keep together, played by a model of a fleet on a virtual
+// clock.
+#include "include/quota/quota_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "include/quota/usage_tree.h"
+#include "src/peer/peer_frame.h"
+#include "src/peer/quota_frame.h"
+#include "tools/quota_fleet.h"
+
+namespace pistachioweir {
+namespace {
+
+using fleet = quota_fleet<common_level_rule>;
+
+constexpr milliseconds kWindow{5000};
+
+// What may run in a window of five seconds, with a quarter and 20 more.
+double Allowed(double rate, double burst) {
+  return (rate * 5 + burst) * 1.25 + 20;
+}
+
+class quota_fleet_test : public testing::TestWithParam<std::size_t> {
+ protected:
+  fleet Make(double rate) {
+    return fleet({.daemons = GetParam(), .rate = rate, .burst = rate});
+  }
+};
+
+TEST_P(quota_fleet_test, WithinItsQuotaAnOrganisationIsNotRefused) {
+  for (const double rate : {20.0, 400.0}) {
+    fleet all = Make(rate);
+    all.Run(seconds(6), 0.5 * rate);
+    all.ClearCounts();
+    all.Run(seconds(20), 0.8 * rate);
+    EXPECT_LT(all.falsely_refused(), 0.005) << rate;
+  }
+}
+
+// Guards against limits that refuse callers who keep to a few daemons.
+TEST_P(quota_fleet_test, UnevenCallersGetTheWholeQuota) {
+  fleet all({.daemons = GetParam(), .rate = 100, .burst = 100, .spread = 0.1});
+  all.Run(seconds(6), 60);
+  all.ClearCounts();
+  all.Run(seconds(20), 80);
+  EXPECT_LT(all.falsely_refused(), 0.005);
+}
+
+TEST_P(quota_fleet_test, ASurgeGetsItsQuotaAndNoMore) {
+  fleet all = Make(200);
+  all.Run(seconds(6), 120);
+  all.Run(seconds(4), 1000);
+  EXPECT_LT(static_cast<double>(all.MostWithin(kWindow)), Allowed(200, 200));
+  all.ClearCounts();
+  all.Run(seconds(10), 1000);
+  EXPECT_GT(static_cast<double>(all.admitted()), 0.95 * 200 * 10);
+  EXPECT_LT(static_cast<double>(all.admitted()), 1.1 * 200 * 10);
+}
+
+// Guards against callers who are refused long after a surge is over.
+TEST_P(quota_fleet_test, BehindASurgeCallersAreServedWithinASecond) {
+  fleet all = Make(200);
+  all.Run(seconds(6), 120);
+  all.Run(seconds(4), 1000);
+  all.Run(seconds(2), 120);
+  all.ClearCounts();
+  all.Run(seconds(5), 120);
+  EXPECT_EQ(all.refused(), 0U);
+}
+
+// Guards against parts of a fleet that can't reach each other and use the
+// whole quota each.
+TEST_P(quota_fleet_test, PartsOfTheFleetKeepTheQuotaTogether) {
+  for (const bool one_by_one : {false, true}) {
+    fleet all = Make(200);
+    all.Run(seconds(6), 120);
+    all.Run(seconds(2), 1000);
+    one_by_one ? all.Isolate(1.0 / 3) : all.Cut(1.0 / 3);
+    all.Run(seconds(8), 1000);
+    EXPECT_LT(static_cast<double>(all.MostWithin(kWindow)), Allowed(200, 200));
+    all.Heal();
+    all.Run(seconds(8), 1000);
+    EXPECT_LT(static_cast<double>(all.MostWithin(kWindow)), Allowed(200, 200));
+  }
+}
+
+// Guards against a restart of all daemons, each of which has forgotten what was
+// spent and spends a burst anew.
+TEST_P(quota_fleet_test, ARestartOfAllBringsNoFreshBurst) {
+  fleet all = Make(200);
+  all.Run(seconds(6), 120);
+  all.Run(seconds(3), 1000);
+  all.RestartAll();
+  all.Run(seconds(6), 1000);
+  EXPECT_LT(static_cast<double>(all.MostWithin(kWindow)), Allowed(200, 200));
+}
+
+TEST_P(quota_fleet_test, ALowerLimitBindsWithinAWindow) {
+  fleet all = Make(200);
+  all.Run(seconds(6), 120);
+  all.SetRate(30, 30);
+  all.Run(kWindow, 120);
+  all.ClearCounts();
+  all.Run(seconds(10), 120);
+  EXPECT_LT(static_cast<double>(all.MostWithin(kWindow)), Allowed(30, 30));
+  EXPECT_GT(static_cast<double>(all.admitted()), 0.95 * 30 * 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets,
+                         quota_fleet_test,
+                         testing::Values(10, 60, 300));
+
+TEST(QuotaLedgerTest, ARequestThatHasNotRunIsGivenBack) {
+  std::string problem;
+  const auto table = *organisation_table::Make(
+      {{.name = "north", .rate = 1, .burst = 5}}, &problem);
+  quota_ledger<common_level_rule> ledger({});
+  const organisation_id north = IdOfOrganisation("north");
+  time_point now{seconds(100)};
+  ledger.Configure(table, now);
+  now += seconds(60);  // The bucket is full.
+  int admitted = 0;
+  for (int i = 0; i < 50; ++i) {
+    if (ledger.Admit(north, 0.5, now).admitted) {
+      ++admitted;
+      ledger.GiveBack(north);
+    }
+  }
+  EXPECT_GT(admitted, 5);
+}
+
+TEST(QuotaLedgerTest, WithoutALimitNothingIsRefused) {
+  std::string problem;
+  const auto table =
+      *organisation_table::Make({{.name = "north"}}, &problem);
+  quota_ledger<common_level_rule> ledger({});
+  ledger.Configure(table, time_point());
+  EXPECT_TRUE(ledger.empty());
+  EXPECT_TRUE(ledger.Admit(IdOfOrganisation("north"), 1, time_point()).admitted);
+}
+
+// Guards against daemons that report to each other in a ring.
+TEST(UsageTreeTest, EveryDaemonReportsToAnEarlierOneAndOneIsFirst) {
+  std::vector<std::string> ips;
+  for (int i = 0; i < 300; ++i) {
+    ips.push_back("10.0." + std::to_string(i / 200) + "." +
+                  std::to_string(i % 200));
+  }
+  const time_point now{seconds(100)};
+  const auto parent_of = [&](const std::string& ip) {
+    usage_tree tree({.self = ip});
+    tree.SetDaemons(ips);
+    return tree.Parent(now);
+  };
+  int first = 0;
+  for (const std::string& ip : ips) {
+    int steps = 0;
+    std::optional<std::string> next = ip;
+    while ((next = parent_of(*next))) {
+      ASSERT_LT(++steps, 4);
+    }
+    first += steps == 0 ? 1 : 0;
+  }
+  EXPECT_EQ(first, 1);
+}
+
+// Guards against a daemon that is gone and that others go on reporting to.
+TEST(UsageTreeTest, ASilentDaemonIsPassedOverForAWhile) {
+  usage_tree tree({.self = "10.0.0.3"});
+  tree.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"});
+  time_point now{seconds(100)};
+  const auto before = tree.Parent(now);
+  for (int i = 0; i < 4; ++i) {
+    now += milliseconds(250);
+    static_cast<void>(tree.Parent(now));
+  }
+  const auto after = tree.Parent(now);
+  EXPECT_TRUE(!before || after != before);
+}
+
+TEST(QuotaFrameTest, FramesComeBackAsTheyWere) {
+  const usage_frame usage{
+      .number = 7,
+      .report = {.daemons = 3,
+                 .entries = {{.id = organisation_id{9},
+                              .admitted = -2,
+                              .refused = 40}}}};
+  const quota_frame quota{
+      .number = 8,
+      .report = {.daemons = 60,
+                 .entries = {{.id = organisation_id{9},
+                              .level = -12.5,
+                              .demand = 1234.25}}}};
+  const std::string usage_bytes = Encode(usage).substr(kFrameHeadBytes);
+  const std::string quota_bytes = Encode(quota).substr(kFrameHeadBytes);
+  ASSERT_TRUE(DecodeUsage(usage_bytes).has_value());
+  EXPECT_EQ(DecodeUsage(usage_bytes)->report, usage.report);
+  ASSERT_TRUE(DecodeQuota(quota_bytes).has_value());
+  EXPECT_EQ(DecodeQuota(quota_bytes)->report, quota.report);
+  for (std::size_t length = 0; length < usage_bytes.size(); ++length) {
+    EXPECT_FALSE(DecodeUsage(usage_bytes.substr(0, length)).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace pistachioweir
--- a/tests/waste_guard_test.cc
+++ b/tests/waste_guard_test.cc
@@ -24,6 +24,27 @@
   EXPECT_EQ(guard.share(), 1);
 }
 
+// Guards against an organisation that is ahead and is shed like the others.
+TEST(WasteGuardTest, OthersGiveWayToRequestsThatAreAhead) {
+  waste_guard guard(2);
+  time_point now = kStart;
+  int ahead = 0;
+  int others = 0;
+  for (int i = 0; i < 3000; ++i, now += milliseconds(5)) {
+    guard.OnEnd(i % 2 == 0, now);  // Half of the runs fail.
+    if (i < 1000) {
+      continue;
+    }
+    const bool is_ahead = i % 20 == 0;
+    const bool in = guard.Admit(is_ahead);
+    ahead += is_ahead && in ? 1 : 0;
+    others += !is_ahead && in ? 1 : 0;
+  }
+  EXPECT_EQ(ahead, 100);
+  EXPECT_GT(others, 20);
+  EXPECT_LT(others, 400);
+}
+
 // Plays requests that each make four calls to a service which can serve only a
 // part of the calls and refuses the others at random. Returns how many requests
 // of a hundred, let in or not, end well in the last seconds.
