A data centre that the store turns away hears from others

By the lines the daemon followed only the other one of its data centre, which was turned away too; nobody there serves then, and the fallback was the own data centre again. Ruled out: lost frames, a slow question (it was told of no newer revision). Where nobody of the own data centre serves, two daemons of others are followed as well.

--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -162,8 +162,9 @@
 
 void view_following::AddRemote(std::vector<std::string>* sources,
                                time_point now) const {
+  const std::size_t most = sources->size() + options_.readers;
   for (const std::string& ip : far_) {
-    if (sources->size() < options_.readers && !IsPassedOver(ip, now)) {
+    if (sources->size() < most && !IsPassedOver(ip, now)) {
       sources->push_back(ip);
     }
   }
@@ -225,13 +226,18 @@
 following_plan view_following::Plan(time_point now) {
   JudgeSources(now);
   std::vector<std::string> serving = Serving(now);
-  if (serving.empty()) {
+  const bool nobody_serves = serving.empty();
+  if (nobody_serves) {
     serving = near_;
   }
   const auto place = std::ranges::find(serving, options_.self.ip);
   following_plan plan;
   plan.sources =
       Sources(serving, static_cast<std::size_t>(place - serving.begin()), now);
+  // The store may turn the whole data centre away, and serve the others.
+  if (nobody_serves) {
+    AddRemote(&plan.sources, now);
+  }
   Choose(plan.sources, serving, now);
   if (!plan.sources.empty() && !listens_since_) {
     listens_since_ = now;
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -345,6 +345,23 @@
 // The store is away for everybody. If each daemon went on asking for it as
 // readers do, 300 daemons would make 750 calls a second, and as many would meet
 // the store when it comes back.
+// Guards against a whole data centre that the store turns away and that learns
+// nothing, although other data centres are in reach.
+TEST(ViewFollowingTest, ADataCentreThatIsTurnedAwayFollowsOtherOnes) {
+  fleet small({.daemons = 6, .data_centres = 3});
+  small.Run(seconds(5));
+  for (const std::size_t i : {0U, 3U}) {
+    small.daemons()[i].store_fails = true;
+    small.daemons()[i].next_read = {};
+  }
+  small.Run(seconds(3));
+  for (int i = 0; i < 5; ++i) {
+    small.Change();
+    small.Run(seconds(2));
+    EXPECT_LE(small.Latest(), kInForce);
+  }
+}
+
 TEST(ViewFollowingTest, NobodyStormsAStoreThatIsAway) {
   fleet fleet({});
   fleet.Run(seconds(5));
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -24,6 +24,7 @@
     reusable: bool = False  # The connection can carry another request.
     retry_after: bool = False
     poison: bool = False  # It crashes targets.
+    key: str = None  # That it was sent with.
     during_stop: bool = False  # At its beginning or its end.
     calm: bool = False  # Nothing had disturbed the daemon when it ended.
 
@@ -38,11 +39,12 @@
 
 class Callers:
     def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts, services,
-                 alike=0.0):
+                 alike=0.0, organisations=None):
         self.daemon, self.ledger, self.dice = daemon, ledger, dice
         self.hosts = hosts  # To choose from.
         self.services = services  # By host.
         self.alike = alike  # The part of requests that are the same as others.
+        self.organisations = organisations
         self.ended = False
 
     async def run(self, workers):
@@ -60,14 +62,15 @@
                 while not self.ended:
                     told = await self.ask(reader, writer)
                     # As the stopping daemon asks: it is worked out for others.
-                    await asyncio.sleep(0.1 if told.end == 503
+                    await asyncio.sleep(0.1 if told.end in (429, 503)
                                         else self.dice.uniform(0.0, 0.15))
                     if not told.reusable:
                         break
             finally:
                 writer.transport.abort()
 
-    async def ask(self, reader, writer, kind=None, host=None, leaves=True, path=None):
+    async def ask(self, reader, writer, kind=None, host=None, leaves=True, path=None,
+                  key=None):
         """One request, and what this caller was told of it."""
         kind = kind or ("sign" if self.dice.random() < 0.4 else "look")
         host = host or self.dice.choice(self.hosts)
@@ -78,12 +81,17 @@
                     during_stop=self.daemon.planned_stop)
         self.ledger.told.append(told)
         told.poison = path is not None
+        if key is None and self.organisations is not None:
+            key = self.organisations.choose_key()
+        told.key = key
+        shown = "" if key is None else (
+            f"Authorization: Token {key}\r\nTenant: somebody\r\n")
         body = b"b" * (self.dice.randrange(2000) if path is None else 10)
         if self.alike and path is None and self.dice.random() < self.alike:
             path, body = f"/{kind}/same", b""
         writer.write(
             f"POST {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
-            f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n"
+            f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n{shown}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         patience = 0.05 if leaves and self.dice.random() < 0.03 else 5.0
         try:
--- a/tools/soaking/checks.py
+++ b/tools/soaking/checks.py
@@ -3,7 +3,7 @@
 import collections
 
 # Own words of the daemon that promise that nothing ran, now or later.
-NOT_RUN = {408, 421, 429, 503}
+NOT_RUN = {401, 408, 421, 429, 503}
 # A caller is answered this long behind its route's timeout at the latest.
 HELD = 0.75
 # All daemons refuse a request this long after it has crashed a third target.
@@ -49,8 +49,8 @@
 
 
 def refusals_say_when(told):
-    return [f"{t.request}: a 503 without a time to come back"
-            for t in told if t.end == 503 and not t.retry_after]
+    return [f"{t.request}: a {t.end} without a time to come back"
+            for t in told if t.end in (429, 503) and not t.retry_after]
 
 
 def summary(told):
--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -41,6 +41,7 @@
             "platform": [f"{self.store[0]}:{self.store[1]}"],
             "memory_mb": 260, "max_descriptors": 4100,
             "stop_timeout": f"{int(STOP_TIMEOUT * 1000)}ms",
+            "key_withdrawal": "5000ms", "quota_overage": 0.25,
             "repeat_ratio": 0.2, "repeat_reserve": 47}))
         self.process = None
         self.disturbed_at = time.monotonic()  # Last fault of this process.
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -14,7 +14,8 @@
     "drain", "lose_answers", "reuse", "poison")
 # Only where they are named, so that seeds keep their meaning.
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
-               "readers_cut", "readers_silence", "readers_busy")
+               "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
+               "store_for_some", "store_for_none")
 
 
 class Faults:
@@ -130,6 +131,40 @@
         await asyncio.sleep(dice.uniform(0.5, 5.0))
         self.world.store.turned_away -= indices
 
+    async def keys(self, dice):
+        """Keys are taken from organisations, and others given to them."""
+        for _ in range(dice.randrange(1, 4)):
+            await self.world.change_keys()
+            await asyncio.sleep(dice.uniform(0.01, 1.0))
+
+    async def hot(self, dice):
+        """All callers act for one organisation."""
+        self.world.organisations.hot = True
+        await asyncio.sleep(dice.uniform(2.0, 7.0))
+        self.world.organisations.hot = False
+
+    async def store_for_some(self, dice):
+        """The store turns a third of the daemons away, and keys go meanwhile."""
+        chosen = dice.sample(self.world.daemons, k=max(1, len(self.world.daemons) // 3))
+        indices = {one.index for one in chosen}
+        self.world.store.turned_away |= indices
+        self.world.disturb_links()
+        await self._change_keys_and_wait(dice)
+        self.world.store.turned_away -= indices
+
+    async def store_for_none(self, dice):
+        """The store turns all daemons away, and keys go meanwhile."""
+        self.world.store.mode = "busy"
+        self.world.disturb_links()
+        await self._change_keys_and_wait(dice)
+        self.world.store.mode = "up"
+        self.world.disturb_links()
+
+    async def _change_keys_and_wait(self, dice):
+        await asyncio.sleep(dice.uniform(0.1, 2.0))
+        await self.world.change_keys()
+        await asyncio.sleep(dice.uniform(4.0, 8.0))
+
     async def hup(self, dice):
         for daemon in dice.sample(self.world.daemons, k=2):
             if not daemon.stopping:
@@ -263,7 +298,8 @@
         for _ in range(times):
             daemon = dice.choice(self.world.daemons)
             caller = callers.Callers(daemon, self.world.ledger, dice, [host],
-                                     self.world.service_of)
+                                     self.world.service_of,
+                                     organisations=self.world.organisations)
             try:
                 reader, writer = await asyncio.open_connection(*daemon.caller)
             except OSError:
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -13,10 +13,12 @@
 
 
 class Target:
-    def __init__(self, ip, port, service, zone, dice: random.Random, runs, on_poison):
+    def __init__(self, ip, port, service, zone, dice: random.Random, runs, on_poison,
+                 shown):
         self.ip, self.port, self.service, self.zone = ip, port, service, zone
         self.dice = dice
         self.runs = runs  # By request id: list of (target id, when it began).
+        self.shown = shown  # By request id: the organisation and the key it came with.
         self.on_poison = on_poison  # Called with this target and the path.
         self.home = service  # Whose it is where its address isn't lent.
         self.history = History()  # Of its starts, as soon as all can know of one.
@@ -84,6 +86,7 @@
             self._send(writer, 503, request, b"", "Not-Executed: 1\r\n")
             return
         self.runs.setdefault(request, []).append((self.id, time.monotonic()))
+        self.shown[request] = (headers.get("tenant"), headers.get("authorization"))
         if "poison" in path:
             asyncio.get_running_loop().create_task(self.on_poison(self, path))
             return
