--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -100,7 +100,7 @@
   std::optional<double> most_pressure_;
   time_point pressure_period_end_;
   bool makes_calls_ = false;
-  double share_ = 1;   // Between kLeastShare and 1.
+  double share_ = 1;  // Between kLeastShare and 1.
   // From -kMostBorrowed to 2; each request adds the share, one let in takes 1.
   double credit_ = 1;
   double increase_ = kIncrease;  // Of the next period that ends well.
--- a/include/base/boot_clock.h
+++ b/include/base/boot_clock.h
@@ -13,6 +13,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
 
+  // As the standard library's clocks call it.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   [[nodiscard]] static time_point now() noexcept {
--- a/include/organisation/precedence.h
+++ b/include/organisation/precedence.h
@@ -35,7 +35,7 @@
       }
     }
     std::ranges::sort(made.pairs_);
-    made.pairs_.erase(std::ranges::unique(made.pairs_).begin(),
+    made.pairs_.erase(std::unique(made.pairs_.begin(), made.pairs_.end()),
                       made.pairs_.end());
     return made;
   }
--- a/include/quota/quota_ledger.h
+++ b/include/quota/quota_ledger.h
@@ -215,9 +215,8 @@
     std::vector<usage> all;
     for (const auto& [id, of] : books_) {
       if (of.refused > 0) {
-        all.push_back({.name = of.name,
-                       .admitted = of.admitted,
-                       .refused = of.refused});
+        all.push_back(
+            {.name = of.name, .admitted = of.admitted, .refused = of.refused});
       }
     }
     return all;
@@ -273,8 +272,8 @@
 
   // Of a quota, what the daemons in touch may use.
   [[nodiscard]] double Part(time_point now) const {
-    const double part = static_cast<double>(InTouch(now)) /
-                        static_cast<double>(daemons_);
+    const double part =
+        static_cast<double>(InTouch(now)) / static_cast<double>(daemons_);
     return std::min(1.0, part * (1 + options_.overage));
   }
 
@@ -283,9 +282,8 @@
     const std::chrono::duration<double> passed =
         std::max(duration(0), now - of->level_at);
     of->level_at = now;
-    of->level =
-        std::clamp(of->level + of->rate * part * passed.count(),
-                   -of->rate * kMostDebt.count(), of->burst * part);
+    of->level = std::clamp(of->level + of->rate * part * passed.count(),
+                           -of->rate * kMostDebt.count(), of->burst * part);
   }
 
   void Count(book* of, std::int64_t admitted, std::int64_t refused) {
--- a/include/quota/quota_rule.h
+++ b/include/quota/quota_rule.h
@@ -29,11 +29,11 @@
 };
 
 template <typename Rule>
-concept quota_rule =
-    std::default_initializable<Rule> && requires(Rule rule,
-                                                 const quota_inputs& inputs,
-                                                 double random,
-                                                 time_point now) {
+concept quota_rule = std::default_initializable<Rule> &&
+    requires(Rule rule,
+             const quota_inputs& inputs,
+             double random,
+             time_point now) {
   // `random` is from 0 up to 1.
   { rule.Admit(inputs, random, now) } -> std::same_as<bool>;
 };
@@ -82,8 +82,8 @@
                            time_point now) {
     const double demand = std::max(inputs.demand, inputs.own_demand);
     const double part = demand > 0 ? inputs.own_demand / demand : 1;
-    return bucket_.Take(inputs.rate * part,
-                        std::max(1.0, inputs.level * part), now);
+    return bucket_.Take(inputs.rate * part, std::max(1.0, inputs.level * part),
+                        now);
   }
 
  private:
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -247,9 +247,9 @@
 // earn its caller a part only and take a slot from one that is in time. One
 // that has no objective left is late already, and its deadline decides.
 time_point executor::StartBy(const served_call& served, time_point now) {
-  const time_point wanted =
-      served.objective > now ? std::min(served.objective, served.deadline)
-                             : served.deadline;
+  const time_point wanted = served.objective > now
+                                ? std::min(served.objective, served.deadline)
+                                : served.deadline;
   return std::min(wanted, served.start_by);
 }
 
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -186,52 +186,49 @@
   // Heads of answers; as much as servers commonly send.
   static constexpr std::size_t kMaxResponseHead = 64 << 10;
   // A quarter of the memory may be held for bodies of requests.
-  static constexpr double kHeldBytesPerMb = (1 << 20) / 4;
+  static constexpr double kHeldBytesPerMb = 256.0 * 1024;
   static constexpr milliseconds kTickInterval{1000};
   // Log lines are written this long after the first, many at a time.
   static constexpr milliseconds kFlushDelay{50};
   static constexpr milliseconds kStopPollInterval{25};
   origin_options OriginOptions(const forward_settings& settings) {
-    return {.vm = settings.vm,
-            .service = settings.service,
-            .data_centre = settings.data_centre,
-            .own_target = settings.target,
-            .peer_port = settings.peer.port,
-            .self = incarnation_,
-            .repeat_ratio = settings.repeat_ratio * kRatioShare,
-            .repeat_reserve = settings.repeat_reserve,
-            .repeat_window = settings.repeat_window,
-            .on_suspects =
-                [this](const suspects_frame& told) {
-                  return executor_.ImportSuspects(told);
-                },
-            .on_report =
-                [this](const std::string& ip, const neighbour_report& report) {
-                  sharing_.OnReport(ip, report);
-                },
-            .on_lost = [this](const std::string& ip) { sharing_.OnLost(ip); },
-            .proven_age = [this] { return sharing_.proven_age(); },
-            .max_key_age = MaxKeyAge(settings),
-            .on_stale_target = [this] { views_.NoteStaleTarget(); },
-            .revision = [this] { return sharing_.revision(); },
-            .changes_since =
-                [this](std::uint64_t revision) {
-                  return sharing_.FrameSince(revision);
-                },
-            .on_changes =
-                [this](const view_changes& told) { sharing_.OnChanges(told); },
-            .on_proof =
-                [this](const freshness_proof& proof, boot_time asked) {
-                  sharing_.OnProof(proof, asked);
-                },
-            .admit =
-                [this](const organisation& of) { return quotas_.Admit(of); },
-            .give_back =
-                [this](organisation_id id) { quotas_.GiveBack(id); },
-            .on_quota =
-                [this](const std::string& ip, const quota_frame& quota) {
-                  quotas_.OnQuota(ip, quota);
-                }};
+    return {
+        .vm = settings.vm,
+        .service = settings.service,
+        .data_centre = settings.data_centre,
+        .own_target = settings.target,
+        .peer_port = settings.peer.port,
+        .self = incarnation_,
+        .repeat_ratio = settings.repeat_ratio * kRatioShare,
+        .repeat_reserve = settings.repeat_reserve,
+        .repeat_window = settings.repeat_window,
+        .on_suspects =
+            [this](const suspects_frame& told) {
+              return executor_.ImportSuspects(told);
+            },
+        .on_report =
+            [this](const std::string& ip, const neighbour_report& report) {
+              sharing_.OnReport(ip, report);
+            },
+        .on_lost = [this](const std::string& ip) { sharing_.OnLost(ip); },
+        .proven_age = [this] { return sharing_.proven_age(); },
+        .max_key_age = MaxKeyAge(settings),
+        .on_stale_target = [this] { views_.NoteStaleTarget(); },
+        .revision = [this] { return sharing_.revision(); },
+        .changes_since =
+            [this](std::uint64_t revision) {
+              return sharing_.FrameSince(revision);
+            },
+        .on_changes =
+            [this](const view_changes& told) { sharing_.OnChanges(told); },
+        .on_proof = [this](const freshness_proof& proof,
+                           boot_time asked) { sharing_.OnProof(proof, asked); },
+        .admit = [this](const organisation& of) { return quotas_.Admit(of); },
+        .give_back = [this](organisation_id id) { quotas_.GiveBack(id); },
+        .on_quota =
+            [this](const std::string& ip, const quota_frame& quota) {
+              quotas_.OnQuota(ip, quota);
+            }};
   }
 
   // A request that is let in still takes a while until its target begins it.
@@ -298,18 +295,31 @@
                    .target_connections_opened = targets_.counters().opened,
                    .target_connections_reused = targets_.counters().reused,
                    .view = PageView(),
+                   .quotas = PageQuotas(),
                    .ready = ready_ && !stop_plan_.stopping()}));
             }};
   }
 
-  [[nodiscard]] view_page PageView() const {
+  [[nodiscard]] view_page PageView() {
     return {.revision = sharing_.revision(),
             .age = sharing_.age(),
             .reading = sharing_.reading(),
             .store_calls = views_.calls(),
             .followers = peers_.followers(),
             .telling = peers_.counters(),
-            .sharing = sharing_.counters()};
+            .sharing = sharing_.counters(),
+            .proven_age = sharing_.proven_age()};
+  }
+
+  [[nodiscard]] quota_page PageQuotas() const {
+    quota_page page{.in_touch =
+                        quotas_.state().InTouch(monotonic_clock::now())};
+    for (const auto& each : quotas_.state().Refused()) {
+      page.refused.push_back({.organisation = std::string(each.name),
+                              .admitted = each.admitted,
+                              .refused = each.refused});
+    }
+    return page;
   }
 
   std::function<void()> RunOnTarget(target_run run,
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -4,6 +4,8 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <functional>
 #include <limits>
 #include <string>
 #include <utility>
@@ -69,6 +71,12 @@
   Add("view_age_seconds", "Since a reader of the store confirmed the view",
       MetricType::Gauge, std::chrono::duration<double>(view.age).count(),
       families);
+  if (view.proven_age) {
+    Add("view_proven_age_seconds",
+        "Since the view is proven to have been the store's newest state",
+        MetricType::Gauge,
+        std::chrono::duration<double>(*view.proven_age).count(), families);
+  }
   Add("reads_store", "Whether this daemon reads the store", MetricType::Gauge,
       view.reading == store_reading::kNone ? 0 : 1, families);
   Add("followers", "Daemons that are told of changes", MetricType::Gauge,
@@ -85,6 +93,34 @@
   families->push_back(ChangeAges(view.sharing));
 }
 
+// Those that were refused most; the page stays bounded.
+constexpr std::size_t kMostOrganisations = 50;
+
+void AddQuotas(const quota_page& quotas, std::vector<MetricFamily>* families) {
+  Add("quota_daemons_in_touch",
+      "Daemons that keep quotas together with this one", MetricType::Gauge,
+      quotas.in_touch, families);
+  std::vector<quota_page_entry> most = quotas.refused;
+  std::ranges::sort(most, std::greater<>(), &quota_page_entry::refused);
+  most.resize(std::min(most.size(), kMostOrganisations));
+  MetricFamily family;
+  family.name = "pistachioweir_forward_quota_requests";
+  family.help = "Requests of organisations that were refused any, by verdict";
+  family.type = MetricType::Counter;
+  for (const quota_page_entry& each : most) {
+    for (const bool refused : {false, true}) {
+      ClientMetric metric;
+      metric.label = {
+          {.name = "organisation", .value = each.organisation},
+          {.name = "verdict", .value = refused ? "refused" : "admitted"}};
+      metric.counter.value =
+          static_cast<double>(refused ? each.refused : each.admitted);
+      family.metric.push_back(std::move(metric));
+    }
+  }
+  families->push_back(std::move(family));
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -106,6 +142,12 @@
           calls.abandoned);
   counter("calls_sent_again", "Further sends of a request", calls.sent_again);
   const executor_counters& runs = sources.runs.counters();
+  counter("calls_unauthenticated", "Refused without a key that is held",
+          calls.unauthenticated);
+  counter("calls_keys_unconfirmed", "Refused, the view too old to judge keys",
+          calls.keys_unconfirmed);
+  counter("calls_over_quota", "Refused beyond an organisation's quota",
+          calls.over_quota);
   counter("runs_completed", "Runs answered by the target", runs.completed);
   counter("runs_refused", "Calls refused for the target", runs.refused);
   counter("runs_unknown", "Runs without an answer", runs.unknown);
@@ -128,6 +170,7 @@
   gauge("view_revision", "Newest change of the store in the view",
         static_cast<double>(sources.view.revision));
   AddView(sources.view, &families);
+  AddQuotas(sources.quotas, &families);
   gauge("ready", "Whether callers may come", sources.ready ? 1 : 0);
   const auto& view = sources.calls.view();
   if (view != nullptr && view->config != nullptr) {
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -3,7 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "include/base/time.h"
 #include "include/forward/view_changes.h"
@@ -26,6 +29,20 @@
   std::size_t followers = 0;
   follower_counters telling;
   view_sharing_counters sharing;
+  // How long ago it is proven to have been the newest; nothing if never.
+  std::optional<milliseconds> proven_age;
+};
+
+// Requests of one organisation at this daemon.
+struct quota_page_entry {
+  std::string organisation;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+};
+
+struct quota_page {
+  std::uint32_t in_touch = 0;             // Daemons that keep quotas together.
+  std::vector<quota_page_entry> refused;  // Organisations with refusals.
 };
 
 struct forward_page_sources {
@@ -35,6 +52,7 @@
   std::uint64_t target_connections_opened = 0;
   std::uint64_t target_connections_reused = 0;
   view_page view;
+  quota_page quotas;
   bool ready = false;
 };
 
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -128,6 +128,7 @@
              .value = age ? std::to_string(age->count()) : "none"},
             {.name = "max_age_ms",
              .value = std::to_string(options_.max_key_age.count())}});
+  CountRefusal(refusal);
   call.why = refusal;
   call.retry_after = refusal == reason::kKeysUnconfirmed
                          ? kUnconfirmedRetryAfter
@@ -136,6 +137,12 @@
   return false;
 }
 
+void origin::CountRefusal(reason why) {
+  counters_.unauthenticated += why == reason::kUnauthenticated ? 1U : 0U;
+  counters_.keys_unconfirmed += why == reason::kKeysUnconfirmed ? 1U : 0U;
+  counters_.over_quota += why == reason::kOverQuota ? 1U : 0U;
+}
+
 bool origin::Charge(call_id id) {
   placed_call& call = *calls_.at(id);
   const organisation* const holder = CheckKeyOf(call).holder;
@@ -147,14 +154,15 @@
     call.charged = holder->id;
     return true;
   }
-  log_.Add(id, call.call.id, "over_quota",
-           {{.name = "organisation", .value = holder->name},
-            {.name = "route", .value = call.matched->name},
-            {.name = "config", .value = Text(view_->config->version)},
-            {.name = "rate", .value = std::to_string(decision.inputs.rate)},
-            {.name = "level", .value = std::to_string(decision.inputs.level)},
-            {.name = "demand",
-             .value = std::to_string(decision.inputs.demand)}});
+  log_.Add(
+      id, call.call.id, "over_quota",
+      {{.name = "organisation", .value = holder->name},
+       {.name = "route", .value = call.matched->name},
+       {.name = "config", .value = Text(view_->config->version)},
+       {.name = "rate", .value = std::to_string(decision.inputs.rate)},
+       {.name = "level", .value = std::to_string(decision.inputs.level)},
+       {.name = "demand", .value = std::to_string(decision.inputs.demand)}});
+  CountRefusal(reason::kOverQuota);
   call.why = reason::kOverQuota;
   call.retry_after = decision.retry_after;
   FinishWithoutAnswer(id);
@@ -304,9 +312,9 @@
   milliseconds start_within{0};
   if (!call.organisation.empty() && options_.max_key_age > milliseconds(0)) {
     const auto age = options_.proven_age();
-    start_within = std::max(milliseconds(1),
-                            options_.max_key_age -
-                                age.value_or(options_.max_key_age));
+    start_within =
+        std::max(milliseconds(1),
+                 options_.max_key_age - age.value_or(options_.max_key_age));
   }
   return {.target_id = target.id,
           .route = call.matched->name,
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -83,6 +83,10 @@
   std::uint64_t unknown = 0;
   std::uint64_t abandoned = 0;  // By their callers.
   std::uint64_t sent_again = 0;
+  // Among those not executed.
+  std::uint64_t unauthenticated = 0;
+  std::uint64_t keys_unconfirmed = 0;
+  std::uint64_t over_quota = 0;
 };
 
 // Used on its context's thread only. Owns what is known of targets, the links
@@ -152,7 +156,7 @@
     std::string service;
     std::string organisation;  // Whose key the caller gave; may be empty.
     std::optional<organisation_id> charged;  // Whose quota it was counted for.
-    std::uint32_t rank = 0;    // By organisation and route.
+    std::uint32_t rank = 0;                  // By organisation and route.
     bool ahead = false;  // Other organisations are to give way to it.
     time_point deadline;
     placement_request placing;
@@ -186,6 +190,7 @@
   [[nodiscard]] key_answer CheckKeyOf(const placed_call& call) const;
   // Names the organisation, or ends the call. False if it has ended.
   bool Identify(call_id id);
+  void CountRefusal(reason why);
   // Counts the call for its organisation's quota, or ends it. False if it has
   // ended.
   bool Charge(call_id id);
--- a/src/forward/quota_sharing.cc
+++ b/src/forward/quota_sharing.cc
@@ -63,12 +63,12 @@
   const time_point now = monotonic_clock::now();
   std::optional<std::string> parent = tree_.Parent(now);
   if (parent != parent_) {
-    LogEvent("quota_reports",
-             {{.name = "to", .value = parent.value_or("nobody")},
-              {.name = "before", .value = parent_.value_or("nobody")},
-              {.name = "in_touch",
-               .value = std::to_string(ledger_.InTouch(now))},
-              {.name = "daemons", .value = std::to_string(tree_.daemons())}});
+    LogEvent(
+        "quota_reports",
+        {{.name = "to", .value = parent.value_or("nobody")},
+         {.name = "before", .value = parent_.value_or("nobody")},
+         {.name = "in_touch", .value = std::to_string(ledger_.InTouch(now))},
+         {.name = "daemons", .value = std::to_string(tree_.daemons())}});
     parent_ = std::move(parent);
     asked_.reset();
   }
--- a/src/organisation/organisation_table.cc
+++ b/src/organisation/organisation_table.cc
@@ -47,7 +47,8 @@
 bool organisation_table::constant_time_equal::operator()(
     std::string_view a,
     std::string_view b) const {
-  return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
 std::optional<organisation_table> organisation_table::Make(
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -80,8 +80,8 @@
   std::uint64_t number = 0;
   // The sender has answers to all its attempts below this number.
   std::uint64_t settled_below = 0;
-  std::string target_id;  // The start of the target that is meant.
-  std::string route;      // Names the kind of work.
+  std::string target_id;         // The start of the target that is meant.
+  std::string route;             // Names the kind of work.
   std::uint32_t rank = 0;        // 0 matters most.
   std::uint32_t route_rank = 0;  // Of its kind, whoever it is for.
   // Requests of its kind for other organisations are to give way to it.
@@ -148,8 +148,9 @@
 [[nodiscard]] std::string Encode(const proof_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
-// revision of the asker's view, kAskProof the number of the question, kPing, kLeaving and kUnfollow nothing. For
-// kChanges see changes_frame.h, for kUsage and kQuota quota_frame.h.
+// revision of the asker's view, kAskProof the number of the question, kPing,
+// kLeaving and kUnfollow nothing. For kChanges see changes_frame.h, for kUsage
+// and kQuota quota_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -160,15 +160,13 @@
     proofs_asked_.pop_front();
   }
   proofs_asked_.emplace_back(++last_proof_number_, boot_clock::now());
-  current_->Send(
-      EncodeNumbered(frame_kind::kAskProof, last_proof_number_));
+  current_->Send(EncodeNumbered(frame_kind::kAskProof, last_proof_number_));
 }
 
 // Answers come in the order of the questions; one that got none was lost with
 // its connection.
 void peer_link::OnProof(const proof_frame& frame) {
-  while (!proofs_asked_.empty() &&
-         proofs_asked_.front().first < frame.number) {
+  while (!proofs_asked_.empty() && proofs_asked_.front().first < frame.number) {
     proofs_asked_.pop_front();
   }
   if (proofs_asked_.empty() || proofs_asked_.front().first != frame.number) {
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -410,8 +410,8 @@
 
 void peer_server::OnAskProof(session& from, std::uint64_t number) {
   const auto proof = options_.proof ? options_.proof() : std::nullopt;
-  from.Send(Encode(proof_frame{
-      .number = number, .proof = proof.value_or(freshness_proof())}));
+  from.Send(Encode(proof_frame{.number = number,
+                               .proof = proof.value_or(freshness_proof())}));
 }
 
 void peer_server::OnFollow(session& from,
--- a/src/peer/quota_frame.cc
+++ b/src/peer/quota_frame.cc
@@ -29,9 +29,9 @@
 }
 
 std::uint64_t Shifted(double value) {
-  return Shifted(static_cast<std::int64_t>(std::llround(std::clamp(
-      value * kThousandths, -static_cast<double>(kOffset),
-      static_cast<double>(kOffset)))));
+  return Shifted(static_cast<std::int64_t>(std::llround(
+      std::clamp(value * kThousandths, -static_cast<double>(kOffset),
+                 static_cast<double>(kOffset)))));
 }
 
 std::int64_t ReadShifted(msgpack_reader& reader) {
@@ -68,8 +68,8 @@
 
 std::string Encode(const usage_frame& frame) {
   const auto& entries = frame.report.entries;
-  frame_writer writer(kFixedFields +
-                      kEntryFields * static_cast<std::uint32_t>(entries.size()));
+  frame_writer writer(
+      kFixedFields + kEntryFields * static_cast<std::uint32_t>(entries.size()));
   writer.Put(frame.number).Put(frame.report.daemons);
   for (const usage_entry& entry : entries) {
     writer.Put(static_cast<std::uint64_t>(entry.id))
@@ -81,8 +81,8 @@
 
 std::string Encode(const quota_frame& frame) {
   const auto& entries = frame.report.entries;
-  frame_writer writer(kFixedFields +
-                      kEntryFields * static_cast<std::uint32_t>(entries.size()));
+  frame_writer writer(
+      kFixedFields + kEntryFields * static_cast<std::uint32_t>(entries.size()));
   writer.Put(frame.number).Put(frame.report.daemons);
   for (const quota_entry& entry : entries) {
     writer.Put(static_cast<std::uint64_t>(entry.id))
--- a/src/quota/usage_tree.cc
+++ b/src/quota/usage_tree.cc
@@ -21,7 +21,7 @@
     return PlaceOf(a) < PlaceOf(b);
   };
   std::ranges::sort(ips, before);
-  ips.erase(std::ranges::unique(ips).begin(), ips.end());
+  ips.erase(std::unique(ips.begin(), ips.end()), ips.end());
   daemons_ = std::max<std::size_t>(1, ips.size());
   ips.erase(std::ranges::lower_bound(ips, options_.self, before), ips.end());
   earlier_ = std::move(ips);
--- a/tests/forward_keys_test.cc
+++ b/tests/forward_keys_test.cc
@@ -15,14 +15,12 @@
           options->max_key_age = milliseconds(4000);
           options->proven_age = [this] { return age_; };
         }) {
-    path_.Configure(milliseconds(5000), {{.name = "north",
-                                          .api_keys = {"secret-1"},
-                                          .rank = 0}});
-    path_.target.on_request =
-        [](const read_request& request,
-           const fake_http_target::connection_ptr& from) {
-          from->Send(fake_http_target::Answer(request, request.target));
-        };
+    path_.Configure(milliseconds(5000),
+                    {{.name = "north", .api_keys = {"secret-1"}, .rank = 0}});
+    path_.target.on_request = [](const read_request& request,
+                                 const fake_http_target::connection_ptr& from) {
+      from->Send(fake_http_target::Answer(request, request.target));
+    };
   }
 
   int StatusOf(const std::string& target, const std::string& more) {
@@ -83,8 +81,8 @@
 // Guards against a daemon that can't learn of withdrawn keys and goes on.
 TEST_F(forward_keys_test, WithoutFreshWordKeysAreRefusedAsNotRun) {
   const std::string key = "Authorization: Token secret-1\r\n";
-  for (const auto age : {std::optional(milliseconds(4001)),
-                         std::optional<milliseconds>()}) {
+  for (const auto age :
+       {std::optional(milliseconds(4001)), std::optional<milliseconds>()}) {
     age_ = age;
     EXPECT_EQ(StatusOf("/look/1", key), 503);
     EXPECT_EQ(StatusOf("/open/1", ""), 200);
--- a/tests/forward_settings_test.cc
+++ b/tests/forward_settings_test.cc
@@ -28,10 +28,10 @@
 
 // Guards against a daemon that doesn't start where a sheet has fractions.
 TEST(ForwardSettingsTest, RatesReservesAndMemoryMayBeFractions) {
-  const auto parsed = ParseForwardSettings(
-      With(R"(, "repeat_reserve": 21.627906976744185,
+  const auto parsed =
+      ParseForwardSettings(With(R"(, "repeat_reserve": 21.627906976744185,
              "store_calls_per_second": 1395.35, "memory_mb": 160.5)"),
-      "a.json");
+                           "a.json");
   ASSERT_TRUE(parsed.ok());
   EXPECT_DOUBLE_EQ(parsed.value.repeat_reserve, 21.627906976744185);
   EXPECT_DOUBLE_EQ(parsed.value.store_calls_per_second, 1395.35);
--- a/tests/organisation_table_test.cc
+++ b/tests/organisation_table_test.cc
@@ -100,9 +100,8 @@
 TEST(KeyCheckTest, ARouteSaysWhetherAKeyIsNeeded) {
   const organisation_table table = Table();
   const auto check = [&](bool is_public, const char* key) {
-    return CheckKey({.organisations = &table,
-                     .is_public = is_public,
-                     .api_key = key});
+    return CheckKey(
+        {.organisations = &table, .is_public = is_public, .api_key = key});
   };
   EXPECT_EQ(check(false, "key-1").verdict, key_verdict::kHeld);
   EXPECT_EQ(check(false, "key-1").holder->name, "north");
--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -135,12 +135,12 @@
 
 TEST(QuotaLedgerTest, WithoutALimitNothingIsRefused) {
   std::string problem;
-  const auto table =
-      *organisation_table::Make({{.name = "north"}}, &problem);
+  const auto table = *organisation_table::Make({{.name = "north"}}, &problem);
   quota_ledger<common_level_rule> ledger({});
   ledger.Configure(table, time_point());
   EXPECT_TRUE(ledger.empty());
-  EXPECT_TRUE(ledger.Admit(IdOfOrganisation("north"), 1, time_point()).admitted);
+  EXPECT_TRUE(
+      ledger.Admit(IdOfOrganisation("north"), 1, time_point()).admitted);
 }
 
 // Guards against daemons that report to each other in a ring.
@@ -183,18 +183,16 @@
 }
 
 TEST(QuotaFrameTest, FramesComeBackAsTheyWere) {
-  const usage_frame usage{
-      .number = 7,
-      .report = {.daemons = 3,
-                 .entries = {{.id = organisation_id{9},
-                              .admitted = -2,
-                              .refused = 40}}}};
-  const quota_frame quota{
-      .number = 8,
-      .report = {.daemons = 60,
-                 .entries = {{.id = organisation_id{9},
-                              .level = -12.5,
-                              .demand = 1234.25}}}};
+  const usage_frame usage{.number = 7,
+                          .report = {.daemons = 3,
+                                     .entries = {{.id = organisation_id{9},
+                                                  .admitted = -2,
+                                                  .refused = 40}}}};
+  const quota_frame quota{.number = 8,
+                          .report = {.daemons = 60,
+                                     .entries = {{.id = organisation_id{9},
+                                                  .level = -12.5,
+                                                  .demand = 1234.25}}}};
   const std::string usage_bytes = Encode(usage).substr(kFrameHeadBytes);
   const std::string quota_bytes = Encode(quota).substr(kFrameHeadBytes);
   ASSERT_TRUE(DecodeUsage(usage_bytes).has_value());
--- a/tests/support/forward_path.h
+++ b/tests/support/forward_path.h
@@ -122,8 +122,8 @@
  public:
   explicit caller(forward_path& path) : path_(path), socket_(path.context) {
     const endpoint at = path.server.address();
-    socket_.connect(
-        boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(at.ip), at.port));
+    socket_.connect(boost::asio::ip::tcp::endpoint(
+        boost::asio::ip::make_address(at.ip), at.port));
     Read();
   }
 
--- a/tests/view_freshness_test.cc
+++ b/tests/view_freshness_test.cc
@@ -78,17 +78,15 @@
       case 2: {
         const auto other = *rc::gen::inRange<std::size_t>(0, kDaemons);
         if (const auto age = daemons[other].Age(At(now))) {
-          on_the_way.push_back(
-              {.to = who,
-               .proof = {.revision = held[other], .age = *age},
-               .asked = At(now - *rc::gen::inRange(0, 50))});
+          on_the_way.push_back({.to = who,
+                                .proof = {.revision = held[other], .age = *age},
+                                .asked = At(now - *rc::gen::inRange(0, 50))});
         }
         break;
       }
       case 3:
         held[who] = std::max<std::uint64_t>(
-            held[who],
-            *rc::gen::inRange<std::uint64_t>(1, written.size() + 1));
+            held[who], *rc::gen::inRange<std::uint64_t>(1, written.size() + 1));
         daemons[who].SetRevision(held[who]);
         break;
       default:
--- a/tools/quota_fleet.h
+++ b/tools/quota_fleet.h
@@ -28,7 +28,7 @@
   double loss = 0;
   // Part of the daemons that carry the demand.
   double spread = 1;
-  milliseconds way{2};  // One way between two daemons.
+  milliseconds way{2};       // One way between two daemons.
   milliseconds resent{210};  // A packet that was lost arrives so much later.
 };
 
@@ -81,7 +81,8 @@
   // Each daemon of the first part can reach no other one.
   void Isolate(double part) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      if (static_cast<double>(i) < part * static_cast<double>(daemons_.size())) {
+      if (static_cast<double>(i) <
+          part * static_cast<double>(daemons_.size())) {
         daemons_[i]->side = static_cast<int>(i) + 2;
       }
     }
@@ -122,7 +123,8 @@
                              asked);
   }
   [[nodiscard]] double reports_a_daemon_second(milliseconds over) const {
-    return static_cast<double>(reports_) / static_cast<double>(daemons_.size()) /
+    return static_cast<double>(reports_) /
+           static_cast<double>(daemons_.size()) /
            std::chrono::duration<double>(over).count();
   }
   // Most that were let in within any span of this length.
@@ -173,13 +175,12 @@
 
   void Configure(daemon& of) {
     std::string problem;
-    of.ledger.Configure(
-        *organisation_table::Make({{.name = "north",
-                                    .api_keys = {"k"},
-                                    .rate = options_.rate,
-                                    .burst = options_.burst}},
-                                  &problem),
-        now_);
+    of.ledger.Configure(*organisation_table::Make({{.name = "north",
+                                                    .api_keys = {"k"},
+                                                    .rate = options_.rate,
+                                                    .burst = options_.burst}},
+                                                  &problem),
+                        now_);
   }
 
   double Part() {
@@ -246,8 +247,8 @@
     for (int i = 0; i < count; ++i) {
       std::size_t at = 0;
       do {
-        at = std::uniform_int_distribution<std::size_t>(0, daemons_.size() -
-                                                               1)(random_);
+        at = std::uniform_int_distribution<std::size_t>(
+            0, daemons_.size() - 1)(random_);
       } while (!used_[at]);
       const bool in =
           daemons_[at]
--- a/tools/quota_model_main.cc
+++ b/tools/quota_model_main.cc
@@ -71,10 +71,11 @@
   got.isolated =
       Surge<Rule>(options, [](auto& fleet) { fleet.Isolate(1.0 / 3); });
   got.restart = Surge<Rule>(options, [](auto& fleet) { fleet.RestartAll(); });
-  std::printf("%-13s %6zu %5.0f %5.2f %8.4f %8.4f %6.2f %6.2f %6.2f %8.2f %7.2f\n",
-              name.c_str(), options.daemons, options.rate, options.loss,
-              got.false_refusals, got.one_sided, got.use, got.surge, got.cut,
-              got.isolated, got.restart);
+  std::printf(
+      "%-13s %6zu %5.0f %5.2f %8.4f %8.4f %6.2f %6.2f %6.2f %8.2f %7.2f\n",
+      name.c_str(), options.daemons, options.rate, options.loss,
+      got.false_refusals, got.one_sided, got.use, got.surge, got.cut,
+      got.isolated, got.restart);
   std::fflush(stdout);
 }
 
@@ -90,7 +91,8 @@
 int main(int argc, char** argv) {
   using pistachioweir::PrintAll;
   std::printf(
-      "way           daemons  rate  loss  refused one_side    use  surge    cut "
+      "way           daemons  rate  loss  refused one_side    use  surge    "
+      "cut "
       "isolated restart\n");
   for (const double rate : {20.0, 400.0}) {
     PrintAll({.daemons = 10, .rate = rate, .burst = rate});
