--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -146,6 +146,7 @@
 // Guards against daemons that report to each other in a ring.
 TEST(UsageTreeTest, EveryDaemonReportsToAnEarlierOneAndOneIsFirst) {
   std::vector<std::string> ips;
+  ips.reserve(300);
   for (int i = 0; i < 300; ++i) {
     ips.push_back("10.0." + std::to_string(i / 200) + "." +
                   std::to_string(i % 200));
--- a/tools/quota_fleet.h
+++ b/tools/quota_fleet.h
@@ -191,11 +191,11 @@
     return daemons_[a]->side == daemons_[b]->side;
   }
 
-  void Post(std::function<void()> deliver) {
+  void Post(const std::function<void()>& deliver) {
     const bool lost = Part() < options_.loss;
     on_the_way_.push({.due = now_ + options_.way +
                              (lost ? options_.resent : milliseconds(0)),
-                      .deliver = std::move(deliver)});
+                      .deliver = deliver});
   }
 
   void Deliver() {
