--- a/include/admit/waste_guard.h
+++ b/include/admit/waste_guard.h
@@ -10,29 +10,15 @@
 
 namespace pistachioweir {
 
-// Made for a service whose targets make calls that are refused further down the
-// chain. Each refused call costs its whole request, and what was done for it at
-// every hop; with four calls a request, refusing a third of the calls fails
-// four requests of five. Refusing the third at the entrance instead leaves two
-// of three served.
+// Answers a service further down the chain that turns away a part of its calls:
+// each refused call costs its whole request and the work done for it at every
+// hop. The admitted share of a kind falls with the part of its runs that fail,
+// and rises again as they end well; less important kinds give way first. A kind
+// that is known to make calls also follows the pressure on the services that it
+// calls, before anything fails.
 //
-// What shows it is here: runs of the kind end with the target's own failure.
-// While a part of them does, the admitted share falls with that part; when they
-// end well, it rises step by step. A target that fails part of its requests for
-// a reason of its own sheds load in the same way, onto others.
-//
-// Kinds that matter less give way first, without a word between daemons: they
-// all see about the same part of their runs fail, since the calls that are
-// refused are the same. The less a kind matters, the smaller the part that
-// lowers its share; the others find room again before theirs is reached.
-//
-// Where it can, it acts before anything fails: daemons tell on their answers
-// how long calls of targets wait, there or further down the chain. Once a kind
-// has been seen to fail under such pressure, it is known to make calls, and its
-// share follows the pressure. A kind that calls nothing is left alone.
-//
-// Not for calls that other targets make: refusing those is the very waste.
-// Pure logic; the owner keeps one for each kind of work.
+// Not for calls of targets, whose refusal is the waste itself. Pure logic; the
+// owner keeps one for each kind of work.
 class waste_guard {
  public:
   // How often the share is set. Runs take some 100 ms; a shorter period would
@@ -77,10 +63,8 @@
   void SetRank(std::uint32_t rank);
 
   // Whether the next request is to be let in. Evenly spaced: a random choice
-  // lets in more than fits in one moment and less in the next, and what is too
-  // much fails. With two thirds of the calls fitting, 60 of 100 requests end
-  // well instead of 46 (waste_guard_test).
-  // Those that are `ahead` are let in as long as others give way for them.
+  // lets in more than fits in one moment and less in the next. Those that are
+  // `ahead` are let in as long as others give way for them.
   [[nodiscard]] bool Admit(bool ahead = false);
   // A run has ended; `well` if the target didn't answer that it failed.
   void OnEnd(bool well, time_point now);
--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -20,9 +20,6 @@
 // Vouching for another start of the target keeps nothing (guard SAME_START in
 // spec/lapsed_targets.pml).
 //
-// With six of 16 VMs cut off from the store for 12 s, all targets of one
-// service ran out after 5.5 s, and 6,869 calls found no target.
-//
 // Pure logic; the origin keeps one.
 class lapsed_targets {
  public:
--- a/include/forward/target_vouching.h
+++ b/include/forward/target_vouching.h
@@ -11,23 +11,13 @@
 
 namespace pistachioweir {
 
-// A target whose VM is cut off from the store alone can't renew its entry. The
-// entry runs out, and all daemons that read the store would drop a target that
-// they reach and that serves them: with all targets of a service cut off, every
-// request that needs it fails. The daemon beside the target knows better. It
-// can't read the store either, the target answers it, and it tells so on frames
-// that flow anyway.
-//
-// It must not vouch for a target that has left. While it reads the store it
-// never does: what vanishes then has left (guard STORE_LOST in
-// spec/lapsed_targets.pml). A target that leaves while its daemon is turned
-// away by the store ends its connections behind its answers, and an ended one
-// doesn't answer (guard STAYING in spec/lapsed_targets.pml).
-//
-// The daemon hears from others what the store says, also that its own target's
-// entry has vanished. That tells nothing that it doesn't know better, so it
-// goes on vouching; once it has read the store itself and the entry isn't back,
-// it is over for good.
+// A target whose VM is cut off from the store alone can't renew its entry,
+// though it serves whoever reaches it. Its daemon says so on frames that flow
+// anyway. While the daemon reads the store it never does: what vanishes then
+// has left (guard STORE_LOST in spec/lapsed_targets.pml). A target that leaves
+// meanwhile ends its connections behind its answers, which doesn't count as an
+// answer (guard STAYING in spec/lapsed_targets.pml). Once the daemon has read
+// the store and the entry isn't back, it is over for good.
 //
 // Pure logic; the executor keeps one.
 class target_vouching {
--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -48,31 +48,16 @@
   std::vector<std::string> sources;  // IP numbers of the daemons to follow.
 };
 
-// If each daemon of a fleet watches the store, a change costs as many calls as
-// there are daemons, and an idle fleet renews as many watches: the store's
-// calls are then the largest part of what the system costs, and at some
-// thousands of daemons more than any store takes. So a few daemons read, and
-// tell the others.
+// Daemons are ordered by a hash of their addresses, the same at all of them.
+// The first two of a data centre read the store; the others follow them, in a
+// large data centre by way of others that stand further in front. Lists that
+// differ cost calls and milliseconds; what is true is decided by revisions
+// (view_changes.h).
 //
-// Nobody is elected and nothing is stored. Each daemon puts those that it knows
-// of in one order, by a hash of their addresses, which is the same at all of
-// them. The first two of a data centre read the store, further ones follow
-// them, and in a large data centre those follow others that are further in
-// front. Where two daemons' lists differ, one reads that need not, or one is
-// followed that follows itself: that costs calls and a few milliseconds. What
-// is true is decided elsewhere, by revisions (view_changes.h).
-//
-// A source may be frozen, cut off, slow, turned away by the store, or wrong.
-// None of that is told by a broken connection alone, so it is told by time:
-// each report says how long ago somebody who reads the store confirmed it, and
-// that age counts on through every daemon it comes by (guard AGE_COUNTS in
-// spec/shared_views.pml); without that, daemons that follow each other in a
-// ring would find each other's reports fresh for ever. A source without
-// useful reports is replaced by the next in the order, and so is one that
-// should read and only passes on what it hears: it may hear it from this
-// daemon. A daemon that hears nothing useful from anybody reads by itself
-// (guard READS_ALONE in spec/shared_views.pml). If the store is away for
-// everybody, only the first of each data centre ask for it eagerly.
+// A source is judged by the age of what it reports, which counts on through
+// every daemon (guard AGE_COUNTS in spec/shared_views.pml). A daemon without a
+// fresh report reads the store itself (guard READS_ALONE in
+// spec/shared_views.pml).
 //
 // Pure logic; the daemon keeps one.
 class view_following {
--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -14,25 +14,10 @@
 
 namespace pistachioweir {
 
-// A request that crashes whatever runs it comes again and again, at any daemon.
-// Nothing tells it from the others that were in progress, so all of them are
-// suspects, and the one that is among those of two crashes is refused.
-//
-// A connection that ends without an answer is no crash yet: single answers are
-// lost on targets that live, and a target that is told to end cuts what is
-// left. Only when nobody listens at the target any more, or another start of it
-// registers, do the requests that were cut shortly before become suspects. A
-// run that begins after the cut and is answered proves that the target lived.
-//
-// Where many requests of callers are alike, all of them would share the
-// fingerprint of one that was in progress by chance, and two crashes would
-// refuse a whole kind of work. So what has completed lately is no suspect and
-// is not refused; daemons beside callers know that of all targets, those beside
-// targets of their own. A daemon that has just started, or one that sees such a
-// request rarely, knows nothing of it, and refused all of the kind for a minute
-// after two lost machines. So whoever knows better says so to the daemon that
-// told the suspects, and a suspect that completes is cleared everywhere. A
-// request that crashes each target never completes, so nothing clears it.
+// Requests that were cut shortly before the target was found dead are suspects,
+// and one that is among those of two crashes is refused. What has completed
+// lately anywhere is no suspect: requests that are alike share a fingerprint,
+// and a whole kind of work would be refused for two lost machines.
 //
 // Pure logic; the owner has one for its target.
 class crash_suspects {
--- a/include/retry/hopeless_sends.h
+++ b/include/retry/hopeless_sends.h
@@ -10,17 +10,11 @@
 
 namespace pistachioweir {
 
-// A target ends a run at its deadline and answers so a moment before its caller
-// gives up. Sent again then, the request reaches three other targets with two
-// milliseconds left, each of which looks at it and refuses it or breaks it off;
-// and it takes from the bound on repeats what others could have been repeated
-// with: 299 of 796 further sends on a recorded day of overload. A target that
-// calls others in its last milliseconds makes more of the same.
-//
-// So a request isn't sent that has less left than half of the shortest run of
-// its kind that ended well lately. Half, since runs of a kind differ and the
-// shortest may have come by before the window: a request that could have ended
-// must not be refused. It has not run, and its caller is told so at once.
+// A request that is sent again with a few milliseconds left can't end, and
+// takes from the bound on repeats what others could have been repeated with. So
+// it isn't sent with less left than half of the shortest run of its kind that
+// ended well lately; half, since a request that could have ended must not be
+// refused.
 //
 // Pure logic; the origin keeps one for each called service.
 class hopeless_sends {
--- a/include/retry/reserve_share.h
+++ b/include/retry/reserve_share.h
@@ -12,10 +12,9 @@
 // Nobody hands out the reserve: each daemon takes its part of it by the number
 // of daemons that it sees. Entries come one by one at a start and after an
 // outage of the store, and a daemon that took its part by the first list would
-// keep half of the reserve for itself. With 16 daemons doing so, a service got
-// 312 repeats in ten seconds where 266 were allowed. A list that has become
-// shorter may come back as well, so the longest one of a window counts: what
-// was spent by the longer list is still in the window.
+// keep half of the reserve for itself. A list that has become shorter may come
+// back as well, so the longest one of a window counts: what was spent by the
+// longer list is still in the window.
 //
 // Pure logic; the owner keeps one for all its services.
 class reserve_share {
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -143,9 +143,7 @@
   void SetReachable(target_ref target, bool reachable);
   // The target's daemon is stopping, or a new one serves in its place. Unlike
   // leaving, this ends. The target still gets calls that no other can take:
-  // where the daemons of all targets of a service are restarted one after the
-  // other, all of them are stopping at once, and 276 calls found no target in
-  // five seconds although none of the targets had a fault.
+  // the daemons of all targets of a service may be stopping at once.
   void SetStopping(target_ref target, bool stopping);
   // The target's load was heard of apart from an answer.
   void NoteLoad(target_ref target, const load_report& report, time_point now);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -16,10 +16,8 @@
 
 // Requests that wait at one target. Deadlines bound the wait long before.
 constexpr std::uint32_t kMaxQueue = 1024;
-// Part of a target's slots that are used. Targets are known that take 1.3 times
-// as long for everything from 95 in 100 busy slots on: 36 busy ones then finish
-// 1,240 calls a second, 33 finish 1,500. Targets that don't slow down lose at
-// most the rest.
+// Part of a target's slots that are used: some targets take longer for
+// everything from 95 in 100 busy slots on.
 constexpr double kUsedSlots = 0.94;
 // Of a full target's work, what less important requests get. Half of what the
 // least important kind of the known deployments asks for; all of it would cost
@@ -48,8 +46,7 @@
 
 // A request that crashed a target comes again with the same path and body, at
 // any daemon: its caller moves on when a daemon refuses it, to VMs of other
-// services as well. Told apart by those, a request crashed two targets for each
-// service whose VMs it came to, 12 of 60 instead of 3 or 4.
+// services as well, so those don't tell it apart.
 request_fingerprint FingerprintOf(const std::string& route,
                                   const relayed_request& request) {
   return Fingerprint({.service = {},
--- a/src/forward/stop_plan.h
+++ b/src/forward/stop_plan.h
@@ -20,25 +20,12 @@
   duration longest{0};
 };
 
-// A stopping daemon is as good as any other: it has the view, the links and,
-// for other daemons, the target beside it. Whatever it turned away would be
-// lost for no reason: callers that don't leave were refused for the last three
-// of a stop's six seconds, 1,621 of 6,207 requests. So it serves until shortly
-// before its end, and that is as soon as ending interrupts nothing.
-//
-// Whoever asks whether callers may come asks once a second, and callers keep
-// coming until it has heard no twice. A daemon that ended before would leave
-// them with connections that are refused. So it stays for kLeastLinger. After
-// that it ends when nothing is in progress and nothing has come for kQuiet.
-// Callers that still come at kPressed don't look whether they may, and would
-// come until the end however late that is: then a moment without anything in
-// progress is enough. Other daemons call only if no other target is left: while
-// they do, it stays.
-//
-// A busy daemon never has such a moment. Shortly before it is killed it closes:
-// no connections and no calls of other daemons are taken, requests on open
-// connections are, and what is in progress ends. Closing begins so early that
-// twice what requests took lately is left for that.
+// A stopping daemon serves until shortly before it would be killed, or until
+// ending interrupts nothing: what it turned away before would be lost for no
+// reason. It stays for kLeastLinger, in which callers learn that they may not
+// come, then ends when nothing is in progress and nothing has come for kQuiet.
+// A busy daemon closes early enough that twice what requests took lately is
+// left.
 //
 // Pure logic.
 class stop_plan {
