Origin: keys and quotas have a file of their own

The functions that judge keys and charge quotas move to origin_keys.cc as they are; no behaviour changes.

--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -21,9 +21,6 @@
 
 // A caller that doesn't say how long it waits, on a route without a timeout.
 constexpr milliseconds kDefaultTimeout{30000};
-// When to come back if the configuration is too old to judge keys by: a newer
-// one is asked for several times in it.
-constexpr milliseconds kUnconfirmedRetryAfter{500};
 // When to come back if nothing tells better.
 constexpr milliseconds kDefaultRetryAfter{200};
 
@@ -47,17 +44,6 @@
                                                : call_result::kFailed;
 }
 
-reason RefusalOf(key_verdict verdict) {
-  switch (verdict) {
-    case key_verdict::kNotHeld:
-      return reason::kUnauthenticated;
-    case key_verdict::kUnconfirmed:
-      return reason::kKeysUnconfirmed;
-    default:
-      return reason::kNone;
-  }
-}
-
 // No daemon could be reached, or the one that was has no target beside it.
 bool NobodyThere(const peer_answer& answer) {
   return answer.answer.kind == outcome_kind::kNotExecuted &&
@@ -98,77 +84,6 @@
   return true;
 }
 
-key_answer origin::CheckKeyOf(const placed_call& call) const {
-  return CheckKey(
-      {.organisations = view_->config->organisations.get(),
-       .is_public = call.matched->is_public,
-       .api_key = call.call.api_key,
-       .proven_age = options_.proven_age ? options_.proven_age() : std::nullopt,
-       .max_age = options_.max_key_age});
-}
-
-bool origin::Identify(call_id id) {
-  placed_call& call = *calls_.at(id);
-  const key_answer key = CheckKeyOf(call);
-  const reason refusal = RefusalOf(key.verdict);
-  if (refusal == reason::kNone) {
-    const precedence& ranks = view_->config->ranks;
-    call.rank = ranks.RankOf(key.holder, *call.matched);
-    call.ahead = ranks.IsAhead(key.holder);
-    call.organisation = key.holder != nullptr ? key.holder->name : "";
-    return true;
-  }
-  const auto age = options_.proven_age ? options_.proven_age() : std::nullopt;
-  log_.Add(id, call.call.id, "key_refused",
-           {{.name = "verdict",
-             .value = std::string(kKeyVerdictNames.Name(key.verdict))},
-            {.name = "route", .value = call.matched->name},
-            {.name = "config", .value = Text(view_->config->version)},
-            {.name = "proven_age_ms",
-             .value = age ? std::to_string(age->count()) : "none"},
-            {.name = "max_age_ms",
-             .value = std::to_string(options_.max_key_age.count())}});
-  CountRefusal(refusal);
-  call.why = refusal;
-  call.retry_after = refusal == reason::kKeysUnconfirmed
-                         ? kUnconfirmedRetryAfter
-                         : milliseconds(0);
-  FinishWithoutAnswer(id);
-  return false;
-}
-
-void origin::CountRefusal(reason why) {
-  counters_.unauthenticated += why == reason::kUnauthenticated ? 1U : 0U;
-  counters_.keys_unconfirmed += why == reason::kKeysUnconfirmed ? 1U : 0U;
-  counters_.over_quota += why == reason::kOverQuota ? 1U : 0U;
-}
-
-bool origin::Charge(call_id id) {
-  placed_call& call = *calls_.at(id);
-  const organisation* const holder = CheckKeyOf(call).holder;
-  if (holder == nullptr || !options_.admit) {
-    return true;
-  }
-  const quota_decision decision = options_.admit(*holder);
-  if (decision.admitted) {
-    call.charged = holder->id;
-    return true;
-  }
-  log_.Add(
-      id, call.call.id, "over_quota",
-      {{.name = "organisation", .value = holder->name},
-       {.name = "route", .value = call.matched->name},
-       {.name = "config", .value = Text(view_->config->version)},
-       {.name = "rate", .value = std::to_string(decision.inputs.rate)},
-       {.name = "level", .value = std::to_string(decision.inputs.level)},
-       {.name = "demand", .value = std::to_string(decision.inputs.demand)}});
-  CountRefusal(reason::kOverQuota);
-  call.why = reason::kOverQuota;
-  call.retry_after = decision.retry_after;
-  FinishWithoutAnswer(id);
-  return false;
-}
-
 // The shorter of what the caller and the route say.
 milliseconds origin::TimeoutOf(const placed_call& call) const {
   milliseconds timeout = call.call.caller_timeout;
