A key is looked up once for each request

Each request with a key was looked up twice, once to name its organisation and once to charge its quota, with a copy of the key each time. Found by reading the change. The first look-up's answer is kept with the call, and the quota is asked for by the organisation's id, the only thing that it used. No behaviour changes: the tests of requests with keys and of the whole path pass, the changed files are lint clean.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -223,7 +223,7 @@
             [this](const view_changes& told) { sharing_.OnChanges(told); },
         .on_proof = [this](const freshness_proof& proof,
                            boot_time asked) { sharing_.OnProof(proof, asked); },
-        .admit = [this](const organisation& of) { return quotas_.Admit(of); },
+        .admit = [this](organisation_id id) { return quotas_.Admit(id); },
         .give_back = [this](organisation_id id) { quotas_.GiveBack(id); },
         .on_quota =
             [this](const std::string& ip, const quota_frame& quota) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -70,7 +70,7 @@
   // Another daemon proved how new its view is; it was asked at `asked`.
   std::function<void(const freshness_proof&, boot_time asked)> on_proof;
   // Whether one more request of the organisation is let in; all are if empty.
-  std::function<quota_decision(const organisation&)> admit;
+  std::function<quota_decision(organisation_id)> admit;
   // One that was let in has not run.
   std::function<void(organisation_id)> give_back;
   // The daemon at `ip` answered a report of use.
@@ -155,6 +155,7 @@
     const route* matched = nullptr;
     std::string service;
     std::string organisation;  // Whose key the caller gave; may be empty.
+    std::optional<organisation_id> holder;   // Likewise.
     std::optional<organisation_id> charged;  // Whose quota it was counted for.
     std::uint32_t rank = 0;                  // By organisation and route.
     bool ahead = false;  // Other organisations are to give way to it.
--- a/src/forward/origin_keys.cc
+++ b/src/forward/origin_keys.cc
@@ -1,4 +1,5 @@
 // Whose requests the origin takes: their API keys and quotas.
+#include <optional>
 #include <string>
 
 #include "include/base/call_log.h"
@@ -42,6 +43,8 @@
     call.rank = ranks.RankOf(key.holder, *call.matched);
     call.ahead = ranks.IsAhead(key.holder);
     call.organisation = key.holder != nullptr ? key.holder->name : "";
+    call.holder =
+        key.holder != nullptr ? std::optional(key.holder->id) : std::nullopt;
     return true;
   }
   const auto age = options_.proven_age ? options_.proven_age() : std::nullopt;
@@ -71,18 +74,17 @@
 
 bool origin::Charge(call_id id) {
   placed_call& call = *calls_.at(id);
-  const organisation* const holder = CheckKeyOf(call).holder;
-  if (holder == nullptr || !options_.admit) {
+  if (!call.holder || !options_.admit) {
     return true;
   }
-  const quota_decision decision = options_.admit(*holder);
+  const quota_decision decision = options_.admit(*call.holder);
   if (decision.admitted) {
-    call.charged = holder->id;
+    call.charged = call.holder;
     return true;
   }
   log_.Add(
       id, call.call.id, "over_quota",
-      {{.name = "organisation", .value = holder->name},
+      {{.name = "organisation", .value = call.organisation},
        {.name = "route", .value = call.matched->name},
        {.name = "config", .value = std::to_string(view_->config->version)},
        {.name = "rate", .value = std::to_string(decision.inputs.rate)},
--- a/src/forward/quota_sharing.cc
+++ b/src/forward/quota_sharing.cc
@@ -55,8 +55,8 @@
   }
 }
 
-quota_decision quota_sharing::Admit(const organisation& of) {
-  return ledger_.Admit(of.id, RandomPart(), monotonic_clock::now());
+quota_decision quota_sharing::Admit(organisation_id id) {
+  return ledger_.Admit(id, RandomPart(), monotonic_clock::now());
 }
 
 void quota_sharing::Report() {
--- a/src/forward/quota_sharing.h
+++ b/src/forward/quota_sharing.h
@@ -40,7 +40,7 @@
 
   // A view has come into use.
   void OnView(const service_view& view);
-  [[nodiscard]] quota_decision Admit(const organisation& of);
+  [[nodiscard]] quota_decision Admit(organisation_id id);
   void GiveBack(organisation_id id) { ledger_.GiveBack(id); }
   // A daemon reported to this one.
   [[nodiscard]] quota_report OnUsage(incarnation_id sender,
