What is in progress when a stopping daemon ends writes its lines

Callers' requests were cut at the end of planned stops, and nothing told why: the lines of a request are held back until it has ended, and what is open when the process ends has not. Now each such request and run writes its lines and one more, open_at_end: its target, the state of the link, how long nothing came over it, how long ago it was sent and what is left of its time. Metrics calls_open_at_end and runs_open_at_end; a line ending counts both.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -177,6 +177,22 @@
   draining_ = true;
 }
 
+void executor::LogOpen(time_point now) {
+  for (const auto& [id, served] : calls_) {
+    ++counters_.open_at_end;
+    const bool runs = served.give_up != nullptr;
+    log_.Add(
+        id, served.call.request_id, "open_at_end",
+        {{.name = "running", .value = runs ? "yes" : "no"},
+         {.name = "here_ms",
+          .value =
+              std::to_string(ToMilliseconds(now - served.arrived).count())},
+         {.name = "left_ms",
+          .value = std::to_string(TimeLeft(served.deadline, now).count())}});
+    log_.End(id, served.call.request_id, true);
+  }
+}
+
 load_report executor::Load() const {
   const time_point now = monotonic_clock::now();
   load_report load = admission_.Report(0, now);
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -48,6 +48,7 @@
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  // Not executed, for whatever reason.
   std::uint64_t unknown = 0;
+  std::uint64_t open_at_end = 0;  // When the process ended.
 };
 
 // Used on its context's thread only. Owns the admission state and every call
@@ -131,6 +132,8 @@
   void Leave() { leaving_ = true; }
   // Refuses new calls from now on; those in progress go on.
   void Drain();
+  // The process ends: the lines of the calls in progress are written.
+  void LogOpen(time_point now);
   [[nodiscard]] bool leaving() const { return leaving_; }
   // Most that a call took lately, from its arrival on.
   [[nodiscard]] duration Longest(time_point now) {
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -421,9 +421,21 @@
          {.name = "longest_ms", .value = std::to_string(longest.count())}});
   }
 
-  // Nothing is in progress. Whatever still comes is refused: it would be cut
-  // off when the process ends, a moment later.
+  void LogEnding() {
+    const time_point now = monotonic_clock::now();
+    LogEvent(
+        "ending",
+        {{.name = "requests",
+          .value = std::to_string(callers_.state().open_requests)},
+         {.name = "runs", .value = std::to_string(executor_.in_progress())}});
+    origin_.LogOpen(now);
+    executor_.LogOpen(now);
+  }
+
+  // Whatever still comes is refused: it would be cut off when the process ends,
+  // a moment later.
   void Stop() {
+    LogEnding();
     executor_.Drain();
     callers_.RefuseNew();
     callers_.Close();
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -83,6 +83,7 @@
   std::uint64_t unknown = 0;
   std::uint64_t abandoned = 0;  // By their callers.
   std::uint64_t sent_again = 0;
+  std::uint64_t open_at_end = 0;  // When the process ended.
   // Among those not executed.
   std::uint64_t unauthenticated = 0;
   std::uint64_t keys_unconfirmed = 0;
@@ -123,6 +124,9 @@
   void AskProofs(const std::vector<std::string>& ips, std::size_t others);
   // Once a second.
   void Tick(time_point now);
+  // The process ends: the lines of the calls in progress are written, with what
+  // each waits for.
+  void LogOpen(time_point now);
 
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
   [[nodiscard]] const origin_counters& counters() const { return counters_; }
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -52,6 +52,11 @@
   return trying ? link_state::kConnecting : link_state::kDown;
 }
 
+std::optional<time_point> peer_link::last_heard() const {
+  return current_ == nullptr ? std::nullopt
+                             : std::optional(current_->last_heard());
+}
+
 std::uint64_t peer_link::SettledBelow() const {
   return calls_.empty() ? *options_.last_number + 1 : calls_.begin()->first;
 }
