A planned stop answers what it can't wait for, and cuts nothing

Callers of a daemon that was told to stop got no answer to some requests: their connections ended with the process, though their targets had run them.

Cause: a request that may run only once and was sent to a daemon out of reach waits until its deadline, and the deadline knew nothing of the end of the process.

Ruled out: slow targets (run_ended 10 to 120 ms behind run_at_target in each case where the request arrived); a longer margin (one that holds for every request is the route's timeout, which refuses callers from 2.6 s of a stop of 6 s on).

0.1 s before the end each open request is answered as it is: not executed if nothing of it has left, so that its caller may come again, else unknown. Runs for other daemons are told to them in the same way. Calls that are sent while stopping bound when their target has to begin by that moment: one that would still be queued is refused there, which is true, and goes elsewhere.

Tests: four in forward_path_test and origin_links_test, one in stop_plan_test; they use what this commit adds.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -51,9 +51,8 @@
 // socket.
 inline constexpr std::size_t kMaxPipelined = 32;
 // When to come back where too many bodies are held: requests end in about that
-// time. And where the daemon is stopping: others are there already.
+// time.
 inline constexpr milliseconds kFullRetryAfter{1000};
-inline constexpr milliseconds kDrainingRetryAfter{100};
 // A caller that takes none of its answer's bytes for this long is cut off.
 inline constexpr milliseconds kWriteTimeout{15000};
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -177,19 +177,33 @@
   draining_ = true;
 }
 
-void executor::LogOpen(time_point now) {
+void executor::EndOpen() {
+  Drain();
+  std::vector<std::uint64_t> open;
+  open.reserve(calls_.size());
   for (const auto& [id, served] : calls_) {
-    ++counters_.open_at_end;
-    const bool runs = served.give_up != nullptr;
+    open.push_back(id);
+  }
+  const time_point now = monotonic_clock::now();
+  for (const std::uint64_t id : open) {
+    served_call& served = calls_.at(id);
+    if (served.started == time_point()) {
+      admission_.Cancel(served.admitted);
+      Refuse(id, reason::kDraining, kDrainRetryAfter);
+      continue;
+    }
+    ++counters_.ended_by_stop;
     log_.Add(
-        id, served.call.request_id, "open_at_end",
-        {{.name = "running", .value = runs ? "yes" : "no"},
-         {.name = "here_ms",
+        id, served.call.request_id, "ended_by_stop",
+        {{.name = "ran_ms",
           .value =
-              std::to_string(ToMilliseconds(now - served.arrived).count())},
+              std::to_string(ToMilliseconds(now - served.started).count())},
          {.name = "left_ms",
           .value = std::to_string(TimeLeft(served.deadline, now).count())}});
-    log_.End(id, served.call.request_id, true);
+    answer_frame answer;
+    answer.why = reason::kDraining;
+    answer.reached_target = true;
+    Answer(id, std::move(answer));
   }
 }
 
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -48,7 +48,7 @@
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  // Not executed, for whatever reason.
   std::uint64_t unknown = 0;
-  std::uint64_t open_at_end = 0;  // When the process ended.
+  std::uint64_t ended_by_stop = 0;  // While the target was at work.
 };
 
 // Used on its context's thread only. Owns the admission state and every call
@@ -132,8 +132,9 @@
   void Leave() { leaving_ = true; }
   // Refuses new calls from now on; those in progress go on.
   void Drain();
-  // The process ends: the lines of the calls in progress are written.
-  void LogOpen(time_point now);
+  // Refuses all from now on, and answers what is in progress: not executed if
+  // it has not begun, else unknown.
+  void EndOpen();
   [[nodiscard]] bool leaving() const { return leaving_; }
   // Most that a call took lately, from its arrival on.
   [[nodiscard]] duration Longest(time_point now) {
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -380,6 +380,7 @@
           .value = std::to_string(callers_.state().open_requests)},
          {.name = "runs", .value = std::to_string(executor_.in_progress())}});
     executor_.Leave();
+    origin_.SetEnd(stop_plan_.answer_by());
     peers_.Drain();
     callers_.Drain();
     PollStop();
@@ -397,6 +398,9 @@
       Stop();
       return;
     }
+    if (now >= stop_plan_.answer_by()) {
+      EndOpen();
+    }
     if (!stop_plan_.IsOpen(now) && !std::exchange(closing_, true)) {
       LogClosing(progress);
       callers_.StopListening();
@@ -413,6 +417,17 @@
     });
   }
 
+  // First what is at the target beside, so that its callers here hear which of
+  // it has not run.
+  void EndOpen() {
+    if (!std::exchange(ending_, true)) {
+      callers_.RefuseNew();
+      executor_.EndOpen();
+    } else {
+      origin_.EndOpen();
+    }
+  }
+
   void LogClosing(const stop_progress& progress) {
     const auto longest =
         std::chrono::duration_cast<milliseconds>(progress.longest);
@@ -424,14 +439,15 @@
   }
 
   void LogEnding() {
-    const time_point now = monotonic_clock::now();
     LogEvent(
         "ending",
         {{.name = "requests",
           .value = std::to_string(callers_.state().open_requests)},
-         {.name = "runs", .value = std::to_string(executor_.in_progress())}});
-    origin_.LogOpen(now);
-    executor_.LogOpen(now);
+         {.name = "runs", .value = std::to_string(executor_.in_progress())},
+         {.name = "requests_unfinished",
+          .value = std::to_string(origin_.counters().ended_by_stop)},
+         {.name = "runs_unfinished",
+          .value = std::to_string(executor_.counters().ended_by_stop)}});
   }
 
   // Whatever still comes is refused: it would be cut off when the process ends,
@@ -497,6 +513,7 @@
   stop_plan stop_plan_;
   bool closing_ = false;   // Stopping, and close to the end.
   bool refusing_ = false;  // And too close for another request.
+  bool ending_ = false;    // What is still in progress gets its answer.
   bool ready_ = false;
   std::promise<void> stopped_;
   http_server ready_server_;
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -141,8 +141,8 @@
   counter("calls_abandoned", "Callers that left before their answer",
           calls.abandoned);
   counter("calls_sent_again", "Further sends of a request", calls.sent_again);
-  counter("calls_open_at_end", "Callers' requests cut by the process's end",
-          calls.open_at_end);
+  counter("calls_ended_by_stop",
+          "Callers' requests that a stop could not await", calls.ended_by_stop);
   const executor_counters& runs = sources.runs.counters();
   counter("calls_unauthenticated", "Refused without a key that is held",
           calls.unauthenticated);
@@ -153,8 +153,8 @@
   counter("runs_completed", "Runs answered by the target", runs.completed);
   counter("runs_refused", "Calls refused for the target", runs.refused);
   counter("runs_unknown", "Runs without an answer", runs.unknown);
-  counter("runs_open_at_end", "Runs in progress when the process ended",
-          runs.open_at_end);
+  counter("runs_ended_by_stop", "Runs that a stop could not await",
+          runs.ended_by_stop);
   counter("target_connections_opened", "Connections opened to the target",
           sources.target_connections_opened);
   counter("target_connections_reused", "Runs on a kept connection",
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -169,7 +169,8 @@
 
 bool origin::IsHopeless(const placed_call& call, time_point now) {
   return StateOf(call.service)
-      .hopeless.IsHopeless(call.placing.method, call.deadline - now, now);
+      .hopeless.IsHopeless(call.placing.method,
+                           std::min(call.deadline, answer_by_) - now, now);
 }
 
 // A key may have been withdrawn while its request waited.
@@ -219,18 +220,26 @@
   Send(id, *target);
 }
 
+milliseconds origin::StartWithin(const placed_call& call,
+                                 time_point now) const {
+  constexpr milliseconds kLeast{1};  // Zero would bound nothing.
+  std::optional<milliseconds> within;
+  if (!call.organisation.empty() && options_.max_key_age > milliseconds(0)) {
+    const auto age = options_.proven_age();
+    within = options_.max_key_age - age.value_or(options_.max_key_age);
+  }
+  if (answer_by_ != time_point::max()) {
+    const milliseconds left = TimeLeft(answer_by_, now);
+    within = std::min(within.value_or(left), left);
+  }
+  return within ? std::max(kLeast, *within) : milliseconds(0);
+}
+
 call_frame origin::FrameOf(const placed_call& call,
                            const target_entry& target,
                            time_point now) const {
   const auto waited =
       std::chrono::duration_cast<milliseconds>(now - call.call.received);
-  milliseconds start_within{0};
-  if (!call.organisation.empty() && options_.max_key_age > milliseconds(0)) {
-    const auto age = options_.proven_age();
-    start_within =
-        std::max(milliseconds(1),
-                 options_.max_key_age - age.value_or(options_.max_key_age));
-  }
   return {.target_id = target.id,
           .route = call.matched->name,
           .rank = call.rank,
@@ -241,7 +250,7 @@
           .remaining = TimeLeft(call.deadline, now),
           .objective_left = std::max(milliseconds(0),
                                      call.matched->latency_objective - waited),
-          .start_within = start_within,
+          .start_within = StartWithin(call, now),
           .caller_service = options_.service,
           .organisation = call.organisation,
           .request_id = call.call.id,
@@ -453,14 +462,14 @@
   FinishWithoutAnswer(id);
 }
 
-void origin::CancelSend(placed_call& call) {
+bool origin::CancelSend(placed_call& call) {
   ++call.generation;
   call.sending = false;
   if (call.link != nullptr) {
-    call.link->Cancel(call.number);
-  } else {
-    local_.Cancel(call.number);
+    return call.link->Cancel(call.number);
   }
+  local_.Cancel(call.number);
+  return false;
 }
 
 void origin::Abandon(call_id id) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -36,6 +36,9 @@
 class call_log;
 class executor;
 
+// When to come back where the daemon is stopping: others are there already.
+inline constexpr milliseconds kDrainingRetryAfter{100};
+
 struct origin_options {
   vm_id vm;
   std::string service;  // Of the target beside this daemon.
@@ -83,7 +86,7 @@
   std::uint64_t unknown = 0;
   std::uint64_t abandoned = 0;  // By their callers.
   std::uint64_t sent_again = 0;
-  std::uint64_t open_at_end = 0;  // When the process ended.
+  std::uint64_t ended_by_stop = 0;  // While their targets had not answered.
   // Among those not executed.
   std::uint64_t unauthenticated = 0;
   std::uint64_t keys_unconfirmed = 0;
@@ -124,9 +127,12 @@
   void AskProofs(const std::vector<std::string>& ips, std::size_t others);
   // Once a second.
   void Tick(time_point now);
-  // The process ends: the lines of the calls in progress are written, with what
-  // each waits for.
-  void LogOpen(time_point now);
+  // The daemon stops. Calls are sent only where they are expected to end by
+  // `answer_by`; EndOpen() is called then.
+  void SetEnd(time_point answer_by) { answer_by_ = answer_by; }
+  // Answers all calls in progress: not executed if nothing of them has left,
+  // else unknown. Their lines tell what each waited for.
+  void EndOpen();
 
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
   [[nodiscard]] const origin_counters& counters() const { return counters_; }
@@ -202,6 +208,10 @@
   void StartTimer(call_id id);
   [[nodiscard]] milliseconds TimeoutOf(const placed_call& call) const;
   [[nodiscard]] bool IsHopeless(const placed_call& call, time_point now);
+  // Bounds when the target has to begin; zero if only the deadline does.
+  [[nodiscard]] milliseconds StartWithin(const placed_call& call,
+                                         time_point now) const;
+  void LogOpen(call_id id, const placed_call& call, time_point now);
   // A search for a target behind the first.
   void TryAgain(call_id id);
   void Try(call_id id);
@@ -220,7 +230,8 @@
   void LookAgainIn(call_id id, milliseconds pause);
   void Finish(call_id id, relayed_result result);
   void FinishWithoutAnswer(call_id id);
-  void CancelSend(placed_call& call);
+  // True if nothing of the send had left this daemon.
+  bool CancelSend(placed_call& call);
   [[nodiscard]] relayed_result Failure(const placed_call& call) const;
 
   void UseTargets(time_point now);
@@ -258,6 +269,7 @@
       std::make_shared<std::uint64_t>(0);  // Of calls on all links.
   std::unordered_map<call_id, call_ptr> calls_;
   call_id next_id_ = 1;
+  time_point answer_by_ = time_point::max();  // Earlier while stopping.
   origin_counters counters_;
 };
 
--- a/src/forward/origin_stop.cc
+++ b/src/forward/origin_stop.cc
@@ -1,5 +1,6 @@
-// What the origin tells of its calls when the process ends.
+// How the origin ends its calls when the daemon stops.
 #include <string>
+#include <vector>
 
 #include "include/base/call_log.h"
 #include "src/forward/origin.h"
@@ -13,28 +14,44 @@
 
 }  // namespace
 
-void origin::LogOpen(time_point now) {
+void origin::EndOpen() {
+  std::vector<call_id> open;
+  open.reserve(calls_.size());
   for (const auto& [id, call] : calls_) {
-    ++counters_.open_at_end;
-    const auto heard =
-        call->link == nullptr ? std::nullopt : call->link->last_heard();
-    log_.Add(
-        id, call->call.id, "open_at_end",
-        {{.name = "sending", .value = call->sending ? "yes" : "no"},
-         {.name = "target", .value = call->target_id},
-         {.name = "link",
-          .value = call->link == nullptr ? "own"
-                                         : std::string(kLinkStateNames.Name(
-                                               call->link->state()))},
-         {.name = "silent_ms",
-          .value = heard ? Milliseconds(now - *heard) : "unknown"},
-         {.name = "sent_ms",
-          .value = call->sending ? Milliseconds(now - call->sent_at) : "none"},
-         {.name = "here_ms", .value = Milliseconds(now - call->call.received)},
-         {.name = "left_ms",
-          .value = Milliseconds(TimeLeft(call->deadline, now))}});
-    log_.End(id, call->call.id, true);
+    open.push_back(id);
   }
+  const time_point now = monotonic_clock::now();
+  for (const call_id id : open) {
+    placed_call& call = *calls_.at(id);
+    ++counters_.ended_by_stop;
+    LogOpen(id, call, now);
+    if (call.sending && !CancelSend(call)) {
+      call.may_have_run = true;
+    }
+    call.why = reason::kDraining;
+    call.retry_after = kDrainingRetryAfter;
+    FinishWithoutAnswer(id);
+  }
+}
+
+void origin::LogOpen(call_id id, const placed_call& call, time_point now) {
+  const auto heard =
+      call.link == nullptr ? std::nullopt : call.link->last_heard();
+  log_.Add(
+      id, call.call.id, "ended_by_stop",
+      {{.name = "sending", .value = call.sending ? "yes" : "no"},
+       {.name = "target", .value = call.target_id},
+       {.name = "link",
+        .value = call.link == nullptr
+                     ? "own"
+                     : std::string(kLinkStateNames.Name(call.link->state()))},
+       {.name = "silent_ms",
+        .value = heard ? Milliseconds(now - *heard) : "unknown"},
+       {.name = "sent_ms",
+        .value = call.sending ? Milliseconds(now - call.sent_at) : "none"},
+       {.name = "here_ms", .value = Milliseconds(now - call.call.received)},
+       {.name = "left_ms",
+        .value = Milliseconds(TimeLeft(call.deadline, now))}});
 }
 
 }  // namespace pistachioweir
--- a/src/forward/stop_plan.h
+++ b/src/forward/stop_plan.h
@@ -42,6 +42,8 @@
   static constexpr milliseconds kTakesAll{2500};
   // Left for ending itself before the kill.
   static constexpr milliseconds kReserve{400};
+  // Before the end, for the answers of what could not be finished to go out.
+  static constexpr milliseconds kAnswerReserve{100};
   // What requests took lately is taken for at least this: of short ones, some
   // are held up by a connection that is lost on the way (400 ms).
   static constexpr milliseconds kLeastLongest{400};
@@ -54,6 +56,12 @@
     last_call_ = now;
   }
 
+  // When requests in progress are answered as they are: from then on an answer
+  // of their target comes too late. Only while stopping.
+  [[nodiscard]] time_point answer_by() const {
+    return until_ - std::min<duration>(kAnswerReserve, (until_ - since_) / 4);
+  }
+
   // Call often while stopping.
   void Note(const stop_progress& progress, time_point now) {
     if (progress.requests_read != progress_.requests_read) {
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -99,17 +99,20 @@
   current_->Send(Encode(record.call));
 }
 
-void peer_link::Cancel(std::uint64_t number) {
+bool peer_link::Cancel(std::uint64_t number) {
   const auto found = calls_.find(number);
   if (found == calls_.end()) {
-    return;
+    return false;
   }
-  const bool sent = found->second.sent_to == receiver_ &&
-                    receiver_ != incarnation_id{} && current_ != nullptr;
+  const incarnation_id sent_to = found->second.sent_to;
   calls_.erase(found);
-  if (sent) {
+  if (sent_to == incarnation_id{}) {
+    return true;
+  }
+  if (sent_to == receiver_ && current_ != nullptr) {
     current_->Send(EncodeNumbered(frame_kind::kCancel, number));
   }
+  return false;
 }
 
 void peer_link::SendSuspects(const suspects_frame& suspects) {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -103,8 +103,9 @@
   // Sends the call and calls `done` once, later. Returns its number, which the
   // link fills in.
   std::uint64_t Send(call_frame call, callback done);
-  // The caller has gone: `done` is not called any more.
-  void Cancel(std::uint64_t number);
+  // The caller has gone: `done` is not called any more. True if nothing of the
+  // call had been sent.
+  bool Cancel(std::uint64_t number);
   void SendSuspects(const suspects_frame& suspects);
   // Tells what was used of quotas; connects if need be, for the next time.
   void SendUsage(const usage_frame& usage);
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -461,6 +462,62 @@
   EXPECT_TRUE(second.answers.empty());
 }
 
+// Guards against requests that the end of a planned stop cuts.
+TEST_F(forward_path_test, WhatAStopCannotAwaitIsAnswered) {
+  path_.Configure();
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "body");
+  ASSERT_TRUE(
+      path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
+  path_.server.Drain();
+  path_.callers.EndOpen();
+  const read_response answer = client.Next();
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_FALSE(answer.keep_alive);
+  EXPECT_EQ(path_.callers.counters().ended_by_stop, 1U);
+  EXPECT_EQ(path_.server.state().open_requests, 0U);
+}
+
+// Guards against a queue in which requests wait past the end of the process.
+TEST_F(forward_path_test, AStoppingDaemonQueuesNothingPastItsEnd) {
+  path_.Configure();
+  path_.calls.SetSlots(1);
+  caller first(path_);
+  first.Request("POST", "/sign/1", "id-1", "body");
+  ASSERT_TRUE(
+      path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
+  path_.callers.SetEnd(monotonic_clock::now() + milliseconds(100));
+  caller second(path_);
+  second.Request("POST", "/sign/2", "id-2", "body");
+  EXPECT_EQ(second.Next().status, 503);
+  EXPECT_EQ(path_.target.requests.size(), 1U);
+}
+
+// Guards against a queued call that is told as unknown though it never ran.
+TEST_F(forward_path_test, AnEndingExecutorTellsWhatHasNotBegun) {
+  path_.Configure();
+  path_.calls.SetSlots(1);
+  std::vector<answer_frame> told;
+  for (const std::string id : {"id-1", "id-2"}) {
+    path_.calls.Serve(
+        {.target_id = "target-1",
+         .route = "sign",
+         .remaining = milliseconds(2000),
+         .objective_left = milliseconds(1000),
+         .request_id = id,
+         .request = {.verb = "POST", .target = "/sign/" + id}},
+        [&](answer_frame answer) { told.push_back(std::move(answer)); });
+  }
+  ASSERT_TRUE(
+      path_.RunUntil([&] { return path_.target.requests.size() == 1; }));
+  path_.calls.EndOpen();
+  ASSERT_EQ(told.size(), 2U);
+  std::ranges::sort(told, {}, &answer_frame::reached_target);
+  EXPECT_EQ(told[0].kind, outcome_kind::kNotExecuted);
+  EXPECT_EQ(told[0].why, reason::kDraining);
+  EXPECT_EQ(told[1].kind, outcome_kind::kUnknown);
+}
+
 TEST_F(forward_path_test, AnswersNonsenseWithAClearRefusal) {
   path_.Configure();
   AnswerAll();
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -146,5 +146,22 @@
   EXPECT_EQ(*told, outcome_kind::kCompleted);
 }
 
+// Guards against a request that is told as unknown though it has not left.
+TEST_F(origin_links_test, WhatHasNotLeftIsToldAsNotExecutedAtTheEnd) {
+  const auto silent = Listen(context_, {.ip = kFarIp, .port = port_});
+  std::optional<relayed_result> told;
+  calls_.Submit({.id = "id",
+                 .host = "a.example",
+                 .request = {.verb = "GET", .target = "/look"},
+                 .received = monotonic_clock::now()},
+                [&](relayed_result result) { told = std::move(result); });
+  context_.poll();
+  calls_.EndOpen();
+  ASSERT_TRUE(told.has_value());
+  EXPECT_EQ(told->kind, outcome_kind::kNotExecuted);
+  EXPECT_EQ(told->why, reason::kDraining);
+  EXPECT_GT(told->retry_after, milliseconds(0));
+}
+
 }  // namespace
 }  // namespace pistachioweir
--- a/tests/stop_plan_test.cc
+++ b/tests/stop_plan_test.cc
@@ -141,5 +141,16 @@
   EXPECT_TRUE(plan.IsOver(progress, kStart + milliseconds(4300)));
 }
 
+// Guards against answers that are due when the process has ended.
+TEST(StopPlanTest, AnswersBeforeItEnds) {
+  for (const milliseconds timeout : {milliseconds(200), kTimeout}) {
+    stop_plan plan;
+    plan.Begin(kStart, timeout);
+    EXPECT_GT(plan.answer_by(), kStart);
+    EXPECT_FALSE(plan.IsOver({.open_requests = 1}, plan.answer_by()));
+    EXPECT_TRUE(plan.IsOver({.open_requests = 1}, kStart + timeout));
+  }
+}
+
 }  // namespace
 }  // namespace pistachioweir
