How late a stopping daemon takes requests follows from what they need

Cause: a stopping daemon closes when twice what requests took lately is left of its time, measured from their arrival to their answer. A request that waits for a lost connection takes seconds. Evidence: executor_refused why=draining running=0 queued=0 behind closing longest_ms=2184 to 3000, itself behind timed_out sending=yes over a link out of reach; run_ended says 10 to 120 ms. Ruled out: a full target and a wrong view, from the same lines.

Now a request's need is what the daemons beside targets say of it, its time in queues and at targets. A send without an answer counts if its connection is well, since the target is slow then. The time to write answers is measured apart. Calls of other daemons are taken as late as callers' requests: they ask for none of this daemon's connections.

Tests: TimeLostOnTheWayIsNotWhatRequestsNeed fails with the wall time (2 s in place of 0); TimeAtATargetIsWhatRequestsNeed guards the other side.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -37,7 +37,7 @@
         state_(std::make_shared<caller_port_state>(
             caller_port_state{.calls = calls,
                               .max_held_bytes = options.max_held_bytes,
-                              .longest = recent_maximum()})) {
+                              .longest_write = recent_maximum()})) {
     Accept();
   }
 
@@ -61,9 +61,9 @@
     acceptor_.close(ignored);
   }
 
-  // Most that a request took lately, until its answer was written.
-  [[nodiscard]] duration Longest(time_point now) {
-    return state_->longest.Get(now).value_or(duration(0));
+  // Most that an answer took lately to be written.
+  [[nodiscard]] duration LongestWrite(time_point now) {
+    return state_->longest_write.Get(now).value_or(duration(0));
   }
 
   // Takes no more connections and ends those that are idle.
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -42,9 +42,9 @@
   std::size_t open_requests = 0;
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
-  recent_maximum longest;  // Of what requests took.
-  bool draining = false;   // Each connection ends behind its next answer.
-  bool refusing = false;   // Requests are refused, nothing of them runs.
+  recent_maximum longest_write;  // Of answers.
+  bool draining = false;         // Each connection ends behind its next answer.
+  bool refusing = false;         // Requests are refused, nothing of them runs.
 };
 
 // Requests of one connection that are served at the same time. More wait in the
@@ -96,7 +96,6 @@
   // One request, from its head to its answer.
   struct exchange {
     origin::call_id call = 0;
-    time_point begun;
     std::size_t held = 0;  // Bytes counted in held_bytes.
     bool safe = false;     // Further requests may be served meanwhile.
     bool answered = false;
@@ -204,7 +203,6 @@
     begun->safe = IsSafe(request);
     begun->close = !request.keep_alive;
     begun->held = request.body.size();
-    begun->begun = monotonic_clock::now();
     last_request_ = begun->close;
     exchanges_.push_back(begun);
     ++state_->requests;
@@ -297,6 +295,7 @@
     }
     writing_ = true;
     NoteProgress();
+    write_begun_ = last_progress_;
     const exchange_ptr& front = exchanges_.front();
     const std::array<boost::asio::const_buffer, 2> parts{
         boost::asio::buffer(front->head), boost::asio::buffer(front->body)};
@@ -317,6 +316,7 @@
       return;
     }
     NoteProgress();
+    state_->longest_write.Add(last_progress_ - write_begun_, last_progress_);
     exchanges_.pop_front();
     Release(*written);
     if (written->close) {
@@ -331,18 +331,10 @@
     if (ended.held != kReleased) {
       state_->held_bytes -= ended.held;
       --state_->open_requests;
-      NoteDuration(ended);
       ended.held = kReleased;
     }
   }
 
-  void NoteDuration(const exchange& ended) {
-    if (ended.begun != time_point()) {
-      const time_point now = monotonic_clock::now();
-      state_->longest.Add(now - ended.begun, now);
-    }
-  }
-
   // The answer must reach the caller although it may have sent more: closing a
   // socket with unread bytes resets it, and the reset overtakes the answer.
   void CloseGracefully() {
@@ -462,6 +454,7 @@
   std::optional<read_request> waiting_;
   std::deque<exchange_ptr> exchanges_;  // In the order of the requests.
   time_point last_progress_;
+  time_point write_begun_;  // Of the last answer.
   time_point head_begun_;
   bool reading_ = false;
   bool writing_ = false;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -393,7 +393,8 @@
         .calls_read = peers_.calls_read(),
         .open_requests = callers_.state().open_requests,
         .runs = executor_.in_progress(),
-        .longest = std::max(callers_.Longest(now), executor_.Longest(now))};
+        .longest = std::max(origin_.Longest(now) + callers_.LongestWrite(now),
+                            executor_.Longest(now))};
     if (stop_plan_.IsOver(progress, now)) {
       Stop();
       return;
@@ -404,9 +405,9 @@
     if (!stop_plan_.IsOpen(now) && !std::exchange(closing_, true)) {
       LogClosing(progress);
       callers_.StopListening();
-      executor_.Drain();
     }
     if (!stop_plan_.TakesNew(now) && !std::exchange(refusing_, true)) {
+      executor_.Drain();
       callers_.RefuseNew();
     }
     stop_.expires_after(kStopPollInterval);
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -319,6 +319,9 @@
       options_.on_stale_target();
     }
   }
+  if (answer.heard) {
+    call.needed += answer.answer.queued + answer.answer.served;
+  }
   if (NobodyThere(answer)) {
     ++call.placing.tried.gone;
   }
@@ -450,18 +453,25 @@
            {{.name = "sending", .value = call->sending ? "yes" : "no"},
             {.name = "target", .value = call->target_id}});
   if (call->sending) {
+    const time_point now = monotonic_clock::now();
+    NoteWait(*call, now);
     CancelSend(*call);
     call->may_have_run = true;
     StateOf(call->service)
         .targets.Finish(call->target, call->placing.method,
-                        call_result::kTimedOut,
-                        monotonic_clock::now() - call->sent_at, nullptr,
-                        monotonic_clock::now());
+                        call_result::kTimedOut, now - call->sent_at, nullptr,
+                        now);
   }
   call->why = reason::kTimeout;
   FinishWithoutAnswer(id);
 }
 
+void origin::NoteWait(placed_call& call, time_point now) {
+  if (call.link == nullptr || call.link->IsWell(now)) {
+    call.needed += now - call.sent_at;
+  }
+}
+
 bool origin::CancelSend(placed_call& call) {
   ++call.generation;
   call.sending = false;
@@ -481,13 +491,15 @@
   ++counters_.abandoned;
   log_.Add(id, call->call.id, "caller_gone",
            {{.name = "target", .value = call->target_id}});
+  const time_point now = monotonic_clock::now();
   if (call->sending) {
+    NoteWait(*call, now);
     CancelSend(*call);
     StateOf(call->service)
         .targets.Finish(call->target, call->placing.method,
-                        call_result::kCancelled, duration(0), nullptr,
-                        monotonic_clock::now());
+                        call_result::kCancelled, duration(0), nullptr, now);
   }
+  longest_.Add(call->needed, now);
   log_.End(id, call->call.id, true);
   calls_.erase(found);
 }
@@ -517,19 +529,21 @@
   calls_.erase(found);
   call->timer.cancel();
   call->pause.cancel();
+  const time_point now = monotonic_clock::now();
+  longest_.Add(call->needed, now);
   if (call->charged && result.kind == outcome_kind::kNotExecuted) {
     options_.give_back(*call->charged);
   }
   if (call->by_target) {
     local_.NoteCallOfTarget(result.kind != outcome_kind::kCompleted ||
                                 IsServerError(result.response.status),
-                            monotonic_clock::now());
+                            now);
   }
   ++(result.kind == outcome_kind::kCompleted     ? counters_.completed
      : result.kind == outcome_kind::kNotExecuted ? counters_.not_executed
                                                  : counters_.unknown);
-  const auto took = std::chrono::duration_cast<milliseconds>(
-      monotonic_clock::now() - call->call.received);
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(now - call->call.received);
   log_.Add(
       id, call->call.id, "answered",
       {{.name = "outcome",
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "include/base/ids.h"
+#include "include/base/recent_extreme.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/forward/lapsed_targets.h"
@@ -133,6 +134,11 @@
   // Answers all calls in progress: not executed if nothing of them has left,
   // else unknown. Their lines tell what each waited for.
   void EndOpen();
+  // Most that a request needed lately, in queues and at targets. What the way
+  // to another daemon took says nothing about the next request's.
+  [[nodiscard]] duration Longest(time_point now) {
+    return longest_.Get(now).value_or(duration(0));
+  }
 
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
   [[nodiscard]] const origin_counters& counters() const { return counters_; }
@@ -182,6 +188,8 @@
     bool sending = false;
     std::uint32_t generation = 0;  // Of sends; late answers have an old one.
 
+    duration needed{
+        0};  // In queues and at targets, by answers that were heard.
     std::uint32_t reached = 0;  // Sends that reached a target.
     bool may_have_run = false;
     bool by_target = false;    // Made by the target beside this daemon.
@@ -230,6 +238,8 @@
   void LookAgainIn(call_id id, milliseconds pause);
   void Finish(call_id id, relayed_result result);
   void FinishWithoutAnswer(call_id id);
+  // A send has no answer by now. Its target is slow if the way there is well.
+  static void NoteWait(placed_call& call, time_point now);
   // True if nothing of the send had left this daemon.
   bool CancelSend(placed_call& call);
   [[nodiscard]] relayed_result Failure(const placed_call& call) const;
@@ -270,6 +280,7 @@
   std::unordered_map<call_id, call_ptr> calls_;
   call_id next_id_ = 1;
   time_point answer_by_ = time_point::max();  // Earlier while stopping.
+  recent_maximum longest_;                    // Of what requests needed.
   origin_counters counters_;
 };
 
--- a/src/forward/stop_plan.h
+++ b/src/forward/stop_plan.h
@@ -16,7 +16,8 @@
   std::uint64_t calls_read = 0;     // Of other daemons, since the start.
   std::size_t open_requests = 0;    // Of callers, not answered yet.
   std::size_t runs = 0;             // At the target.
-  // Most that a request or a run took lately.
+  // Most that a request or a run needed lately, apart from what connections
+  // that were lost on the way cost it.
   duration longest{0};
 };
 
@@ -75,12 +76,13 @@
 
   [[nodiscard]] bool stopping() const { return stopping_; }
 
-  // Whether requests on open connections are still served.
+  // Whether requests on open connections and calls of other daemons are still
+  // served.
   [[nodiscard]] bool TakesNew(time_point now) const {
     return !stopping_ || now < LastMoment(1);
   }
 
-  // Whether new connections and calls of other daemons are still taken.
+  // Whether new connections are still taken.
   [[nodiscard]] bool IsOpen(time_point now) const {
     return !stopping_ || now < LastMoment(2);
   }
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -52,6 +52,11 @@
   return trying ? link_state::kConnecting : link_state::kDown;
 }
 
+bool peer_link::IsWell(time_point now) const {
+  return current_ != nullptr && (last_asked_ <= current_->last_heard() ||
+                                 now - last_asked_ < options_.silence);
+}
+
 std::optional<time_point> peer_link::last_heard() const {
   return current_ == nullptr ? std::nullopt
                              : std::optional(current_->last_heard());
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -129,6 +129,8 @@
   // False once the peer was found to be out of reach, until it answers again.
   [[nodiscard]] bool reachable() const { return reachable_; }
   [[nodiscard]] bool follows() const { return follows_; }
+  // Whether there is a connection, and the peer has answered what was asked.
+  [[nodiscard]] bool IsWell(time_point now) const;
   // Since when nothing came from the peer; nothing without a connection.
   [[nodiscard]] std::optional<time_point> last_heard() const;
   // Whether a call was ever sent.
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -24,7 +24,7 @@
 
 const std::string kFarIp = "127.0.0.9";
 
-// A daemon whose target answers each run as soon as it has begun.
+// A daemon whose target answers each run as soon as it has begun, or never.
 class far_daemon {
  public:
   far_daemon(boost::asio::io_context& context, std::uint16_t port)
@@ -33,12 +33,15 @@
             [this, &context](const target_run&,
                              const std::function<void(run_result)>& done) {
               ++runs;
+              if (!answers) {
+                return std::function<void()>([] {});
+              }
               boost::asio::post(context, [done] {
                 run_result result{.end = run_end::kAnswered};
                 result.response = {.status = 200};
                 done(std::move(result));
               });
-              return [] {};
+              return std::function<void()>([] {});
             },
             log),
         server(context,
@@ -50,6 +53,7 @@
 
   call_log log{{}};
   int runs = 0;
+  bool answers = true;
   executor calls;
   peer_server server;
 };
@@ -105,6 +109,22 @@
     return told.value_or(outcome_kind::kUnknown);
   }
 
+  // One that a target begins and never answers; `meanwhile` happens in between.
+  outcome_kind AskInVain(far_daemon* far,
+                         const std::function<void()>& meanwhile) {
+    far->answers = false;
+    std::optional<outcome_kind> told;
+    calls_.Submit({.id = "id",
+                   .host = "a.example",
+                   .request = {.verb = "POST", .target = "/sign"},
+                   .received = monotonic_clock::now()},
+                  [&](const relayed_result& result) { told = result.kind; });
+    EXPECT_TRUE(RunUntil(context_, [&] { return far->runs == 1; }));
+    meanwhile();
+    EXPECT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
+    return told.value_or(outcome_kind::kCompleted);
+  }
+
   boost::asio::io_context context_;
   const std::uint16_t port_;
   call_log log_{{}};
@@ -163,5 +183,19 @@
   EXPECT_GT(told->retry_after, milliseconds(0));
 }
 
+// Guards against a stop that closes early because a connection was lost.
+TEST_F(origin_links_test, TimeLostOnTheWayIsNotWhatRequestsNeed) {
+  auto far = std::make_unique<far_daemon>(context_, port_);
+  EXPECT_EQ(AskInVain(far.get(), [&] { far.reset(); }), outcome_kind::kUnknown);
+  EXPECT_EQ(calls_.Longest(monotonic_clock::now()), duration(0));
+}
+
+// Guards against a stop that closes too late for a slow target.
+TEST_F(origin_links_test, TimeAtATargetIsWhatRequestsNeed) {
+  far_daemon far(context_, port_);
+  EXPECT_EQ(AskInVain(&far, [] {}), outcome_kind::kUnknown);
+  EXPECT_GT(calls_.Longest(monotonic_clock::now()), milliseconds(1500));
+}
+
 }  // namespace
 }  // namespace pistachioweir
