Only what answers a daemon says that its peer hears it

Cause: a way that is cut in one direction only. A connection was doubted when nothing had come since the last ping, and heartbeats, which are sent four times a second unasked, came in the frame of a pong; answers to earlier calls counted too. Evidence: no executor_received at the peer, link=up at the end, no peer_connection_lost in between. Ruled out: a lost answer; the peer has no line of these requests.

Now a pong, a welcome or an answer proves that the peer hears, up to the moment at which the newest of what it answers was sent. Heartbeats get a frame kind of their own (protocol version 6). While calls wait, a ping is due after 250 ms without such a proof. A peer that is heard meanwhile may just be busy and has twice the time for its pong.

HeartbeatsDontHideThatThePeerHearsNothing ends without an answer after 20 s when pings are due by silence alone, and passes now.

--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -114,12 +114,12 @@
       .Finish(frame_kind::kAnswer);
 }
 
-std::string Encode(const pong_frame& frame) {
+std::string Encode(const pong_frame& frame, frame_kind kind) {
   return frame_writer(kPongFields)
       .Put(frame.leaving)
       .Put(frame.load)
       .Put(frame.report)
-      .Finish(frame_kind::kPong);
+      .Finish(kind);
 }
 
 std::string Encode(const proof_frame& frame) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -31,7 +31,8 @@
   kCancel,      // The caller of an attempt has gone.
   kAsk,         // What became of an attempt that was sent before?
   kPing,        // Is this connection alive?
-  kPong,        // It is; with the load of the target.
+  kPong,        // It is; with the load of the target. Also an answer to kAsk
+                // of an attempt in progress, and to kFollow.
   kLeaving,     // The receiver of calls is stopping: send it no new ones.
   kSuspects,    // Requests that may have crashed a target.
   kAskChanges,  // What has changed in the store that I don't know?
@@ -42,15 +43,16 @@
   kProof,       // That new.
   kUsage,       // What was let in here of organisations' quotas.
   kQuota,       // The answer: what is left of them.
+  kHeartbeat,   // As kPong, but sent unasked: says nothing of the way there.
 };
 
-inline constexpr enum_table<frame_kind, 18> kFrameKindNames(
+inline constexpr enum_table<frame_kind, 19> kFrameKindNames(
     {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
      "leaving", "suspects", "ask_changes", "changes", "follow", "unfollow",
-     "ask_proof", "proof", "usage", "quota"});
+     "ask_proof", "proof", "usage", "quota", "heartbeat"});
 
 // Frames of another version are refused: the connection ends.
-inline constexpr std::uint32_t kPeerProtocolVersion = 5;
+inline constexpr std::uint32_t kPeerProtocolVersion = 6;
 inline constexpr std::size_t kFrameHeadBytes = 5;
 
 // What a daemon says of its view, on frames that flow anyway.
@@ -144,7 +146,9 @@
 [[nodiscard]] std::string Encode(const welcome_frame& frame);
 [[nodiscard]] std::string Encode(const call_frame& frame);
 [[nodiscard]] std::string Encode(const answer_frame& frame);
-[[nodiscard]] std::string Encode(const pong_frame& frame);
+// As kPong or kHeartbeat.
+[[nodiscard]] std::string Encode(const pong_frame& frame,
+                                 frame_kind kind = frame_kind::kPong);
 [[nodiscard]] std::string Encode(const proof_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -24,6 +24,9 @@
 // An idle connection is tried this often, so that one that has gone silent is
 // found before a call is sent into it.
 constexpr milliseconds kIdleInterval{1000};
+// While calls wait for answers, the peer has to confirm this often that it
+// hears what is sent.
+constexpr milliseconds kConfirmInterval{250};
 // Between attempts to reach a peer.
 constexpr milliseconds kRetryInterval{100};
 
@@ -53,8 +56,8 @@
 }
 
 bool peer_link::IsWell(time_point now) const {
-  return current_ != nullptr && (last_asked_ <= current_->last_heard() ||
-                                 now - last_asked_ < options_.silence);
+  return current_ != nullptr &&
+         (last_asked_ <= last_replied_ || now - last_asked_ < options_.silence);
 }
 
 std::optional<time_point> peer_link::last_heard() const {
@@ -101,6 +104,7 @@
   }
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
+  record.sent_at = now;
   current_->Send(Encode(record.call));
 }
 
@@ -298,7 +302,11 @@
       }
       break;
     case frame_kind::kPong:
+    case frame_kind::kHeartbeat:
       if (const auto pong = DecodePong(frame.payload)) {
+        if (frame.kind == frame_kind::kPong && stream == current_) {
+          last_replied_ = monotonic_clock::now();
+        }
         events_.on_load(pong->load);
         events_.on_report(pong->report);
         return;
@@ -386,6 +394,7 @@
     current_->Close();
   }
   current_ = std::exchange(candidate_, nullptr);
+  last_replied_ = monotonic_clock::now();
   SetReachable(true, "welcome");
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
@@ -406,16 +415,20 @@
 void peer_link::Resume(incarnation_id receiver) {
   const incarnation_id before = std::exchange(receiver_, receiver);
   std::vector<std::uint64_t> lost;
+  bool asks = false;
   for (auto& [number, record] : calls_) {
     if (record.sent_to == incarnation_id{}) {
       Write(record);
     } else if (record.sent_to == receiver) {
-      last_asked_ = monotonic_clock::now();
       current_->Send(EncodeNumbered(frame_kind::kAsk, number));
+      asks = true;
     } else {
       lost.push_back(number);
     }
   }
+  if (asks) {
+    Ping();
+  }
   if (before != incarnation_id{} && before != receiver) {
     LogEvent("peer_restarted",
              {{.name = "peer", .value = ToString(options_.address)},
@@ -433,6 +446,7 @@
     return;  // Cancelled, or a second answer after the call was asked for.
   }
   const callback done = std::move(found->second.done);
+  last_replied_ = std::max(last_replied_, found->second.sent_at);
   calls_.erase(found);
   done({.answer = std::move(answer), .heard = true});
 }
@@ -532,6 +546,21 @@
   });
 }
 
+// What the peer sends by itself says that it can be heard, not that it hears.
+bool peer_link::NeedsPing(time_point now) const {
+  const duration quiet = now - current_->last_heard();
+  if (calls_.empty()) {
+    return quiet >= kIdleInterval;
+  }
+  return quiet >= options_.silence / 2 ||
+         now - last_replied_ >= kConfirmInterval;
+}
+
+void peer_link::Ping() {
+  last_asked_ = monotonic_clock::now();
+  current_->Send(EncodeEmpty(frame_kind::kPing));
+}
+
 void peer_link::OnTimer() {
   const time_point now = monotonic_clock::now();
   if (current_ == nullptr) {
@@ -549,9 +578,12 @@
   }
   // The time is judged from when something was asked: a connection that nobody
   // used may have been quiet for long and still be well.
-  const time_point heard = current_->last_heard();
-  const bool waits = last_asked_ > heard;
-  if (waits && now - last_asked_ >= options_.silence) {
+  const bool waits = last_asked_ > last_replied_;
+  // A peer that is heard meanwhile may be busy.
+  const milliseconds patience = current_->last_heard() > last_asked_
+                                    ? 2 * options_.silence
+                                    : options_.silence;
+  if (waits && now - last_asked_ >= patience) {
     if (connecting_ == nullptr && candidate_ == nullptr) {
       Connect();
     }
@@ -561,11 +593,8 @@
       current_ = nullptr;
       SetReachable(false, "silent");
     }
-  } else if (!waits &&
-             (now - heard >= kIdleInterval ||
-              (!calls_.empty() && now - heard >= options_.silence / 2))) {
-    last_asked_ = now;
-    current_->Send(EncodeEmpty(frame_kind::kPing));
+  } else if (!waits && NeedsPing(now)) {
+    Ping();
   }
   ArmTimer();
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -146,6 +146,7 @@
     callback done;
     // The peer's incarnation that it was sent to; zero if it wasn't.
     incarnation_id sent_to{};
+    time_point sent_at;
   };
 
   void Connect();
@@ -160,6 +161,8 @@
   void OnStreamEnd(const stream_ptr& stream, std::string_view why);
   void OnBroken(const stream_ptr& stream, frame_kind kind);
   void Resume(incarnation_id receiver);
+  [[nodiscard]] bool NeedsPing(time_point now) const;
+  void Ping();
   void Write(call_record& record);
   void EndCall(std::uint64_t number, outcome_kind kind, reason why);
   void GiveUpMovable();
@@ -180,8 +183,10 @@
   socket_ptr connecting_;
   std::uint64_t connect_attempt_ = 0;
   incarnation_id receiver_{};  // Of the last welcome.
-  time_point last_asked_;      // When something was sent that is answered at
-                               // once.
+  time_point last_asked_;      // When a ping was sent.
+  // The peer has heard what was sent then: the last pong, welcome or answered
+  // call.
+  time_point last_replied_;
   time_point last_used_;
   // Questions for a proof that have no answer yet, the oldest first.
   std::deque<std::pair<std::uint64_t, boot_time>> proofs_asked_;
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -446,7 +446,8 @@
       continue;
     }
     if (pong == nullptr) {
-      pong = std::make_shared<const std::string>(Encode(Pong()));
+      pong = std::make_shared<const std::string>(
+          Encode(Pong(), frame_kind::kHeartbeat));
     }
     to->Send(pong);
   }
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -132,6 +132,20 @@
     }
   }
 
+  // Likewise, but only for what the link sends.
+  void SilenceCalls() {
+    for (const auto& pair : pairs_) {
+      pair->silent_there = true;
+    }
+  }
+
+  // Everything is passed on again.
+  void Restore() {
+    for (const auto& pair : pairs_) {
+      pair->silent = pair->silent_there = pair->silent_back = false;
+    }
+  }
+
   void ResetOpen() {
     for (const auto& pair : pairs_) {
       pair->Close();
@@ -162,7 +176,8 @@
               }
               return;
             }
-            if (!self->silent && !(back && self->silent_back)) {
+            if (!self->silent &&
+                !(back ? self->silent_back : self->silent_there)) {
               boost::system::error_code ignored;
               boost::asio::write(to, boost::asio::buffer(*buffer, bytes),
                                  ignored);
@@ -174,6 +189,7 @@
     tcp::socket left;
     tcp::socket right;
     bool silent = false;
+    bool silent_there = false;
     bool silent_back = false;
   };
 
@@ -342,6 +358,22 @@
   EXPECT_EQ(far.runs.size(), 1U);
 }
 
+// Guards against a peer that is taken for well since it goes on to tell of
+// itself, though it hears nothing.
+TEST_F(peer_link_test, HeartbeatsDontHideThatThePeerHearsNothing) {
+  receiver far(context_, incarnation_id{9}, 0);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address())->Follow();
+  ASSERT_TRUE(RunUntil([&] { return far.server.followers() == 1; }));
+  proxy.SilenceCalls();
+  Send("a");
+  ASSERT_TRUE(RunUntil([&] {
+    far.server.Heartbeat();
+    return Answered("a");
+  }));
+  EXPECT_EQ(AnswerTo("a").answer.kind, outcome_kind::kNotExecuted);
+}
+
 // The call vanishes in a connection that went silent before. The peer doesn't
 // know it and says so; it must then not run, even if its bytes arrive later.
 TEST_F(peer_link_test, ACallThatNeverArrivedIsToldAsNotExecuted) {
