A peer that is heard may confirm late

New connections under load are more load.

Now silence is judged as it always was, and beside it a peer that sends but has confirmed nothing for a second counts as deaf.

--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -27,6 +27,9 @@
 // While calls wait for answers, the peer has to confirm this often that it
 // hears what is sent.
 constexpr milliseconds kConfirmInterval{250};
+// A peer that sends but has confirmed nothing for this long hears nothing. Much
+// longer than a busy one takes: new connections would keep it busier.
+constexpr milliseconds kDeafInterval{1000};
 // Between attempts to reach a peer.
 constexpr milliseconds kRetryInterval{100};
 
@@ -55,9 +58,18 @@
   return trying ? link_state::kConnecting : link_state::kDown;
 }
 
+time_point peer_link::DoubtedSince() const {
+  const time_point silent = last_asked_ > current_->last_heard()
+                                ? last_asked_ + options_.silence
+                                : time_point::max();
+  const time_point deaf = unconfirmed_since_ == time_point::max()
+                              ? time_point::max()
+                              : unconfirmed_since_ + kDeafInterval;
+  return std::min(silent, deaf);
+}
+
 bool peer_link::IsWell(time_point now) const {
-  return current_ != nullptr &&
-         (last_asked_ <= last_replied_ || now - last_asked_ < options_.silence);
+  return current_ != nullptr && now < DoubtedSince();
 }
 
 std::optional<time_point> peer_link::last_heard() const {
@@ -305,7 +317,7 @@
     case frame_kind::kHeartbeat:
       if (const auto pong = DecodePong(frame.payload)) {
         if (frame.kind == frame_kind::kPong && stream == current_) {
-          last_replied_ = monotonic_clock::now();
+          Confirm(monotonic_clock::now());
         }
         events_.on_load(pong->load);
         events_.on_report(pong->report);
@@ -394,7 +406,7 @@
     current_->Close();
   }
   current_ = std::exchange(candidate_, nullptr);
-  last_replied_ = monotonic_clock::now();
+  Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
@@ -446,7 +458,7 @@
     return;  // Cancelled, or a second answer after the call was asked for.
   }
   const callback done = std::move(found->second.done);
-  last_replied_ = std::max(last_replied_, found->second.sent_at);
+  Confirm(found->second.sent_at);
   calls_.erase(found);
   done({.answer = std::move(answer), .heard = true});
 }
@@ -546,21 +558,33 @@
   });
 }
 
-// What the peer sends by itself says that it can be heard, not that it hears.
 bool peer_link::NeedsPing(time_point now) const {
-  const duration quiet = now - current_->last_heard();
+  const time_point heard = current_->last_heard();
+  if (last_asked_ > heard) {
+    return false;
+  }
   if (calls_.empty()) {
-    return quiet >= kIdleInterval;
+    return now - heard >= kIdleInterval;
   }
-  return quiet >= options_.silence / 2 ||
-         now - last_replied_ >= kConfirmInterval;
+  return now - heard >= options_.silence / 2 ||
+         now - std::max(confirmed_, last_asked_) >= kConfirmInterval;
 }
 
 void peer_link::Ping() {
   last_asked_ = monotonic_clock::now();
+  unconfirmed_since_ = std::min(unconfirmed_since_, last_asked_);
   current_->Send(EncodeEmpty(frame_kind::kPing));
 }
 
+// The peer has heard what was sent until then. What it sends by itself says
+// only that it can be heard.
+void peer_link::Confirm(time_point until) {
+  confirmed_ = std::max(confirmed_, until);
+  if (confirmed_ >= unconfirmed_since_) {
+    unconfirmed_since_ = time_point::max();
+  }
+}
+
 void peer_link::OnTimer() {
   const time_point now = monotonic_clock::now();
   if (current_ == nullptr) {
@@ -578,22 +602,17 @@
   }
   // The time is judged from when something was asked: a connection that nobody
   // used may have been quiet for long and still be well.
-  const bool waits = last_asked_ > last_replied_;
-  // A peer that is heard meanwhile may be busy.
-  const milliseconds patience = current_->last_heard() > last_asked_
-                                    ? 2 * options_.silence
-                                    : options_.silence;
-  if (waits && now - last_asked_ >= patience) {
+  if (!IsWell(now)) {
     if (connecting_ == nullptr && candidate_ == nullptr) {
       Connect();
     }
-    if (now - last_asked_ >= options_.silence + options_.patience) {
+    if (now - DoubtedSince() >= options_.patience) {
       // Nothing on the old connection and no new one: as good as down.
       current_->Close();
       current_ = nullptr;
       SetReachable(false, "silent");
     }
-  } else if (!waits && NeedsPing(now)) {
+  } else if (NeedsPing(now)) {
     Ping();
   }
   ArmTimer();
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -163,6 +163,9 @@
   void Resume(incarnation_id receiver);
   [[nodiscard]] bool NeedsPing(time_point now) const;
   void Ping();
+  void Confirm(time_point until);
+  // When the connection is doubted, if nothing more comes.
+  [[nodiscard]] time_point DoubtedSince() const;
   void Write(call_record& record);
   void EndCall(std::uint64_t number, outcome_kind kind, reason why);
   void GiveUpMovable();
@@ -184,9 +187,11 @@
   std::uint64_t connect_attempt_ = 0;
   incarnation_id receiver_{};  // Of the last welcome.
   time_point last_asked_;      // When a ping was sent.
-  // The peer has heard what was sent then: the last pong, welcome or answered
-  // call.
-  time_point last_replied_;
+  // The peer has heard what was sent until then, by its last pong, welcome or
+  // answer.
+  time_point confirmed_;
+  // When the oldest ping behind that was sent.
+  time_point unconfirmed_since_ = time_point::max();
   time_point last_used_;
   // Questions for a proof that have no answer yet, the oldest first.
   std::deque<std::pair<std::uint64_t, boot_time>> proofs_asked_;
