Where targets crash often, coincidence is weak evidence

Cause: two crashes at which a request was in progress count as its doing, however often targets crash without it. Ruled out: clearing that is not told (cleared=0 since nothing completed while the request was refused, which is what made it last).

Crashes that a request was not there at are counted. From four within a minute on it takes three crashes, the last that a request may cause, and only runs that began within half a second before the cut are suspects: targets crash when they begin to run such a request. In a calm fleet nothing changes.

Without the change ALongRequestAmongManyCrashesIsServed fails from its second crash on and AmongManyCrashesTheThirdRefusesTheRequest at the second.

Ruled out as changes: a refusal that is short at first still refuses harmless requests; remembering completions for longer helps only where there are any.

--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -25,6 +25,9 @@
   // Lost runs within this time before the target is found dead count as cut by
   // its death. It is found with the next connection, or at its next start.
   static constexpr milliseconds kCutMemory{2000};
+  // Targets crash when they begin to run such a request. Where they crash often
+  // for other reasons, only what they had begun this lately is suspected.
+  static constexpr milliseconds kBegins{500};
   // What has completed within this time is no suspect. Longer than a target's
   // restart, after which a repeated request crashes it again.
   static constexpr milliseconds kCompletedMemory{10000};
@@ -98,6 +101,8 @@
 
   static constexpr std::size_t kCompletedPlaces = 4096;
 
+  // Whether the target's death may be its doing.
+  [[nodiscard]] bool IsSuspect(const cut_run& run, time_point now) const;
   [[nodiscard]] bool HasCompletedLately(const request_fingerprint& request,
                                         time_point now) const;
 
--- a/include/quarantine/quarantine.h
+++ b/include/quarantine/quarantine.h
@@ -32,6 +32,12 @@
   // Different crashes that quarantine a request. One is no evidence: all other
   // requests in progress then are suspects too.
   static constexpr std::uint32_t kCrashes = 2;
+  // Where targets crash without it as well, being there twice is likely for a
+  // request that takes seconds. The third crash is the last that a request may
+  // cause.
+  static constexpr std::uint32_t kCrashesAmongOthers = 3;
+  // Crashes of others within `period` from which on that holds.
+  static constexpr std::size_t kManyOthers = 4;
 
   // How long a request is refused, and how long a suspect is remembered.
   milliseconds period{60000};
@@ -42,7 +48,8 @@
 // What daemons tell each other of one request.
 struct quarantine_entry {
   request_fingerprint fingerprint;
-  std::array<crash_id, quarantine_options::kCrashes> crashes{};
+  // The newest first.
+  std::array<crash_id, quarantine_options::kCrashesAmongOthers> crashes{};
   milliseconds remaining{0};  // Relative: no clock is compared between VMs.
 };
 
@@ -63,6 +70,9 @@
   // How long the request is still refused; zero if it isn't.
   [[nodiscard]] milliseconds Remaining(const request_fingerprint& request,
                                        time_point now) const;
+  // Whether targets crash often without the request.
+  [[nodiscard]] bool CrashesAmongOthers(const request_fingerprint& request,
+                                        time_point now) const;
   // Whether no request is suspected, so that callers need not hash bodies.
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
@@ -88,6 +98,14 @@
     time_point forget;  // Later than `until`.
   };
 
+  struct seen_crash {
+    crash_id id{};
+    time_point at;
+  };
+
+  // More crashes within a period than decide anything.
+  static constexpr std::size_t kSeenCrashes = 64;
+
   struct fingerprint_hash {
     std::size_t operator()(const request_fingerprint& value) const {
       return value.low;
@@ -96,11 +114,18 @@
 
   // True if `crash` was not known of `entry`.
   static bool AddCrash(state& entry, crash_id crash);
-  static bool IsQuarantined(const state& entry);
+  // Whether it has crashed that many targets.
+  static bool HasCrashed(const state& entry, std::uint32_t targets);
+  [[nodiscard]] bool IsQuarantined(const state& entry, time_point now) const;
+  [[nodiscard]] bool IsAmongOthers(const state& entry, time_point now) const;
+  void NoteCrash(crash_id crash, time_point now);
   state& FindOrAdd(const request_fingerprint& request, time_point now);
   void MakeRoom();
 
   quarantine_options options_;
+  // Of all requests; a ring, in which `next_seen_` is the oldest.
+  std::array<seen_crash, kSeenCrashes> seen_{};
+  std::size_t next_seen_ = 0;
   // At most max_entries.
   std::unordered_map<request_fingerprint, state, fingerprint_hash> entries_;
 };
--- a/src/quarantine/crash_suspects.cc
+++ b/src/quarantine/crash_suspects.cc
@@ -59,11 +59,16 @@
   return known.request == request && now - known.at <= kCompletedMemory;
 }
 
+bool crash_suspects::IsSuspect(const cut_run& run, time_point now) const {
+  return now - run.cut <= kCutMemory && !HasCompletedLately(run.request, now) &&
+         (run.cut - run.began <= kBegins ||
+          !quarantine_.CrashesAmongOthers(run.request, now));
+}
+
 std::vector<quarantine_entry> crash_suspects::OnDied(time_point now) {
   std::vector<cut_run> cut = std::exchange(cut_, {});
-  std::erase_if(cut, [&](const cut_run& each) {
-    return now - each.cut > kCutMemory || HasCompletedLately(each.request, now);
-  });
+  std::erase_if(cut,
+                [&](const cut_run& each) { return !IsSuspect(each, now); });
   if (cut.empty()) {
     return {};
   }
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -23,8 +23,35 @@
 
 quarantine::quarantine(const quarantine_options& options) : options_(options) {}
 
-bool quarantine::IsQuarantined(const state& entry) {
-  return entry.crashes[quarantine_options::kCrashes - 1] != crash_id{};
+bool quarantine::HasCrashed(const state& entry, std::uint32_t targets) {
+  return entry.crashes[targets - 1] != crash_id{};
+}
+
+bool quarantine::IsQuarantined(const state& entry, time_point now) const {
+  return HasCrashed(entry, IsAmongOthers(entry, now)
+                               ? quarantine_options::kCrashesAmongOthers
+                               : quarantine_options::kCrashes);
+}
+
+bool quarantine::IsAmongOthers(const state& entry, time_point now) const {
+  const auto others = std::ranges::count_if(seen_, [&](const seen_crash& seen) {
+    return seen.id != crash_id{} && now - seen.at < options_.period &&
+           std::ranges::find(entry.crashes, seen.id) == entry.crashes.end();
+  });
+  return static_cast<std::size_t>(others) >= quarantine_options::kManyOthers;
+}
+
+bool quarantine::CrashesAmongOthers(const request_fingerprint& request,
+                                    time_point now) const {
+  const auto found = entries_.find(request);
+  return IsAmongOthers(found == entries_.end() ? state{} : found->second, now);
+}
+
+void quarantine::NoteCrash(crash_id crash, time_point now) {
+  if (std::ranges::find(seen_, crash, &seen_crash::id) == seen_.end()) {
+    seen_[next_seen_] = {.id = crash, .at = now};
+    next_seen_ = (next_seen_ + 1) % kSeenCrashes;
+  }
 }
 
 bool quarantine::AddCrash(state& entry, crash_id crash) {
@@ -40,6 +67,7 @@
 void quarantine::OnCrash(const request_fingerprint& request,
                          crash_id crash,
                          time_point now) {
+  NoteCrash(crash, now);
   state& entry = FindOrAdd(request, now);
   if (AddCrash(entry, crash)) {
     entry.until = now + options_.period;
@@ -49,7 +77,8 @@
 
 void quarantine::OnCompleted(const request_fingerprint& request) {
   const auto found = entries_.find(request);
-  if (found != entries_.end() && !IsQuarantined(found->second)) {
+  if (found != entries_.end() &&
+      !HasCrashed(found->second, quarantine_options::kCrashes)) {
     entries_.erase(found);
   }
 }
@@ -61,8 +90,8 @@
 milliseconds quarantine::Remaining(const request_fingerprint& request,
                                    time_point now) const {
   const auto found = entries_.find(request);
-  if (found == entries_.end() || !IsQuarantined(found->second) ||
-      found->second.until <= now) {
+  if (found == entries_.end() || found->second.until <= now ||
+      !IsQuarantined(found->second, now)) {
     return milliseconds(0);
   }
   return std::chrono::ceil<milliseconds>(found->second.until - now);
@@ -76,12 +105,12 @@
       quarantine_entry& told = exported.emplace_back(quarantine_entry{
           .fingerprint = fingerprint,
           .remaining = std::chrono::ceil<milliseconds>(entry.until - now)});
-      std::copy_n(entry.crashes.begin(), quarantine_options::kCrashes,
+      std::copy_n(entry.crashes.begin(), told.crashes.size(),
                   told.crashes.begin());
     }
   }
   const auto is_whole = [](const quarantine_entry& entry) {
-    return entry.crashes.back() != crash_id{};
+    return entry.crashes[quarantine_options::kCrashes - 1] != crash_id{};
   };
   std::ranges::sort(exported, [&](const auto& a, const auto& b) {
     return is_whole(a) != is_whole(b) ? is_whole(a) : a.remaining > b.remaining;
@@ -100,7 +129,10 @@
   state& known = FindOrAdd(entry.fingerprint, now);
   bool added = false;
   for (const crash_id crash : entry.crashes) {
-    added |= crash != crash_id{} && AddCrash(known, crash);
+    if (crash != crash_id{}) {
+      NoteCrash(crash, now);
+      added |= AddCrash(known, crash);
+    }
   }
   if (added) {
     known.until = std::max(known.until, now + remaining);
@@ -131,8 +163,8 @@
 
 void quarantine::MakeRoom() {
   const auto less_worth = [](const auto& a, const auto& b) {
-    const bool a_holds = IsQuarantined(a.second);
-    const bool b_holds = IsQuarantined(b.second);
+    const bool a_holds = HasCrashed(a.second, quarantine_options::kCrashes);
+    const bool b_holds = HasCrashed(b.second, quarantine_options::kCrashes);
     return a_holds != b_holds ? b_holds : a.second.until < b.second.until;
   };
   entries_.erase(std::ranges::min_element(entries_, less_worth));
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -32,6 +32,13 @@
     told_ = suspects.OnDied(now_ + milliseconds(5));
   }
 
+  // Targets crash that run other requests each time.
+  void CrashWithout(crash_suspects& suspects) {
+    for (std::size_t i = 0; i < quarantine_options::kManyOthers; ++i) {
+      Crash(suspects, Request("/look/" + std::to_string(i)));
+    }
+  }
+
   [[nodiscard]] bool Refuses(const crash_suspects& suspects,
                              const request_fingerprint& request) const {
     return suspects.Refused(request, now_ + milliseconds(5)) > milliseconds(0);
@@ -67,6 +74,44 @@
   EXPECT_TRUE(Refuses(one, kBad));
 }
 
+// Guards against harmless requests that take seconds being refused where
+// targets crash often.
+TEST_F(crash_suspects_test, ALongRequestAmongManyCrashesIsServed) {
+  crash_suspects suspects(incarnation_id{1});
+  CrashWithout(suspects);
+  const request_fingerprint slow = Request("/sign/slow");
+  for (int i = 0; i < 4; ++i) {
+    now_ += seconds(2);
+    suspects.OnCut(slow, now_ - milliseconds(1500), now_);
+    (void)suspects.OnDied(now_ + milliseconds(5));
+    EXPECT_FALSE(Refuses(suspects, slow)) << i;
+  }
+}
+
+// Guards against a request being refused for two crashes that it was there at.
+TEST_F(crash_suspects_test, AmongManyCrashesTheThirdRefusesTheRequest) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  CrashWithout(one);
+  for (int crash = 1; crash <= 3; ++crash) {
+    Crash(one, kBad);
+    other.Import(told_, now_);
+    EXPECT_EQ(Refuses(one, kBad), crash == 3) << crash;
+  }
+  // It heard of no other crashes.
+  EXPECT_TRUE(Refuses(other, kBad));
+}
+
+// Guards against a request that is served again since others crash targets.
+TEST_F(crash_suspects_test, AfterThreeCrashesOthersChangeNothing) {
+  crash_suspects suspects(incarnation_id{1});
+  for (int crash = 0; crash < 3; ++crash) {
+    Crash(suspects, kBad);
+  }
+  CrashWithout(suspects);
+  EXPECT_TRUE(Refuses(suspects, kBad));
+}
+
 // A target that lives loses single answers. Callers repeat those requests, as
 // they should, and would be refused if each lost answer counted as a crash.
 TEST_F(crash_suspects_test, LostAnswersOfATargetThatLivesAreNoCrash) {
