--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -188,8 +188,8 @@
     bool sending = false;
     std::uint32_t generation = 0;  // Of sends; late answers have an old one.
 
-    duration needed{
-        0};  // In queues and at targets, by answers that were heard.
+    // In queues and at targets, by answers that were heard.
+    duration needed{0};
     std::uint32_t reached = 0;  // Sends that reached a target.
     bool may_have_run = false;
     bool by_target = false;    // Made by the target beside this daemon.
