--- a/standin/fleet.cc
+++ b/standin/fleet.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "standin/own_ip.h"
 #include "standin/payload.h"
 #include "standin/record_file.h"
 
@@ -44,13 +45,6 @@
   std::ofstream(path) << text;
 }
 
-// A loopback address that no other living process has.
-std::string OwnIp() {
-  const auto pid = static_cast<std::uint32_t>(::getpid());
-  return "127." + std::to_string(1 + (pid >> 16U) % 250) + "." +
-         std::to_string((pid >> 8U) & 255U) + "." + std::to_string(pid & 255U);
-}
-
 std::string MakeFolder() {
   std::string path =
       (std::filesystem::temp_directory_path() / "pistachioweir-XXXXXX")
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -97,32 +97,33 @@
     return LocalEndpoint(listener).port;
   }
 
-  // What becomes of one request.
-  outcome_kind Ask() {
-    std::optional<outcome_kind> told;
+  // `told` is filled in once the request has an answer.
+  void Submit(const std::string& verb, std::optional<relayed_result>* told) {
     calls_.Submit({.id = "id",
                    .host = "a.example",
-                   .request = {.verb = "GET", .target = "/look"},
+                   .request = {.verb = verb, .target = "/look"},
                    .received = monotonic_clock::now()},
-                  [&](const relayed_result& result) { told = result.kind; });
+                  [told](relayed_result result) { *told = std::move(result); });
+  }
+
+  // What becomes of one request.
+  outcome_kind Ask() {
+    std::optional<relayed_result> told;
+    Submit("GET", &told);
     EXPECT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
-    return told.value_or(outcome_kind::kUnknown);
+    return told.value_or(relayed_result()).kind;
   }
 
   // One that a target begins and never answers; `meanwhile` happens in between.
   outcome_kind AskInVain(far_daemon* far,
                          const std::function<void()>& meanwhile) {
     far->answers = false;
-    std::optional<outcome_kind> told;
-    calls_.Submit({.id = "id",
-                   .host = "a.example",
-                   .request = {.verb = "POST", .target = "/sign"},
-                   .received = monotonic_clock::now()},
-                  [&](const relayed_result& result) { told = result.kind; });
+    std::optional<relayed_result> told;
+    Submit("POST", &told);
     EXPECT_TRUE(RunUntil(context_, [&] { return far->runs == 1; }));
     meanwhile();
     EXPECT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
-    return told.value_or(outcome_kind::kCompleted);
+    return told ? told->kind : outcome_kind::kCompleted;
   }
 
   boost::asio::io_context context_;
@@ -152,29 +153,21 @@
 // found nobody. The request was refused, with 2 s left, and its caller had to
 // spend a retry on that.
 TEST_F(origin_links_test, ARequestOutlivesAMomentWithoutTargets) {
-  std::optional<outcome_kind> told;
-  calls_.Submit({.id = "id",
-                 .host = "a.example",
-                 .request = {.verb = "GET", .target = "/look"},
-                 .received = monotonic_clock::now()},
-                [&](const relayed_result& result) { told = result.kind; });
+  std::optional<relayed_result> told;
+  Submit("GET", &told);
   // The connection is refused as soon as the context runs, not before.
   const time_point refused = monotonic_clock::now() + milliseconds(20);
   RunUntil(context_, [&] { return monotonic_clock::now() >= refused; });
   const far_daemon back(context_, port_);
   ASSERT_TRUE(RunUntil(context_, [&] { return told.has_value(); }));
-  EXPECT_EQ(*told, outcome_kind::kCompleted);
+  EXPECT_EQ(told->kind, outcome_kind::kCompleted);
 }
 
 // Guards against a request that is told as unknown though it has not left.
 TEST_F(origin_links_test, WhatHasNotLeftIsToldAsNotExecutedAtTheEnd) {
   const auto silent = Listen(context_, {.ip = kFarIp, .port = port_});
   std::optional<relayed_result> told;
-  calls_.Submit({.id = "id",
-                 .host = "a.example",
-                 .request = {.verb = "GET", .target = "/look"},
-                 .received = monotonic_clock::now()},
-                [&](relayed_result result) { told = std::move(result); });
+  Submit("GET", &told);
   context_.poll();
   calls_.EndOpen();
   ASSERT_TRUE(told.has_value());
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -139,13 +139,6 @@
     }
   }
 
-  // Everything is passed on again.
-  void Restore() {
-    for (const auto& pair : pairs_) {
-      pair->silent = pair->silent_there = pair->silent_back = false;
-    }
-  }
-
   void ResetOpen() {
     for (const auto& pair : pairs_) {
       pair->Close();
--- a/tests/process/bad_input_test.cc
+++ b/tests/process/bad_input_test.cc
@@ -3,7 +3,6 @@
 // serve everybody else.
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -18,6 +17,7 @@
 #include <vector>
 
 #include "include/config/settings.h"
+#include "standin/own_ip.h"
 #include "tests/support/child_process.h"
 #include "tests/support/raw_socket.h"
 
@@ -29,19 +29,12 @@
 using testing::Not;
 using testing::StartsWith;
 
-// A loopback address of this process's own, so that tests side by side don't
-// meet at the same ports.
-std::string OwnIp() {
-  const int pid = static_cast<int>(getpid());
-  return "127.77." + std::to_string(pid / 250 % 250) + "." +
-         std::to_string(pid % 250 + 1);
-}
-
 // One daemon with its platform and target, started once for all tests.
 class deployment {
  public:
   deployment()
-      : ip_(OwnIp()), folder_(testing::TempDir() + "pw-bad-input-" + ip_) {
+      : ip_(standin::OwnIp()),
+        folder_(testing::TempDir() + "pw-bad-input-" + ip_) {
     std::filesystem::remove_all(folder_);
     WriteFiles();
     const std::string bin = PW_BINARY_DIR;
--- a/tests/process/signal_at_start_test.cc
+++ b/tests/process/signal_at_start_test.cc
@@ -1,7 +1,6 @@
 // Signals that reach a daemon while it starts.
 #include <gtest/gtest.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
@@ -10,19 +9,13 @@
 #include <string>
 
 #include "standin/child_process.h"
+#include "standin/own_ip.h"
 
 namespace pistachioweir {
 namespace {
 
-// A loopback address of this process's own.
-std::string OwnIp() {
-  const int pid = static_cast<int>(getpid());
-  return "127.78." + std::to_string(pid / 250 % 250) + "." +
-         std::to_string(pid % 250 + 1);
-}
-
 std::string Address(int port) {
-  return "\"" + OwnIp() + ":" + std::to_string(port) + "\"";
+  return "\"" + standin::OwnIp() + ":" + std::to_string(port) + "\"";
 }
 
 // The daemon reads its settings from a pipe: it has begun to start when the
@@ -30,7 +23,7 @@
 class signal_at_start_test : public testing::Test {
  protected:
   signal_at_start_test()
-      : folder_(testing::TempDir() + "pw-signal-" + OwnIp()),
+      : folder_(testing::TempDir() + "pw-signal-" + standin::OwnIp()),
         pipe_(folder_ + "/settings.json") {
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
