--- a/include/forward/target_vouching.h
+++ b/include/forward/target_vouching.h
@@ -62,6 +62,8 @@
     }
   }
 
+  // Of the start that is listed, or was last; the epoch if it has not yet.
+  [[nodiscard]] time_point answered() const { return answered_; }
   // The start that the daemon vouches for; empty for none.
   [[nodiscard]] std::string Vouched(const view_state& view,
                                     time_point now) const {
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -126,10 +126,27 @@
 void executor::Tick(time_point now) {
   suspects_.Expire(now);
   if (view_state_) {
-    vouching_.Tick(view_state_(), now);
+    const view_state view = view_state_();
+    vouching_.Tick(view, now);
+    LogVouching(view, now);
   }
 }
 
+void executor::LogVouching(const view_state& view, time_point now) {
+  std::string vouched = vouching_.Vouched(view, now);
+  if (vouched == vouched_) {
+    return;
+  }
+  LogEvent(vouched.empty() ? "target_not_vouched" : "target_vouched",
+           {{.name = "start", .value = vouched.empty() ? vouched_ : vouched},
+            {.name = "answered_ms",
+             .value = std::to_string(
+                 ToMilliseconds(now - vouching_.answered()).count())},
+            {.name = "store_lost", .value = view.lost_since ? "yes" : "no"},
+            {.name = "revision", .value = std::to_string(view.revision)}});
+  vouched_ = std::move(vouched);
+}
+
 void executor::TellCleared(const request_fingerprint& request,
                            const std::string& request_id) {
   LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"},
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -196,6 +196,7 @@
                     const run_result& result,
                     time_point now);
   void TellTargetDied(time_point now);
+  void LogVouching(const view_state& view, time_point now);
   void TellCleared(const request_fingerprint& request,
                    const std::string& request_id);
   [[nodiscard]] bool TargetDown(time_point now) const;
@@ -215,6 +216,7 @@
   std::string target_start_;  // Empty until one is registered.
   crash_suspects suspects_;
   target_vouching vouching_;
+  std::string vouched_;  // As it was logged last.
   std::function<view_state()> view_state_;
   std::function<milliseconds()> view_age_;
   suspects_listener on_suspects_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -66,6 +66,7 @@
     } -> std::same_as<std::optional<view_changes>>;
   { source.state() } -> std::same_as<view_state>;
   { source.calls() } -> std::same_as<std::uint64_t>;
+  { source.removals_delayed() } -> std::same_as<std::uint64_t>;
 };
 
 template <typename Platform>
@@ -307,6 +308,7 @@
             .age = sharing_.age(),
             .reading = sharing_.reading(),
             .store_calls = views_.calls(),
+            .removals_delayed = views_.removals_delayed(),
             .followers = peers_.followers(),
             .telling = peers_.counters(),
             .sharing = sharing_.counters(),
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -82,6 +82,9 @@
   Add("followers", "Daemons that are told of changes", MetricType::Gauge,
       static_cast<double>(view.followers), families);
   counter("store_calls", "Calls to the store", view.store_calls);
+  counter("removals_delayed",
+          "Removals of targets put off, since the store was away before",
+          view.removals_delayed);
   counter("changes_sent", "Frames of changes to other daemons",
           view.telling.told);
   counter("changes_put_off", "Frames not sent, since the follower reads slowly",
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -26,6 +26,8 @@
   milliseconds age{0};  // Since a daemon that reads the store confirmed it.
   store_reading reading = store_reading::kEager;
   std::uint64_t store_calls = 0;
+  // Of targets, since the store was away just before.
+  std::uint64_t removals_delayed = 0;
   std::size_t followers = 0;
   follower_counters telling;
   view_sharing_counters sharing;
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -441,7 +441,7 @@
   builder.Apply(Neighbours("r5", "i-1", "10.0.0.1:80"), kStart);
   builder.TakeChanged();
   const time_point back = kStart + seconds(6);
-  builder.NoteReturn(back);
+  builder.NoteReturn(back, "10.0.0.7", back);
   builder.Apply(
       {.after = 2,
        .revision = 3,
