Reproduce: a target that has left stays in use beyond its bound

What callers saw: requests served by targets that had said more than two seconds before that they leave (users' record: 2000 and 2001 ms).

The soak gets the fault: leave (an entry vanishes while its target serves on) and leave_at_return (the store turns a third of the daemons away, and targets leave about when it takes them back), and the check: no run later than the platform's 2 s behind the acknowledgement, sent and handed over by daemons in touch.

--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -54,6 +54,7 @@
         self.closed = False  # Must not be started any more.
         self.history = History()  # Of its processes; faults are unplanned ones.
         self.paused = History()
+        self.store_way = History()  # Disturbances of its way to the store.
         self.failures = []
         self.awake = asyncio.Event()
         self.awake.set()
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -15,7 +15,7 @@
 # Only where they are named, so that seeds keep their meaning.
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
-               "store_for_some", "store_for_none")
+               "store_for_some", "store_for_none", "leave", "leave_at_return")
 
 
 class Faults:
@@ -259,6 +259,47 @@
         await self.world.register(target)
         self.world.busy_targets.discard(target)
 
+    async def leave(self, dice, target=None):
+        """A target leaves without a word: its entry vanishes while it serves on."""
+        target = target or dice.choice(self.world.targets)
+        if target in self.world.busy_targets:
+            return
+        self.world.busy_targets.add(target)
+        target.history.end(time.monotonic())
+        target.left_at = time.monotonic()
+        target.leaves = True
+        await self.world.store.remove("servers/" + target.id)
+        self.world.leaving.note(target.id)
+        await asyncio.sleep(dice.uniform(3.0, 6.0))
+        target.crash()
+        await target.start()
+        await self.world.register(target)
+        self.world.busy_targets.discard(target)
+
+    async def leave_at_return(self, dice):
+        """The store turns a third of the daemons away, and about when it takes them
+        back two targets leave, the first of them beside one of those."""
+        chosen = dice.sample(self.world.daemons, k=max(1, len(self.world.daemons) // 3))
+        indices = {one.index for one in chosen}
+        beside = self.world.targets[chosen[0].index - 1]
+        leaving = [asyncio.create_task(self._leave_in(dice, dice.uniform(2.8, 4.8), target))
+                   for target in (beside, dice.choice(self.world.targets))]
+        end = time.monotonic() + dice.uniform(3.0, 3.6)
+        self.world.store.turned_away |= indices
+        while (left := end - time.monotonic()) > 0:
+            for one in chosen:
+                one.note_fault()
+                one.store_way.disturb(time.monotonic())
+            await asyncio.sleep(min(left, 0.2))
+        self.world.store.turned_away -= indices
+        for one in chosen:
+            one.store_way.disturb(time.monotonic())
+        await asyncio.gather(*leaving)
+
+    async def _leave_in(self, dice, seconds, target):
+        await asyncio.sleep(seconds)
+        await self.leave(dice, target)
+
     async def reuse(self, dice):
         """A target is gone, and its address belongs to another service."""
         target = dice.choice(self.world.targets)
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -26,6 +26,7 @@
         self.starts = 0
         self.id = ""
         self.left_at = None  # When it said that it leaves.
+        self.leaves = False  # It ends its connections behind its answers.
         self.registered_at = 0.0
         self.lose_answers = 0.0
         self.running = 0
@@ -42,6 +43,7 @@
         self.starts += 1
         self.id = f"i-{self.ip.rsplit('.', 1)[1]}-{self.starts}"
         self.left_at = None
+        self.leaves = False
         self.registered_at = float("inf")
         self.server = await asyncio.start_server(
             self._serve, self.ip, self.port, backlog=512)
@@ -102,9 +104,12 @@
             writer.transport.abort()
             return
         body = (request + ":" + self.id + ":").encode() + b"x" * self.dice.randrange(3000)
+        closing = "Connection: close\r\n" if self.leaves else ""
         self._send(writer, 200, request, body,
-                   f"Response-Signature: {signature(request, body)}\r\n")
+                   f"Response-Signature: {signature(request, body)}\r\n{closing}")
         await writer.drain()
+        if closing:
+            writer.close()
 
     def _send(self, writer, status, request, body, extra):
         writer.write(f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\n{extra}"
