Vouching for a target counts from the answer that it rests on

Cause: the daemon beside a target whose entry has vanished says, while it can't read the store, that the target lives. It said so for one second behind the target's last answer, frames come once a second on quiet links, and others relied on what they heard for two seconds from hearing it. Together three seconds and more, while the answer proves nothing for any moment after it.

Change: the report on frames says how long ago the target gave that answer, and the lease counts from there: 1.5 s, which leaves a request half a second of its own. Peer protocol 7. Why it works: a target's answer without Connection: close was given before it left, so no lease reaches beyond 1.5 s behind the leaving, however often and by whomever it is renewed. lapsed_targets_test passes unchanged.

--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -14,29 +14,31 @@
 // The other half of target_vouching. An entry that vanishes from the store has
 // left or has run out, and the store doesn't say which. It has run out if the
 // daemon beside the target says that it can't read the store and that the
-// target answers it. Vouching is a lease: it ends when it isn't renewed, when
-// the daemon takes it back, when the target is listed again or another one is
-// listed at its address (guard ADDRESS_FREE in spec/lapsed_targets.pml).
+// target answers it. Vouching is a lease that counts from that answer (guard
+// LEASE_FROM_ANSWER in spec/leaving_bound.pml): it ends when it isn't renewed,
+// when the daemon takes it back, when the target is listed again or another one
+// is listed at its address (guard ADDRESS_FREE in spec/lapsed_targets.pml).
 // Vouching for another start of the target keeps nothing (guard SAME_START in
 // spec/lapsed_targets.pml).
 //
 // Pure logic; the origin keeps one.
 class lapsed_targets {
  public:
-  // How long vouching holds. Connections without calls are tried once a second,
-  // and an answer to that may be late by as much.
-  static constexpr milliseconds kHolds{2000};
+  // How long vouching holds. A target may have left right behind its answer,
+  // and requests must not reach it two seconds later; they take time
+  // themselves.
+  static constexpr milliseconds kHolds{1500};
   // It may come after the entry has gone: a daemon notices that its
   // connection to the store is dead only after some seconds.
   static constexpr milliseconds kRemembered{6000};
 
   // The store's list is `listed` now.
   void SetListed(std::vector<target_entry> listed, time_point now);
-  // The daemon at `ip` vouched for this start of its target, or, if empty, for
-  // none.
+  // The daemon at `ip` vouched for this start of its target, which answered at
+  // `answered`, or, if empty, for none.
   void OnVouched(const std::string& ip,
                  const std::string& start,
-                 time_point now);
+                 time_point answered);
 
   // Targets that are used besides the listed ones.
   [[nodiscard]] std::vector<target_entry> Kept(time_point now) const;
@@ -46,7 +48,7 @@
  private:
   struct voucher {
     std::string start;
-    time_point heard;
+    time_point answered;
   };
   struct removed_target {
     target_entry entry;
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -244,9 +244,15 @@
     return {};
   }
   const view_state view = view_state_();
+  const time_point now = monotonic_clock::now();
+  std::string vouched = vouching_.Vouched(view, now);
+  const milliseconds ago = vouched.empty()
+                               ? milliseconds(0)
+                               : ToMilliseconds(now - vouching_.answered());
   return {.revision = view.revision,
           .age = view_age_(),
-          .vouched = vouching_.Vouched(view, monotonic_clock::now())};
+          .vouched = std::move(vouched),
+          .vouched_ago = ago};
 }
 
 // How long calls of targets would wait here, against half of their objective.
--- a/src/forward/lapsed_targets.cc
+++ b/src/forward/lapsed_targets.cc
@@ -16,7 +16,7 @@
 bool lapsed_targets::IsVouched(const target_entry& entry,
                                time_point now) const {
   const auto found = vouchers_.find(entry.address.ip);
-  return found != vouchers_.end() && now - found->second.heard <= kHolds &&
+  return found != vouchers_.end() && now - found->second.answered <= kHolds &&
          found->second.start == StartName(entry);
 }
 
@@ -36,12 +36,12 @@
 
 void lapsed_targets::OnVouched(const std::string& ip,
                                const std::string& start,
-                               time_point now) {
+                               time_point answered) {
   if (start.empty()) {
     vouchers_.erase(ip);
     return;
   }
-  vouchers_.insert_or_assign(ip, voucher{.start = start, .heard = now});
+  vouchers_.insert_or_assign(ip, voucher{.start = start, .answered = answered});
 }
 
 std::vector<target_entry> lapsed_targets::Kept(time_point now) const {
@@ -64,7 +64,7 @@
     return now - each.second.last_needed > kRemembered;
   });
   std::erase_if(vouchers_, [&](const auto& each) {
-    return now - each.second.heard > kHolds;
+    return now - each.second.answered > kHolds;
   });
 }
 
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -96,7 +96,7 @@
     options_.on_report(ip, report);
   }
   const time_point now = monotonic_clock::now();
-  lapsed_.OnVouched(ip, report.vouched, now);
+  lapsed_.OnVouched(ip, report.vouched, now - report.vouched_ago);
   KeepLapsed(now);
 }
 
--- a/src/peer/frame_writer.h
+++ b/src/peer/frame_writer.h
@@ -44,7 +44,8 @@
     constexpr milliseconds kOldest = std::chrono::hours(1);
     return Put(report.revision)
         .Put(std::min(report.age, kOldest))
-        .Put(report.vouched);
+        .Put(report.vouched)
+        .Put(std::min(report.vouched_ago, kOldest));
   }
 
   [[nodiscard]] std::string Finish(frame_kind kind) const {
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr std::uint32_t kHelloFields = 3;
-constexpr std::uint32_t kWelcomeFields = 11;
+constexpr std::uint32_t kWelcomeFields = 12;
 constexpr std::uint32_t kCallFields = 19;
-constexpr std::uint32_t kAnswerFields = 20;
-constexpr std::uint32_t kPongFields = 9;
+constexpr std::uint32_t kAnswerFields = 21;
+constexpr std::uint32_t kPongFields = 10;
 constexpr std::uint32_t kProofFields = 3;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
@@ -43,6 +43,7 @@
   report.revision = reader.Unsigned();
   report.age = ReadMilliseconds(reader);
   report.vouched = reader.String();
+  report.vouched_ago = ReadMilliseconds(reader);
   return report;
 }
 
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -52,7 +52,7 @@
      "ask_proof", "proof", "usage", "quota", "heartbeat"});
 
 // Frames of another version are refused: the connection ends.
-inline constexpr std::uint32_t kPeerProtocolVersion = 6;
+inline constexpr std::uint32_t kPeerProtocolVersion = 7;
 inline constexpr std::size_t kFrameHeadBytes = 5;
 
 // What a daemon says of its view, on frames that flow anyway.
@@ -64,6 +64,8 @@
   // The start of the target beside it that it vouches for, since it can't reach
   // the store and so can't the target; empty otherwise. See target_vouching.h.
   std::string vouched;
+  // How long ago that target gave the answer that this rests on.
+  milliseconds vouched_ago{0};
 };
 
 struct hello_frame {
--- a/tests/leaving_target_test.cc
+++ b/tests/leaving_target_test.cc
@@ -79,7 +79,8 @@
   for (milliseconds after{0}; after <= kDrain; after += milliseconds(50)) {
     const time_point now = left + after;
     vouching.OnAnswer(after > milliseconds(0), now);
-    lapsed.OnVouched(target.address.ip, vouching.Vouched(lost, now), now);
+    lapsed.OnVouched(target.address.ip, vouching.Vouched(lost, now),
+                     vouching.answered());
     if (after > kDrain - kRequestWay) {
       EXPECT_TRUE(lapsed.Kept(now).empty()) << after.count();
     }
