One daemon's broken way to the store is no absence of the store

What callers saw: requests served by targets up to 2.3 s behind the moment at which these had said that they leave (users' record: 2000 and 2001 ms; bound 2000 ms).

Cause: a daemon whose calls to the store had failed for a while took its first answer for the store's return. Entries of live targets run out while the store is away, so removals were delayed for two seconds, and the return was told with the changes: daemons that had read the store all the time, or followed such, took it over and delayed a removal that is somebody's word to leave. A view learnt up to a second late comes on top, so that the bound was passed by the time that a request takes.

Evidence: leaving_target_test TheReturnOfAnotherDaemonsLinkKeepsNoTarget failed before.

Change: the store was away only if it answered nobody. Reports on frames tell how long ago the store last answered the reporting daemon, or one that it follows; store_contact puts these together with the own answers. An absence is a silence of all for 2.5 s, in which calls failed; one answer in it, also one that is told of later, refutes it and ends delays that rest on it. What is told on comes from the daemons that are followed only: told on by everybody it would go round and be made newer by each frame's way. Readers' watches wait 1.5 s at most, pauses included, so that between two answers to the readers of a fleet there is always less than 2.5 s.

--- a/include/forward/view_state.h
+++ b/include/forward/view_state.h
@@ -16,11 +16,13 @@
   // When the store was asked last for its newest state, and answered. The view
   // holds all that the store had then.
   std::optional<boot_time> store_asked;
+  // The store's last answer to this daemon, if it reads the store.
+  std::optional<time_point> store_answered;
   // Whether this daemon reads the store, and its last call there went well.
   bool reads_well = false;
   // Since when this daemon can't reach the store, if that was so last.
   std::optional<time_point> lost_since;
-  // When the store was back after it had been away, the last time.
+  // When this daemon had the store back, the last time.
   std::optional<time_point> regained_at;
 };
 
--- a/include/forward/watch_pace.h
+++ b/include/forward/watch_pace.h
@@ -86,14 +86,19 @@
 // Behind a silent store a daemon may be this long without news.
 inline constexpr milliseconds kMostWatchWait{8000};
 // Where a few daemons read for all, each of them vouches for many others while
-// its watch waits.
-inline constexpr milliseconds kReaderWatchWait{3000};
+// its watch waits, and others tell by its answers whether the store is there
+// (store_contact.h). So long at most lies between two of them; a pause counts.
+inline constexpr milliseconds kReaderWatchWait{1500};
+// What is left of that behind a pause.
+inline constexpr milliseconds kLeastReaderWait{250};
 
 // `random` spreads the renewals: a change wakes all daemons at one moment.
+// `paused` is the time since the last answer.
 [[nodiscard]] constexpr milliseconds WatchWait(
     const watch_pace_options& options,
     std::size_t daemons,
-    std::uint32_t random) {
+    std::uint32_t random,
+    milliseconds paused = milliseconds(0)) {
   const milliseconds most = options.readers == reader_policy::kAll
                                 ? kMostWatchWait
                                 : kReaderWatchWait;
@@ -101,8 +106,11 @@
       std::clamp(kFleetRenewal * static_cast<milliseconds::rep>(daemons),
                  kLeastWatchWait, most);
   const milliseconds spread = (even - kLeastWatchWait) / 2;
-  const milliseconds wait =
+  milliseconds wait =
       even - spread * static_cast<milliseconds::rep>(random % 1024) / 1024;
+  if (options.readers == reader_policy::kFew) {
+    wait = std::max(kLeastReaderWait, wait - paused);
+  }
   return options.longest_wait > milliseconds(0)
              ? std::min(wait, options.longest_wait)
              : wait;
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -252,7 +252,8 @@
   return {.revision = view.revision,
           .age = view_age_(),
           .vouched = std::move(vouched),
-          .vouched_ago = ago};
+          .vouched_ago = ago,
+          .store_answered_ago = store_answered_ago_()};
 }
 
 // How long calls of targets would wait here, against half of their objective.
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -80,12 +80,15 @@
       vouching_.SetUnlisted(monotonic_clock::now());
     }
   }
-  // Tell how well the daemon keeps up with the platform's store, and how long
-  // ago a daemon that reads it confirmed the view.
+  // Tell how well the daemon keeps up with the platform's store, how long ago a
+  // daemon that reads it confirmed the view, and how long ago the store
+  // answered.
   void SetViewState(std::function<view_state()> view,
-                    std::function<milliseconds()> age) {
+                    std::function<milliseconds()> age,
+                    std::function<std::optional<milliseconds>()> answered_ago) {
     view_state_ = std::move(view);
     view_age_ = std::move(age);
+    store_answered_ago_ = std::move(answered_ago);
   }
 
   void OnSuspects(suspects_listener listener) {
@@ -219,6 +222,7 @@
   std::string vouched_;  // As it was logged last.
   std::function<view_state()> view_state_;
   std::function<milliseconds()> view_age_;
+  std::function<std::optional<milliseconds>()> store_answered_ago_;
   suspects_listener on_suspects_;
   bool slots_known_ = false;
   bool leaving_ = false;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -58,6 +58,8 @@
   source.SetReading(store_reading::kNone);
   // Another daemon has read this revision.
   source.NoteRevision(std::uint64_t{});
+  // The store answered another daemon.
+  source.NoteStoreAnswer(time_point());
   // A target isn't the one that the view has at its address.
   source.NoteStaleTarget();
   { source.Apply(view_changes{}) } -> std::same_as<told_changes_verdict>;
@@ -169,7 +171,8 @@
       origin_.TellSuspects(told);
     });
     executor_.SetViewState([this] { return views_.state(); },
-                           [this] { return sharing_.age(); });
+                           [this] { return sharing_.age(); },
+                           [this] { return sharing_.store_answered_ago(); });
     views_.OnNews([this](const std::string& from) { sharing_.OnNews(from); });
     Tick();
     views_.Start();
@@ -248,6 +251,8 @@
             [this](store_reading reading) { views_.SetReading(reading); },
         .note_revision =
             [this](std::uint64_t revision) { views_.NoteRevision(revision); },
+        .note_store_answer =
+            [this](time_point at) { views_.NoteStoreAnswer(at); },
         .apply =
             [this](const view_changes& told) { return views_.Apply(told); },
         .changes_since =
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -165,6 +165,7 @@
 void view_sharing::OnReport(const std::string& ip,
                             const neighbour_report& report) {
   parts_.note_revision(report.revision);
+  NoteStoreAnswer(ip, report);
   if (options_.readers == reader_policy::kAll) {
     return;
   }
@@ -180,6 +181,29 @@
   }
 }
 
+void view_sharing::NoteStoreAnswer(const std::string& ip,
+                                   const neighbour_report& report) {
+  if (!report.store_answered_ago) {
+    return;
+  }
+  const time_point at = monotonic_clock::now() - *report.store_answered_ago;
+  parts_.note_store_answer(at);
+  if (std::ranges::find(sources_, ip) != sources_.end()) {
+    source_answered_ = std::max(source_answered_, std::optional(at));
+  }
+}
+
+std::optional<milliseconds> view_sharing::store_answered_ago() const {
+  const auto answered = reading_ == store_reading::kNone
+                            ? source_answered_
+                            : parts_.state().store_answered;
+  if (!answered) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() -
+                                                  *answered);
+}
+
 void view_sharing::OnLost(const std::string& ip) {
   following_.OnLost(ip, monotonic_clock::now());
 }
--- a/src/forward/view_sharing.h
+++ b/src/forward/view_sharing.h
@@ -39,6 +39,7 @@
   std::function<view_state()> state;
   std::function<void(store_reading)> set_reading;
   std::function<void(std::uint64_t revision)> note_revision;
+  std::function<void(time_point at)> note_store_answer;
   std::function<told_changes_verdict(const view_changes&)> apply;
   std::function<std::optional<view_changes>(std::uint64_t revision)>
       changes_since;
@@ -95,6 +96,9 @@
   }
   // How long ago a daemon that reads the store confirmed the view.
   [[nodiscard]] milliseconds age() const;
+  // How long ago the store answered this daemon, if it reads the store, else a
+  // daemon that it follows.
+  [[nodiscard]] std::optional<milliseconds> store_answered_ago() const;
   // How long ago the view is proven to have been the store's newest state.
   [[nodiscard]] std::optional<milliseconds> proven_age();
   [[nodiscard]] std::optional<freshness_proof> Proof();
@@ -110,6 +114,7 @@
   void ArmAsk(milliseconds patience);
   void AskProofs();
   void CountAge(milliseconds age);
+  void NoteStoreAnswer(const std::string& ip, const neighbour_report& report);
 
   const view_sharing_options options_;
   const view_sharing_parts parts_;
@@ -124,6 +129,10 @@
   std::uint64_t heard_ = 0;
   std::string teller_;
   bool ask_armed_ = false;
+  // The newest answer of the store that a source told of. What daemons that are
+  // not followed tell isn't told on: it would go round in circles, and each
+  // frame's way would make it newer.
+  std::optional<time_point> source_answered_;
   // Whether the target beside the daemon was listed as ready, and since when it
   // isn't listed any more.
   bool own_ready_ = false;
--- a/src/peer/frame_writer.h
+++ b/src/peer/frame_writer.h
@@ -40,12 +40,17 @@
   }
 
   frame_writer& Put(const neighbour_report& report) {
-    // An age that no word counts for any more is as good as any older one.
+    // An age that no word counts for any more is as good as any older one. The
+    // last one is told one greater, and as zero if there is none.
     constexpr milliseconds kOldest = std::chrono::hours(1);
     return Put(report.revision)
         .Put(std::min(report.age, kOldest))
         .Put(report.vouched)
-        .Put(std::min(report.vouched_ago, kOldest));
+        .Put(std::min(report.vouched_ago, kOldest))
+        .Put(report.store_answered_ago
+                 ? std::min(*report.store_answered_ago, kOldest) +
+                       milliseconds(1)
+                 : milliseconds(0));
   }
 
   [[nodiscard]] std::string Finish(frame_kind kind) const {
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr std::uint32_t kHelloFields = 3;
-constexpr std::uint32_t kWelcomeFields = 12;
+constexpr std::uint32_t kWelcomeFields = 13;
 constexpr std::uint32_t kCallFields = 19;
-constexpr std::uint32_t kAnswerFields = 21;
-constexpr std::uint32_t kPongFields = 10;
+constexpr std::uint32_t kAnswerFields = 22;
+constexpr std::uint32_t kPongFields = 11;
 constexpr std::uint32_t kProofFields = 3;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
@@ -44,6 +44,10 @@
   report.age = ReadMilliseconds(reader);
   report.vouched = reader.String();
   report.vouched_ago = ReadMilliseconds(reader);
+  const milliseconds answered = ReadMilliseconds(reader);
+  if (answered > milliseconds(0)) {
+    report.store_answered_ago = answered - milliseconds(1);
+  }
   return report;
 }
 
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -66,6 +66,9 @@
   std::string vouched;
   // How long ago that target gave the answer that this rests on.
   milliseconds vouched_ago{0};
+  // Since the store last answered this daemon, or one that it follows; nothing
+  // if that isn't known.
+  std::optional<milliseconds> store_answered_ago;
 };
 
 struct hello_frame {
--- a/tests/leaving_target_test.cc
+++ b/tests/leaving_target_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "include/forward/lapsed_targets.h"
@@ -50,7 +51,7 @@
 TEST(LeavingTargetTest, TheReturnOfAnotherDaemonsLinkKeepsNoTarget) {
   view_builder builder;
   builder.Apply(Listed(), kStart);
-  builder.TakeChanged();
+  std::ignore = builder.TakeChanged();
   // This daemon reads the store all the time.
   for (int i = 0; i <= 5; ++i) {
     builder.NoteAnswer(kStart + i * milliseconds(1500));
@@ -62,6 +63,55 @@
   EXPECT_FALSE(Uses(builder, told));
 }
 
+// A daemon whose own link to the store had failed kept what had left meanwhile.
+TEST(LeavingTargetTest, TheReturnOfTheOwnLinkKeepsNoTarget) {
+  view_builder builder;
+  builder.Apply(Listed(), kStart);
+  std::ignore = builder.TakeChanged();
+  builder.NoteAnswer(kStart);
+  // Others that read the store tell when it answered them.
+  for (int i = 1; i <= 3; ++i) {
+    builder.NoteOthersAnswer(kStart + i * milliseconds(1400));
+  }
+  const time_point back = kStart + milliseconds(5000);
+  builder.NoteAnswer(back, kStart + milliseconds(500));
+  EXPECT_EQ(builder.regained_at(), back);
+  builder.Apply(Removed(), back);
+  EXPECT_FALSE(Uses(builder, back));
+}
+
+// A daemon that was cut off from everybody hears only behind its return that
+// the store was there.
+TEST(LeavingTargetTest, ADelayEndsOnceTheStoreTurnsOutToHaveBeenThere) {
+  view_builder builder;
+  builder.Apply(Listed(), kStart);
+  std::ignore = builder.TakeChanged();
+  builder.NoteAnswer(kStart);
+  const time_point back = kStart + milliseconds(4000);
+  builder.NoteAnswer(back, kStart + milliseconds(500));
+  builder.Apply(Removed(), back);
+  ASSERT_TRUE(Uses(builder, back));
+  EXPECT_EQ(builder.next_removal(), back + view_builder::kReturnTime);
+  builder.NoteOthersAnswer(back - milliseconds(1700));
+  EXPECT_FALSE(Uses(builder, back));
+}
+
+// The other side: the store was away for all, and its entries had run out.
+TEST(LeavingTargetTest, AnAbsenceOfTheStoreForAllKeepsTargets) {
+  view_builder builder;
+  builder.Apply(Listed(), kStart);
+  std::ignore = builder.TakeChanged();
+  builder.NoteAnswer(kStart);
+  builder.NoteOthersAnswer(kStart + milliseconds(300));
+  const time_point back = kStart + milliseconds(3500);
+  builder.NoteOthersAnswer(back);
+  builder.NoteReturn(back, "10.0.0.7", back + milliseconds(10));
+  builder.Apply(Removed("10.0.0.7"), back + milliseconds(10));
+  EXPECT_TRUE(
+      Uses(builder, back + view_builder::kReturnTime - milliseconds(1)));
+  EXPECT_FALSE(Uses(builder, back + view_builder::kReturnTime));
+}
+
 // A daemon's word for a target that has left was relied on for three seconds.
 TEST(LeavingTargetTest, AWordForATargetThatHasLeftIsOverInTime) {
   const target_entry target{.id = "i-1",
