A target that has left gets no requests, whoever sends them

The daemon beside a target handed over what others sent as long as its process wasn't stopping, also behind a wait in its queue and although its own view listed the target as leaving or not at all.

Cause: only senders judged whether a target may be used; the daemon that is nearest to the target, and through which every request goes, did not.

Evidence: origin_links_test ATargetThatHasLeftGetsNoRequests: one second behind the word the request was still completed (2 runs for 1 allowed).

Change: one second behind the moment at which the own view lists the target as leaving, or doesn't list it, requests are refused as not run, those that waited too; the sender takes the target for gone and places them elsewhere. A target that isn't listed while the daemon can't read the store is served as long as a word for it would hold (1.5 s behind its last answer). Why one second: changes are known everywhere within a second, so no request that was sent in time is bounced.

--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -8,6 +8,7 @@
 
 #include "include/base/time.h"
 #include "include/forward/service_view.h"
+#include "include/forward/target_vouching.h"
 
 namespace pistachioweir {
 
@@ -27,7 +28,7 @@
   // How long vouching holds. A target may have left right behind its answer,
   // and requests must not reach it two seconds later; they take time
   // themselves.
-  static constexpr milliseconds kHolds{1500};
+  static constexpr milliseconds kHolds = target_vouching::kLease;
   // It may come after the entry has gone: a daemon notices that its
   // connection to the store is dead only after some seconds.
   static constexpr milliseconds kRemembered{6000};
--- a/include/forward/target_vouching.h
+++ b/include/forward/target_vouching.h
@@ -1,5 +1,6 @@
 // target_vouching: whether a daemon vouches for the target beside it while
-// neither of them reaches the platform's store.
+// neither of them reaches the platform's store, and whether it still hands
+// requests to it.
 #pragma once
 
 #include <optional>
@@ -19,6 +20,9 @@
 // answer (guard STAYING in spec/lapsed_targets.pml). Once the daemon has read
 // the store and the entry isn't back, it is over for good.
 //
+// Others may believe in a target for longer than they should, and requests wait
+// beside it: what has left gets none, whoever sends them.
+//
 // Pure logic; the executor keeps one.
 class target_vouching {
  public:
@@ -31,16 +35,28 @@
   // times in it, and it is short against the two seconds after which a target
   // that leaves may get nothing.
   static constexpr milliseconds kAnswered{1000};
+  // Vouching holds for so long from the target's answer on.
+  static constexpr milliseconds kLease{1500};
+  // A target that is known to leave gets requests for this long, as long as
+  // others may take to learn of it.
+  static constexpr milliseconds kStillServes{1000};
 
   // The start of the target beside the daemon as the view lists it, empty if it
   // is listed as leaving.
   void SetTarget(std::string start) {
     unlisted_since_.reset();
+    leaving_since_.reset();
     if (start != start_) {
       start_ = std::move(start);
       answered_ = time_point();
     }
   }
+  // The view lists the target as leaving.
+  void SetLeaving(time_point now) {
+    const time_point since = leaving_since_.value_or(now);
+    SetTarget({});
+    leaving_since_ = since;
+  }
   // The view doesn't list the target.
   void SetUnlisted(time_point now) {
     if (!unlisted_since_) {
@@ -62,24 +78,43 @@
     }
   }
 
+  // Whether the target is listed as ready.
+  [[nodiscard]] bool IsListed() const {
+    return !leaving_since_ && !unlisted_since_;
+  }
+  // Whether requests may be handed to the target.
+  [[nodiscard]] bool MayServe(const view_state& view, time_point now) const {
+    if (leaving_since_) {
+      return now - *leaving_since_ <= kStillServes;
+    }
+    if (!unlisted_since_ || now - *unlisted_since_ <= kStillServes) {
+      return true;
+    }
+    return IsLost(view, now) && now - answered_ <= kLease;
+  }
   // Of the start that is listed, or was last; the epoch if it has not yet.
   [[nodiscard]] time_point answered() const { return answered_; }
   // The start that the daemon vouches for; empty for none.
   [[nodiscard]] std::string Vouched(const view_state& view,
                                     time_point now) const {
-    const bool lost = view.lost_since && now - *view.lost_since >= kLost;
     const bool lives =
         answered_ != time_point() && now - answered_ <= kAnswered;
-    return (lost || IsBack(view, now)) && lives ? start_ : std::string();
+    return IsLost(view, now) && lives ? start_ : std::string();
   }
 
  private:
+  // What vanishes from the list now may have run out.
+  [[nodiscard]] static bool IsLost(const view_state& view, time_point now) {
+    const bool lost = view.lost_since && now - *view.lost_since >= kLost;
+    return lost || IsBack(view, now);
+  }
   [[nodiscard]] static bool IsBack(const view_state& view, time_point now) {
     return view.regained_at && now - *view.regained_at < kReturnTime;
   }
 
   std::string start_;
   std::optional<time_point> unlisted_since_;
+  std::optional<time_point> leaving_since_;  // Listed as leaving.
   time_point answered_;  // The epoch if this start has not answered yet.
 };
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -289,6 +289,11 @@
   return most;
 }
 
+bool executor::TargetLeft(time_point now) const {
+  return !vouching_.IsListed() && view_state_ &&
+         !vouching_.MayServe(view_state_(), now);
+}
+
 bool executor::TargetDown(time_point now) const {
   return now < target_down_until_;
 }
@@ -312,6 +317,9 @@
   if (!slots_known_ || TargetDown(now)) {
     return reason::kNotReady;
   }
+  if (TargetLeft(now)) {
+    return reason::kWrongTarget;
+  }
   if (suspects_.Refused(served.fingerprint, now) > milliseconds(0)) {
     return reason::kQuarantined;
   }
@@ -385,7 +393,7 @@
     }
     if (event->decision.action == admission_action::kRun) {
       found->second.admitted = event->decision.handle;
-      Start(event->cookie);
+      StartQueued(event->cookie);
     } else {
       Refuse(event->cookie, event->decision.why, event->decision.retry_after);
     }
@@ -408,6 +416,17 @@
   });
 }
 
+// The target may have left while the request waited.
+void executor::StartQueued(std::uint64_t id) {
+  const time_point now = monotonic_clock::now();
+  if (!TargetLeft(now)) {
+    Start(id);
+    return;
+  }
+  admission_.Finish(calls_.at(id).admitted, {.answered = false}, now);
+  Refuse(id, reason::kWrongTarget, RetryAfterOf(reason::kWrongTarget));
+}
+
 void executor::Start(std::uint64_t id) {
   served_call& served = calls_.at(id);
   served.started = monotonic_clock::now();
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -74,10 +74,12 @@
   // The start of the target beside the daemon if its entry is listed as ready,
   // empty if it is leaving; nothing if it isn't listed.
   void SetListedTarget(std::optional<std::string> start) {
-    if (start) {
-      vouching_.SetTarget(*std::move(start));
-    } else {
+    if (!start) {
       vouching_.SetUnlisted(monotonic_clock::now());
+    } else if (start->empty()) {
+      vouching_.SetLeaving(monotonic_clock::now());
+    } else {
+      vouching_.SetTarget(*std::move(start));
     }
   }
   // Tell how well the daemon keeps up with the platform's store, how long ago a
@@ -185,6 +187,7 @@
   [[nodiscard]] static time_point StartBy(const served_call& served,
                                           time_point now);
   [[nodiscard]] reason RefusalOf(const served_call& served, time_point now);
+  void StartQueued(std::uint64_t id);
   void Start(std::uint64_t id);
   void OnRunEnd(std::uint64_t id, run_result result);
   void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
@@ -202,6 +205,8 @@
   void LogVouching(const view_state& view, time_point now);
   void TellCleared(const request_fingerprint& request,
                    const std::string& request_id);
+  // Requests mustn't reach the target any more, whatever their senders know.
+  [[nodiscard]] bool TargetLeft(time_point now) const;
   [[nodiscard]] bool TargetDown(time_point now) const;
 
   const target_runner run_;
--- a/tests/lapsed_targets_test.cc
+++ b/tests/lapsed_targets_test.cc
@@ -249,6 +249,34 @@
   EXPECT_EQ(vouching_.Vouched(lost_, now), "");
 }
 
+// Requests of daemons with older views, and those that waited, reached targets
+// that had left.
+TEST_F(target_vouching_test, ATargetThatHasLeftGetsNoRequests) {
+  const view_state reads{.revision = 7};
+  EXPECT_TRUE(vouching_.MayServe(reads, kStart));
+  vouching_.SetLeaving(kStart);
+  const time_point late =
+      kStart + target_vouching::kStillServes + milliseconds(1);
+  vouching_.OnAnswer(false, late);
+  EXPECT_TRUE(vouching_.MayServe(reads, kStart + milliseconds(900)));
+  EXPECT_FALSE(vouching_.MayServe(reads, late));
+  vouching_.SetUnlisted(late);
+  EXPECT_FALSE(vouching_.MayServe(lost_, late));
+  vouching_.SetTarget("i-1@2000");
+  EXPECT_TRUE(vouching_.MayServe(reads, late));
+}
+
+TEST_F(target_vouching_test, AnUnlistedTargetIsServedAsLongAsItsLeaseHolds) {
+  vouching_.SetUnlisted(kStart);
+  const time_point late =
+      kStart + target_vouching::kStillServes + milliseconds(1);
+  EXPECT_FALSE(vouching_.MayServe({.revision = 7}, late));
+  EXPECT_TRUE(vouching_.MayServe(lost_, late));
+  EXPECT_TRUE(vouching_.MayServe(lost_, kStart + target_vouching::kLease));
+  EXPECT_FALSE(vouching_.MayServe(
+      lost_, kStart + target_vouching::kLease + milliseconds(1)));
+}
+
 TEST_F(target_vouching_test, AnEndedTargetDoesNotAnswer) {
   const time_point later =
       kStart + target_vouching::kAnswered + milliseconds(1);
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -163,6 +163,23 @@
   EXPECT_EQ(told->kind, outcome_kind::kCompleted);
 }
 
+// Guards against requests that reach a target its own daemon knows to have
+// left.
+TEST_F(origin_links_test, ATargetThatHasLeftGetsNoRequests) {
+  far_daemon far(context_, port_);
+  far.calls.SetViewState([] { return view_state{.revision = 1}; },
+                         [] { return milliseconds(0); },
+                         [] { return std::optional<milliseconds>(); });
+  far.calls.SetListedTarget(std::string());
+  EXPECT_EQ(Ask(), outcome_kind::kCompleted);
+  const time_point known = monotonic_clock::now();
+  RunUntil(context_, [&] {
+    return monotonic_clock::now() > known + target_vouching::kStillServes;
+  });
+  EXPECT_EQ(Ask(), outcome_kind::kNotExecuted);
+  EXPECT_EQ(far.runs, 1);
+}
+
 // Guards against a request that is told as unknown though it has not left.
 TEST_F(origin_links_test, WhatHasNotLeftIsToldAsNotExecutedAtTheEnd) {
   const auto silent = Listen(context_, {.ip = kFarIp, .port = port_});
