A confirmation of the view that is passed on gets older on its way

Two daemons that exchange frames all the time told each other an age which never took the frames' own way into account, and rounding takes up to a millisecond of each; a view that nobody who reads the store had confirmed for 1.5 s stayed fresh at both, so that neither began to read.

Evidence: view_following_test ConfirmationsThatAreToldToAndFroAge failed before (fresh behind 1.5 s without a confirmation, frames each 2 ms; the limit is 1 s). Looked at and not of this kind: quarantine entries (only new crashes extend them), proofs for keys (count from the question), load and quota reports (told by whom they are of).

Change: each passing on adds 20 ms, more than a frame's way on a link that is well. An age of zero is of a daemon that reads by itself and stays. The answers of the store that are told on get the same.

--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -62,6 +62,10 @@
 // Pure logic; the daemon keeps one.
 class view_following {
  public:
+  // What a report takes to the next daemon, with some margin: an age that is
+  // passed on grows by this.
+  static constexpr milliseconds kReportWay{20};
+
   explicit view_following(view_following_options options);
 
   // All daemons that are known, this one among them if its target is listed.
--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -55,7 +55,11 @@
     return;
   }
   if (same) {
-    confirmed_ = std::max(confirmed_, now - age);
+    // The age says nothing of the report's own way. What two daemons tell each
+    // other on every frame would get no older, and keep both fresh.
+    const milliseconds way =
+        age > milliseconds(0) ? kReportWay : milliseconds(0);
+    confirmed_ = std::max(confirmed_, now - age - way);
   }
   const auto known = sources_.find(ip);
   if (known == sources_.end()) {
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -189,7 +189,8 @@
   const time_point at = monotonic_clock::now() - *report.store_answered_ago;
   parts_.note_store_answer(at);
   if (std::ranges::find(sources_, ip) != sources_.end()) {
-    source_answered_ = std::max(source_answered_, std::optional(at));
+    source_answered_ = std::max(source_answered_,
+                                std::optional(at - view_following::kReportWay));
   }
 }
 
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -443,6 +443,34 @@
   EXPECT_NE(one.Plan(now).reading, store_reading::kNone);
 }
 
+// What two daemons told each other on every answer kept views fresh that nobody
+// had confirmed for seconds.
+TEST(ViewFollowingTest, ConfirmationsThatAreToldToAndFroAge) {
+  const daemon_place reader{.ip = "10.0.0.1", .data_centre = "waw-a"};
+  std::vector<daemon_place> places = {reader};
+  std::vector<view_following> daemons;
+  for (int i = 2; i <= 3; ++i) {
+    places.push_back({.ip = IpOf(i), .data_centre = "waw-a"});
+    daemons.emplace_back(view_following_options{.self = places.back()});
+  }
+  time_point now = kStart;
+  for (view_following& each : daemons) {
+    each.SetDaemons(places);
+    each.Plan(now);
+    each.OnReport(reader.ip, milliseconds(0), true, now);
+  }
+  // Nobody reads the store from now on; calls flow between the two.
+  constexpr milliseconds kFrameWay{2};
+  const time_point end = now + milliseconds(1500);
+  for (int i = 0; now < end; ++i) {
+    const milliseconds age = daemons[i % 2].Age(now);
+    now += kFrameWay;
+    daemons[(i + 1) % 2].OnReport(places[1 + i % 2].ip, age, true, now);
+  }
+  EXPECT_FALSE(daemons[0].IsFresh(now));
+  EXPECT_FALSE(daemons[1].IsFresh(now));
+}
+
 // A daemon stood still for some seconds and wakes. Nobody has spoken to it
 // meanwhile, and that is nobody's fault.
 TEST(ViewFollowingTest, ADaemonThatStoodStillBlamesNobody) {
