What the executor tells other daemons has a file of its own

executor.cc had grown to 578 lines; its reports (load, view, vouching) are executor_reports.cc, as origin_views.cc beside origin.cc. ToMilliseconds() stands once, in base/time.h. No behaviour changes; origin_links_test passes.

--- a/include/base/time.h
+++ b/include/base/time.h
@@ -14,12 +14,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+[[nodiscard]] inline milliseconds ToMilliseconds(duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
 // Zero once the deadline has passed.
 [[nodiscard]] inline milliseconds TimeLeft(time_point deadline,
                                            time_point now) {
-  return deadline <= now
-             ? milliseconds(0)
-             : std::chrono::duration_cast<milliseconds>(deadline - now);
+  return deadline <= now ? milliseconds(0) : ToMilliseconds(deadline - now);
 }
 
 }  // namespace pistachioweir
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -27,19 +27,12 @@
 // next call. Shorter than its restart takes, and long enough that callers are
 // sent elsewhere in between.
 constexpr milliseconds kTargetRetry{100};
-// What was heard of pressure longer ago than this counts no more; calls and
-// their answers come many times in it where there is any pressure.
-constexpr milliseconds kPressureMemory{1000};
 // When a caller that found no target here should come back.
 constexpr milliseconds kDownRetryAfter{500};
 constexpr milliseconds kDrainRetryAfter{50};
 // A few periods of the guard: the share has moved by then.
 constexpr milliseconds kWastedRetryAfter{500};
 
-milliseconds ToMilliseconds(duration time) {
-  return std::chrono::duration_cast<milliseconds>(time);
-}
-
 microseconds ToMicroseconds(duration time) {
   return std::chrono::duration_cast<microseconds>(time);
 }
@@ -132,21 +125,6 @@
   }
 }
 
-void executor::LogVouching(const view_state& view, time_point now) {
-  std::string vouched = vouching_.Vouched(view, now);
-  if (vouched == vouched_) {
-    return;
-  }
-  LogEvent(vouched.empty() ? "target_not_vouched" : "target_vouched",
-           {{.name = "start", .value = vouched.empty() ? vouched_ : vouched},
-            {.name = "answered_ms",
-             .value = std::to_string(
-                 ToMilliseconds(now - vouching_.answered()).count())},
-            {.name = "store_lost", .value = view.lost_since ? "yes" : "no"},
-            {.name = "revision", .value = std::to_string(view.revision)}});
-  vouched_ = std::move(vouched);
-}
-
 void executor::TellCleared(const request_fingerprint& request,
                            const std::string& request_id) {
   LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"},
@@ -224,76 +202,6 @@
   }
 }
 
-load_report executor::Load() const {
-  const time_point now = monotonic_clock::now();
-  load_report load = admission_.Report(0, now);
-  if (draining_ || !slots_known_ || TargetDown(now)) {
-    load.admission_level = kRankCount;
-  }
-  constexpr double kThousandths = 1000;
-  constexpr double kMostPressure = 100;
-  const double pressure =
-      std::max(OwnPressure(now), DownstreamPressure(now).value_or(0));
-  load.pressure = static_cast<std::uint32_t>(kThousandths *
-                                             std::min(kMostPressure, pressure));
-  return load;
-}
-
-neighbour_report executor::Report() const {
-  if (!view_state_) {
-    return {};
-  }
-  const view_state view = view_state_();
-  const time_point now = monotonic_clock::now();
-  std::string vouched = vouching_.Vouched(view, now);
-  const milliseconds ago = vouched.empty()
-                               ? milliseconds(0)
-                               : ToMilliseconds(now - vouching_.answered());
-  return {.revision = view.revision,
-          .age = view_age_(),
-          .vouched = std::move(vouched),
-          .vouched_ago = ago,
-          .store_answered_ago = store_answered_ago_()};
-}
-
-// How long calls of targets would wait here, against half of their objective.
-double executor::OwnPressure(time_point now) const {
-  constexpr double kHalf = 0.5;
-  double most = 0;
-  for (std::uint32_t i = 0; i < kinds_.size(); ++i) {
-    const kind_state& kind = by_kind_[i];
-    if (now - kind.came > kPressureMemory ||
-        kind.objective <= milliseconds(0) || !kind.callers.IsMadeByTargets()) {
-      continue;
-    }
-    const std::chrono::duration<double> wait = admission_.Wait(kind.level);
-    const std::chrono::duration<double> objective = kind.objective;
-    most = std::max(most, wait / (kHalf * objective));
-  }
-  return most;
-}
-
-void executor::NoteDownstream(const std::string& service,
-                              double pressure,
-                              time_point now) {
-  downstream_[service] = {.pressure = pressure, .heard = now};
-}
-
-std::optional<double> executor::DownstreamPressure(time_point now) const {
-  std::optional<double> most;
-  for (const auto& [service, below] : downstream_) {
-    if (now - below.heard <= kPressureMemory) {
-      most = std::max(most.value_or(0), below.pressure);
-    }
-  }
-  return most;
-}
-
-bool executor::TargetLeft(time_point now) const {
-  return !vouching_.IsListed() && view_state_ &&
-         !vouching_.MayServe(view_state_(), now);
-}
-
 bool executor::TargetDown(time_point now) const {
   return now < target_down_until_;
 }
