A call without an answer in its time tells an absence of the store

Cause: a daemon that began to read 0.75 s before the store was back gave up its first call after 0.7 s and had an answer 50 ms later. Failing counted from the moment at which the call was given up, so that these 51 ms were no absence: the daemon took all that had run out for removed, and told so.

Ruled out: answers in between (the silence of all is 3.7 s), others' reports. leaving_target_test OneCallWithoutAnAnswerTellsAnAbsence fails with the limit of 800 ms before.

--- a/tests/leaving_target_test.cc
+++ b/tests/leaving_target_test.cc
@@ -112,6 +112,21 @@
   EXPECT_FALSE(Uses(builder, back + view_builder::kReturnTime));
 }
 
+// A daemon that began to read just before a silent store was back took what had
+// run out for what had left, and told others so.
+TEST(LeavingTargetTest, OneCallWithoutAnAnswerTellsAnAbsence) {
+  view_builder builder;
+  builder.Apply(Listed(), kStart);
+  std::ignore = builder.TakeChanged();
+  builder.NoteOthersAnswer(kStart);
+  const time_point asked = kStart + milliseconds(3000);
+  const time_point back = asked + milliseconds(750);
+  builder.NoteAnswer(back, asked);
+  EXPECT_EQ(builder.returned_at(), back);
+  builder.Apply(Removed(), back);
+  EXPECT_TRUE(Uses(builder, back));
+}
+
 // A daemon's word for a target that has left was relied on for three seconds.
 TEST(LeavingTargetTest, AWordForATargetThatHasLeftIsOverInTime) {
   const target_entry target{.id = "i-1",
