--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -15,7 +15,8 @@
 # Only where they are named, so that seeds keep their meaning.
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
-               "store_for_some", "store_for_none", "leave", "leave_at_return")
+               "store_for_some", "store_for_none", "leave", "leave_at_return",
+               "lapse")
 
 
 class Faults:
@@ -276,6 +277,27 @@
         await self.world.register(target)
         self.world.busy_targets.discard(target)
 
+    async def lapse(self, dice):
+        """The store is away for all for longer than entries last: those of live targets
+        run out, and are back within two seconds of its return."""
+        world = self.world
+        lapsed = [each for each in world.targets
+                  if each not in world.busy_targets and each.is_up()]
+        world.busy_targets.update(lapsed)
+        world.store.mode = dice.choice(["silent", "busy", "reset"])
+        world.disturb_links()
+        await asyncio.sleep(dice.uniform(3.2, 5.5))
+        for each in lapsed:
+            await world.store.remove("servers/" + each.id)
+        world.store.mode = "up"
+        world.disturb_links()
+
+        async def back(each, after):
+            await asyncio.sleep(after)
+            await world.store.put("servers/" + each.id, each.entry())
+        await asyncio.gather(*(back(each, dice.uniform(0.0, 1.8)) for each in lapsed))
+        world.busy_targets.difference_update(lapsed)
+
     async def leave_at_return(self, dice):
         """The store turns a third of the daemons away, and about when it takes them
         back two targets leave, the first of them beside one of those."""
