A daemon that stood still missed no answer of the store

Found by reading the change once more: a call that is given up counts as unanswered from when it was due. In a process that stood still the answer may be there, unread, and its frozen time looked like an absence of the store for all, so that it would have delayed removals behind its waking.

A call that is given up more than 300 ms behind its time tells that the process stood still and counts from then. Test: store_contact_test WhoeverStoodStillMissesNoAnswer.

--- a/include/forward/store_contact.h
+++ b/include/forward/store_contact.h
@@ -7,6 +7,16 @@
 
 namespace pistachioweir {
 
+// Since when an answer is missing that was due at `due`, if the call, that was
+// to be given up at `given_up`, is so at `now`. A process that stood still
+// meanwhile could not hear one.
+[[nodiscard]] inline time_point MissingSince(time_point due,
+                                             time_point given_up,
+                                             time_point now) {
+  constexpr milliseconds kStoodStill{300};
+  return now - given_up > kStoodStill ? now : due;
+}
+
 // Entries of live targets run out while the store is away for all, so removals
 // behind that are delayed (guard DELAY in spec/leaving_bound.pml). A daemon
 // whose own calls fail can't tell whether the store is away or its own way
--- a/tests/store_contact_test.cc
+++ b/tests/store_contact_test.cc
@@ -50,6 +50,15 @@
   EXPECT_EQ(contact.returned_at(), std::nullopt);
 }
 
+// A daemon that stood still took its own silence for the store's.
+TEST(StoreContactTest, WhoeverStoodStillMissesNoAnswer) {
+  const time_point due = kStart;
+  const time_point given_up = due + milliseconds(700);
+  EXPECT_EQ(MissingSince(due, given_up, given_up + milliseconds(5)), due);
+  const time_point woken = given_up + seconds(3);
+  EXPECT_EQ(MissingSince(due, given_up, woken), woken);
+}
+
 // Whatever is told in which order, an absence is a silence of all that is
 // known.
 RC_GTEST_PROP(StoreContactTest, AnAbsenceHasNoAnswerInIt, ()) {
