Tests: one builder with a listed target for leaving_target_test

Found by reading the change once more: five tests set up the same view_builder in three lines; WithTheTarget() serves all. No source of the daemon changes.

--- a/tests/leaving_target_test.cc
+++ b/tests/leaving_target_test.cc
@@ -41,6 +41,14 @@
           .from = from};
 }
 
+// Whose view has just been taken.
+view_builder WithTheTarget() {
+  view_builder builder;
+  builder.Apply(Listed(), kStart);
+  std::ignore = builder.TakeChanged();
+  return builder;
+}
+
 bool Uses(view_builder& builder, time_point now) {
   builder.Advance(now);
   const auto view = builder.TakeChanged();
@@ -49,9 +57,7 @@
 
 // The return of one daemon's link kept targets that had left in use everywhere.
 TEST(LeavingTargetTest, TheReturnOfAnotherDaemonsLinkKeepsNoTarget) {
-  view_builder builder;
-  builder.Apply(Listed(), kStart);
-  std::ignore = builder.TakeChanged();
+  view_builder builder = WithTheTarget();
   // This daemon reads the store all the time.
   for (int i = 0; i <= 5; ++i) {
     builder.NoteAnswer(kStart + i * milliseconds(1500));
@@ -65,9 +71,7 @@
 
 // A daemon whose own link to the store had failed kept what had left meanwhile.
 TEST(LeavingTargetTest, TheReturnOfTheOwnLinkKeepsNoTarget) {
-  view_builder builder;
-  builder.Apply(Listed(), kStart);
-  std::ignore = builder.TakeChanged();
+  view_builder builder = WithTheTarget();
   builder.NoteAnswer(kStart);
   // Others that read the store tell when it answered them.
   for (int i = 1; i <= 3; ++i) {
@@ -83,9 +87,7 @@
 // A daemon that was cut off from everybody hears only behind its return that
 // the store was there.
 TEST(LeavingTargetTest, ADelayEndsOnceTheStoreTurnsOutToHaveBeenThere) {
-  view_builder builder;
-  builder.Apply(Listed(), kStart);
-  std::ignore = builder.TakeChanged();
+  view_builder builder = WithTheTarget();
   builder.NoteAnswer(kStart);
   const time_point back = kStart + milliseconds(4000);
   builder.NoteAnswer(back, kStart + milliseconds(500));
@@ -98,9 +100,7 @@
 
 // The other side: the store was away for all, and its entries had run out.
 TEST(LeavingTargetTest, AnAbsenceOfTheStoreForAllKeepsTargets) {
-  view_builder builder;
-  builder.Apply(Listed(), kStart);
-  std::ignore = builder.TakeChanged();
+  view_builder builder = WithTheTarget();
   builder.NoteAnswer(kStart);
   builder.NoteOthersAnswer(kStart + milliseconds(300));
   const time_point back = kStart + milliseconds(3500);
@@ -115,9 +115,7 @@
 // A daemon that began to read just before a silent store was back took what had
 // run out for what had left, and told others so.
 TEST(LeavingTargetTest, OneCallWithoutAnAnswerTellsAnAbsence) {
-  view_builder builder;
-  builder.Apply(Listed(), kStart);
-  std::ignore = builder.TakeChanged();
+  view_builder builder = WithTheTarget();
   builder.NoteOthersAnswer(kStart);
   const time_point asked = kStart + milliseconds(3000);
   const time_point back = asked + milliseconds(750);
