Lines of what a daemon holds and how late it runs

Once a second a daemon looks at what it holds: bytes in use at the allocator, frames that are unsent on links and sessions, in all and on the one that holds most, frames that have come in part, connections without a hello or welcome, callers' connections and bodies, calls, runs, answers that are kept, and how late the timer itself ran. A line `strained` tells all of it when the allocator has handed out more than 32 MB, what a daemon may use for control, or the loop ran more than 100 ms late. No decision depends on it.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -32,6 +32,7 @@
 #include "src/forward/executor.h"
 #include "src/forward/forward_pages.h"
 #include "src/forward/origin.h"
+#include "src/forward/process_load.h"
 #include "src/forward/quota_sharing.h"
 #include "src/forward/stop_plan.h"
 #include "src/forward/target_pool.h"
@@ -473,13 +474,31 @@
     stop_.async_wait([this](error_code) { stopped_.set_value(); });
   }
 
+  [[nodiscard]] process_load LoadNow(duration lag) const {
+    return {.lag = lag,
+            .heap_bytes = HeapBytes(),
+            .links = origin_.link_load(),
+            .sessions = peers_.load(),
+            .callers = callers_.state().sessions,
+            .caller_bytes = callers_.state().held_bytes,
+            .calls = origin_.in_progress(),
+            .runs = executor_.in_progress(),
+            .answer_bytes = peers_.answer_bytes()};
+  }
+
   void Tick() {
     const time_point now = monotonic_clock::now();
+    const process_load load =
+        LoadNow(std::max(duration(0), now - next_tick_));
+    if (IsStrained(load)) {
+      LogProcessLoad(load);
+    }
     origin_.Tick(now);
     peers_.Tick(now);
     executor_.Tick(now);
     FlushLog();
-    tick_.expires_after(kTickInterval);
+    next_tick_ = monotonic_clock::now() + kTickInterval;
+    tick_.expires_at(next_tick_);
     tick_.async_wait([this](error_code error) {
       if (!error) {
         Tick();
@@ -516,6 +535,7 @@
   quota_sharing quotas_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
+  time_point next_tick_ = time_point::max();  // When `tick_` expires.
   boost::asio::steady_timer flush_;
   boost::asio::steady_timer stop_;
   stop_plan stop_plan_;
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -141,6 +141,8 @@
   }
 
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
+  // Of all links to other daemons.
+  [[nodiscard]] stream_load link_load() const;
   [[nodiscard]] const origin_counters& counters() const { return counters_; }
   [[nodiscard]] const std::shared_ptr<const service_view>& view() const {
     return view_;
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -182,6 +182,14 @@
   return {ips.begin(), ips.end()};
 }
 
+stream_load origin::link_load() const {
+  stream_load sum;
+  for (const auto& [ip, link] : links_) {
+    sum.Add(link->load());
+  }
+  return sum;
+}
+
 void origin::Tick(time_point now) {
   ShareReserve(now);
   lapsed_.Expire(now);
--- /dev/null
+++ b/src/forward/process_load.cc
@@ -0,0 +1,62 @@
+// What the process holds, as a line.
+#include "src/forward/process_load.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <string>
+
+#include "include/base/log.h"
+
+namespace pistachioweir {
+namespace {
+
+// What a daemon may use for control.
+constexpr std::size_t kMostHeapBytes = 32 << 20;
+// Longer than a machine that shares its processor is held up.
+constexpr milliseconds kMostLag{100};
+
+}  // namespace
+
+void stream_load::Add(const stream_load& other) {
+  open += other.open;
+  unnamed += other.unnamed;
+  unsent_bytes += other.unsent_bytes;
+  most_unsent_bytes = std::max(most_unsent_bytes, other.most_unsent_bytes);
+  unread_bytes += other.unread_bytes;
+}
+
+std::size_t HeapBytes() {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+bool IsStrained(const process_load& load) {
+  return load.lag > kMostLag || load.heap_bytes > kMostHeapBytes;
+}
+
+void LogProcessLoad(const process_load& load) {
+  const auto text = [](auto count) { return std::to_string(count); };
+  LogWarning(
+      "strained",
+      {{.name = "lag_ms", .value = text(ToMilliseconds(load.lag).count())},
+       {.name = "heap_bytes", .value = text(load.heap_bytes)},
+       {.name = "links", .value = text(load.links.open)},
+       {.name = "links_unnamed", .value = text(load.links.unnamed)},
+       {.name = "links_unsent", .value = text(load.links.unsent_bytes)},
+       {.name = "links_most", .value = text(load.links.most_unsent_bytes)},
+       {.name = "links_unread", .value = text(load.links.unread_bytes)},
+       {.name = "sessions", .value = text(load.sessions.open)},
+       {.name = "sessions_unnamed", .value = text(load.sessions.unnamed)},
+       {.name = "sessions_unsent", .value = text(load.sessions.unsent_bytes)},
+       {.name = "sessions_most",
+        .value = text(load.sessions.most_unsent_bytes)},
+       {.name = "sessions_unread", .value = text(load.sessions.unread_bytes)},
+       {.name = "callers", .value = text(load.callers)},
+       {.name = "caller_bytes", .value = text(load.caller_bytes)},
+       {.name = "calls", .value = text(load.calls)},
+       {.name = "runs", .value = text(load.runs)},
+       {.name = "answer_bytes", .value = text(load.answer_bytes)}});
+}
+
+}  // namespace pistachioweir
--- /dev/null
+++ b/src/forward/process_load.h
@@ -0,0 +1,43 @@
+// process_load: what the process holds and how late it runs, part by part.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "include/base/time.h"
+
+namespace pistachioweir {
+
+// Connections to other daemons of one kind, and what waits on them.
+struct stream_load {
+  std::size_t open = 0;
+  // Connected, but without a hello or welcome yet.
+  std::size_t unnamed = 0;
+  std::size_t unsent_bytes = 0;
+  std::size_t most_unsent_bytes = 0;  // Of one connection.
+  std::size_t unread_bytes = 0;       // Of frames that have come in part.
+
+  void Add(const stream_load& other);
+};
+
+struct process_load {
+  duration lag{0};             // How late the loop runs its timers.
+  std::size_t heap_bytes = 0;  // In use, by the C library's allocator.
+  stream_load links;           // To daemons that this one has called.
+  stream_load sessions;        // Of daemons that have called this one.
+  std::size_t callers = 0;     // Connections.
+  std::size_t caller_bytes = 0;
+  std::size_t calls = 0;         // Callers' requests in progress.
+  std::size_t runs = 0;          // Calls at the target beside this daemon.
+  std::size_t answer_bytes = 0;  // Kept until their senders settle them.
+};
+
+// Bytes that the allocator has handed out.
+[[nodiscard]] std::size_t HeapBytes();
+
+// Whether either figure is beyond what a daemon should need.
+[[nodiscard]] bool IsStrained(const process_load& load);
+
+void LogProcessLoad(const process_load& load);
+
+}  // namespace pistachioweir
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -43,6 +43,8 @@
   [[nodiscard]] bool open() const { return open_; }
   // Bytes that the peer has not taken yet.
   [[nodiscard]] std::size_t unsent_bytes() const { return unsent_bytes_; }
+  // Bytes of a frame that has come in part.
+  [[nodiscard]] std::size_t unread_bytes() const { return received_.size(); }
   // When the last bytes came.
   [[nodiscard]] time_point last_heard() const { return last_heard_; }
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -77,6 +77,20 @@
                              : std::optional(current_->last_heard());
 }
 
+stream_load peer_link::load() const {
+  stream_load sum;
+  for (const stream_ptr& stream : {current_, candidate_}) {
+    if (stream != nullptr) {
+      sum.Add({.open = 1,
+               .unnamed = stream == candidate_ ? 1U : 0U,
+               .unsent_bytes = stream->unsent_bytes(),
+               .most_unsent_bytes = stream->unsent_bytes(),
+               .unread_bytes = stream->unread_bytes()});
+    }
+  }
+  return sum;
+}
+
 std::uint64_t peer_link::SettledBelow() const {
   return calls_.empty() ? *options_.last_number + 1 : calls_.begin()->first;
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -22,6 +22,7 @@
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/forward/view_changes.h"
+#include "src/forward/process_load.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
@@ -133,6 +134,8 @@
   [[nodiscard]] bool IsWell(time_point now) const;
   // Since when nothing came from the peer; nothing without a connection.
   [[nodiscard]] std::optional<time_point> last_heard() const;
+  // Of all its connections.
+  [[nodiscard]] stream_load load() const;
   // Whether a call was ever sent.
   [[nodiscard]] bool carries_calls() const { return carries_calls_; }
 
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -79,6 +79,13 @@
   }
   [[nodiscard]] const vm_id& vm() const { return vm_; }
   [[nodiscard]] const std::string& ip() const { return ip_; }
+  [[nodiscard]] stream_load load() const {
+    return {.open = 1,
+            .unnamed = sender_ == incarnation_id{} ? 1U : 0U,
+            .unsent_bytes = stream_->unsent_bytes(),
+            .most_unsent_bytes = stream_->unsent_bytes(),
+            .unread_bytes = stream_->unread_bytes()};
+  }
   [[nodiscard]] bool reads_slowly() const {
     return stream_->unsent_bytes() > kMostUnreadBytes;
   }
@@ -461,6 +468,14 @@
       [](const auto& entry) { return entry.second->followed().has_value(); }));
 }
 
+stream_load peer_server::load() const {
+  stream_load sum;
+  for (const auto& open : all_) {
+    sum.Add(open->load());
+  }
+  return sum;
+}
+
 void peer_server::Tick(time_point now) {
   attempts_.Expire(now);
 }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -20,6 +20,7 @@
 #include "include/forward/view_changes.h"
 #include "include/forward/view_freshness.h"
 #include "include/once/attempt_table.h"
+#include "src/forward/process_load.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
@@ -83,6 +84,10 @@
   // Where it listens; with port 0 in the options, the port that was given.
   [[nodiscard]] endpoint address() const;
   [[nodiscard]] std::size_t sessions() const { return by_sender_.size(); }
+  // Of all connections.
+  [[nodiscard]] stream_load load() const;
+  // Of answers that are kept until their senders have them.
+  [[nodiscard]] std::size_t answer_bytes() const { return attempts_.bytes(); }
   [[nodiscard]] std::size_t followers() const;
   [[nodiscard]] const follower_counters& counters() const { return counters_; }
   // Calls that were taken since the start, each attempt once.
