A crash of a request is news to a daemon once

Cause: telling of suspects had no end. Daemons pass on what is news to them, over all connections, so each hears some hundred copies. What made a copy no news was what the daemon knew of the request at that moment: a suspect's entry, or behind its clearing a place in a table of 4,096 that the request shares with all others whose hash has the same low bits. Two suspects of one crash may have one place; among 91 that has a chance of 63 in 100. Each clearing of the one then makes all daemons forget that the other was cleared, and a copy of the other that is still under way is news again: passed on over a hundred connections, cleared, passed on again, which makes them forget the first one. Whether it dies out hangs on how many copies are still under way, so on how late daemons read. Late ones read later still, and what they haven't read is held for them by all others.

Now a daemon remembers each crash of each request that it was told of or has told of (`told_crashes`), for as long as others may tell of it. What was added once is never passed on again, whatever has become of the request since; where there is no room nothing is passed on. So telling ends after two passes for each crash and daemon: one as suspect, one as cleared.

Tests: ACopyThatComesLateIsNoNews and TellingEndsWhereDaemonsReadLate fail without the change (news=1; more than 12,800 frames among 20 daemons, with 16 suspects) and pass with it.

--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -11,6 +11,7 @@
 #include "include/base/time.h"
 #include "include/once/fingerprint.h"
 #include "include/quarantine/quarantine.h"
+#include "include/quarantine/told_crashes.h"
 
 namespace pistachioweir {
 
@@ -101,6 +102,8 @@
 
   static constexpr std::size_t kCompletedPlaces = 4096;
 
+  // The entry with those of its crashes that nobody told of before.
+  quarantine_entry Unheard(const quarantine_entry& entry, time_point now);
   // Whether the target's death may be its doing.
   [[nodiscard]] bool IsSuspect(const cut_run& run, time_point now) const;
   [[nodiscard]] bool HasCompletedLately(const request_fingerprint& request,
@@ -108,6 +111,7 @@
 
   const incarnation_id self_;
   quarantine quarantine_;
+  told_crashes told_;
   std::vector<cut_run> cut_;  // None older than kCutMemory after OnCut().
   std::vector<completed_request> completed_ =
       std::vector<completed_request>(kCompletedPlaces);
--- /dev/null
+++ b/include/quarantine/told_crashes.h
@@ -0,0 +1,49 @@
+// told_crashes: which crashes of which requests a daemon has been told of.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_set>
+
+#include "include/base/time.h"
+#include "include/once/fingerprint.h"
+#include "include/quarantine/quarantine.h"
+
+namespace pistachioweir {
+
+struct told_crashes_options {
+  // Longer than daemons tell of a crash: for the period of its quarantine.
+  milliseconds memory{60000};
+  // Crashes of requests within `memory`.
+  std::size_t most = 16384;
+};
+
+// Daemons pass on what they hear for the first time, over all ways at once, so
+// many copies come of each. Telling ends only if nothing is forgotten while
+// copies of it may come. What is known of a request doesn't serve: it changes
+// as the request is suspected, cleared and suspected again, and its places are
+// taken by other requests. A daemon that was late then passed old copies on as
+// news, and so did those that it told, without end.
+//
+// Pure logic; the owner keeps one beside its quarantine.
+class told_crashes {
+ public:
+  explicit told_crashes(const told_crashes_options& options = {})
+      : options_(options) {}
+
+  // True if it wasn't added within `memory`. False without room as well: what
+  // isn't remembered must not be passed on.
+  bool Add(const request_fingerprint& request, crash_id crash, time_point now);
+
+ private:
+  void Age(time_point now);
+
+  const told_crashes_options options_;
+  // Hashes of request and crash: those that were added since `began_`, and for
+  // as long before that. At most `most` each.
+  std::unordered_set<std::uint64_t> newer_;
+  std::unordered_set<std::uint64_t> older_;
+  time_point began_;
+};
+
+}  // namespace pistachioweir
--- a/src/quarantine/crash_suspects.cc
+++ b/src/quarantine/crash_suspects.cc
@@ -78,6 +78,7 @@
   std::vector<quarantine_entry> told;
   for (const cut_run& each : cut) {
     quarantine_.OnCrash(each.request, crash, now);
+    told_.Add(each.request, crash, now);
     if (told.size() < kMostTold) {
       told.push_back({.fingerprint = each.request,
                       .crashes = {crash},
@@ -92,12 +93,25 @@
     time_point now) {
   std::vector<quarantine_entry> news;
   for (const quarantine_entry& entry : entries) {
-    if (!HasCompletedLately(entry.fingerprint, now) &&
-        quarantine_.Import(entry, now)) {
-      news.push_back(entry);
+    const quarantine_entry unheard = Unheard(entry, now);
+    if (unheard.crashes.front() != crash_id{} &&
+        !HasCompletedLately(entry.fingerprint, now) &&
+        quarantine_.Import(unheard, now)) {
+      news.push_back(unheard);
     }
   }
   return news;
 }
 
+quarantine_entry crash_suspects::Unheard(const quarantine_entry& entry,
+                                         time_point now) {
+  quarantine_entry unheard = entry;
+  const auto end = std::remove_if(
+      unheard.crashes.begin(), unheard.crashes.end(), [&](crash_id crash) {
+        return crash == crash_id{} || !told_.Add(entry.fingerprint, crash, now);
+      });
+  std::fill(end, unheard.crashes.end(), crash_id{});
+  return unheard;
+}
+
 }  // namespace pistachioweir
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -325,6 +325,81 @@
   EXPECT_TRUE(Refuses(suspects, kBad));
 }
 
+// Guards against old copies of a suspect that are news again once the memory of
+// its completion has been taken by other requests.
+TEST_F(crash_suspects_test, ACopyThatComesLateIsNoNews) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  Crash(one, kBad);
+  EXPECT_EQ(other.Import(told_, now_).size(), 1U);
+  EXPECT_EQ(other.OnCleared({kBad}, now_).size(), 1U);
+  for (int i = 0; i < 40000; ++i) {
+    other.OnCompleted(Request("/look/" + std::to_string(i)), now_);
+  }
+  EXPECT_TRUE(other.Import(told_, now_ + seconds(1)).empty());
+  EXPECT_TRUE(other.OnCleared({kBad}, now_ + seconds(1)).empty());
+}
+
+// Guards against telling without end where daemons read late: copies of what
+// was cleared long ago were passed on as news, by each to all.
+TEST_F(crash_suspects_test, TellingEndsWhereDaemonsReadLate) {
+  constexpr std::size_t kDaemons = 20;
+  constexpr std::size_t kSuspects = 16;
+  constexpr int kCompletedBetween = 40;
+  struct message {
+    std::size_t to;
+    std::vector<quarantine_entry> entries;
+    std::vector<request_fingerprint> cleared;
+  };
+  std::mt19937_64 random(7);
+  std::vector<crash_suspects> daemons;
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    daemons.emplace_back(incarnation_id{i + 1});
+  }
+  std::vector<message> under_way;
+  const auto tell_all = [&](std::size_t from, const message& told) {
+    for (std::size_t to = 0; to < kDaemons; ++to) {
+      if (to != from) {
+        under_way.push_back(
+            {.to = to, .entries = told.entries, .cleared = told.cleared});
+      }
+    }
+  };
+  std::vector<request_fingerprint> suspects;
+  for (std::size_t i = 0; i < kSuspects; ++i) {
+    suspects.push_back(Request("/mail/" + std::to_string(i)));
+    daemons[0].OnCut(suspects.back(), now_ - milliseconds(10), now_);
+  }
+  tell_all(0, {.to = 0, .entries = daemons[0].OnDied(now_), .cleared = {}});
+  std::size_t others = 0;
+  std::size_t frames = 0;
+  // Each may be told once by each other of each suspect, and that it is
+  // cleared.
+  constexpr std::size_t kMost = 2 * kSuspects * kDaemons * kDaemons;
+  while (!under_way.empty() && frames <= kMost) {
+    ++frames;
+    std::swap(under_way[random() % under_way.size()], under_way.back());
+    const message told = std::move(under_way.back());
+    under_way.pop_back();
+    crash_suspects& at = daemons[told.to];
+    for (int i = 0; i < kCompletedBetween; ++i) {
+      at.OnCompleted(Request("/look/" + std::to_string(++others)), now_);
+    }
+    message news{.to = told.to,
+                 .entries = at.Import(told.entries, now_),
+                 .cleared = at.OnCleared(told.cleared, now_)};
+    const request_fingerprint& completes = suspects[random() % kSuspects];
+    if (at.OnCompleted(completes, now_)) {
+      news.cleared.push_back(completes);
+    }
+    if (!news.entries.empty() || !news.cleared.empty()) {
+      tell_all(told.to, news);
+    }
+  }
+  EXPECT_TRUE(under_way.empty());
+  EXPECT_LE(frames, kMost);
+}
+
 // A daemon starts after both crashes. Nobody tells it of them again, and the
 // request would crash its target too.
 TEST_F(crash_suspects_test, OneThatConnectsLaterIsToldWhatIsKnown) {
