Suspects are told once to each daemon, and passed on to few

A crash of two targets of each of three services, with nothing else, sent each of 59 daemons 10,417 frames on suspects within a second, of which 210 held news. Each suspect that completes was cleared in a frame of its own, by each daemon that had suspected it, over each link and each session: two connections to most daemons, one of them the one that had told it. So S suspects cost each daemon S times twice its links, and the fleet S times the square.

- Whoever has found something out tells all daemons that are connected; those that hear it from others pass it on to five, at random, for those that the first one has no connection to.
That tells daemons without a connection as before: whoever has news of suspects also connects to three further ones.
- Each daemon is told once, over its link or its session.
- What is cleared waits 100 ms for more, since a crash has many suspects and nearly all of them complete.
Suspects are told at once, as before.
- A peer that has 64 kB unread is sent no suspects until it has read; then it is told what is known, once.
What it doesn't read is not kept for it.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -111,7 +111,7 @@
        {.name = "cleared", .value = std::to_string(told.cleared.size())},
        {.name = "cleared_news", .value = std::to_string(news.cleared.size())}});
   if (!news.empty() && on_suspects_) {
-    on_suspects_(news);
+    on_suspects_(news, suspects_source::kOtherDaemon);
   }
   return reply;
 }
@@ -130,7 +130,7 @@
   LogEvent("suspect_cleared", {{.name = "why", .value = "it has completed"},
                                {.name = "request", .value = request_id}});
   if (on_suspects_) {
-    on_suspects_({.cleared = {request}});
+    on_suspects_({.cleared = {request}}, suspects_source::kHere);
   }
 }
 
@@ -163,7 +163,7 @@
   LogWarning("target_crashed",
              {{.name = "suspects", .value = std::to_string(told.size())}});
   if (on_suspects_) {
-    on_suspects_({.entries = std::move(told)});
+    on_suspects_({.entries = std::move(told)}, suspects_source::kHere);
   }
 }
 
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -27,6 +27,7 @@
 #include "include/retry/failures_below.h"
 #include "include/route/caller_mix.h"
 #include "include/route/kind_index.h"
+#include "src/forward/suspect_sharing.h"
 #include "src/forward/target_run.h"
 #include "src/peer/peer_frame.h"
 
@@ -59,7 +60,8 @@
 
   // Hears of requests that may have crashed the target, and of those that
   // crash nothing after all, for other daemons.
-  using suspects_listener = std::function<void(const suspects_frame&)>;
+  using suspects_listener =
+      std::function<void(const suspects_frame&, suspects_source)>;
 
   executor(boost::asio::io_context& context,
            target_runner run,
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <future>
+#include <iterator>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +24,7 @@
 #include "include/base/call_log.h"
 #include "include/base/ids.h"
 #include "include/base/log.h"
+#include "include/base/random_bits.h"
 #include "include/base/time.h"
 #include "include/forward/forward_settings.h"
 #include "include/forward/service_view.h"
@@ -35,6 +38,7 @@
 #include "src/forward/process_load.h"
 #include "src/forward/quota_sharing.h"
 #include "src/forward/stop_plan.h"
+#include "src/forward/suspect_sharing.h"
 #include "src/forward/target_pool.h"
 #include "src/forward/view_sharing.h"
 #include "src/net/http_server.h"
@@ -148,6 +152,10 @@
                 [this](const std::string& ip, const usage_frame& usage) {
                   origin_.SendUsage(ip, usage);
                 }),
+        suspects_(context_,
+                  [this](const suspects_frame& told, std::size_t most) {
+                    SendSuspects(told, most);
+                  }),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         tick_(context_),
         flush_(context_),
@@ -167,10 +175,10 @@
     ScheduleLogFlush([this] { ArmFlush(); });
     AwaitSignal();
     ReleaseStopSignals();
-    executor_.OnSuspects([this](const suspects_frame& told) {
-      peers_.Tell(told);
-      origin_.TellSuspects(told);
-    });
+    executor_.OnSuspects(
+        [this](const suspects_frame& told, suspects_source source) {
+          suspects_.Tell(told, source);
+        });
     executor_.SetViewState([this] { return views_.state(); },
                            [this] { return sharing_.age(); },
                            [this] { return sharing_.store_answered_ago(); });
@@ -469,11 +477,28 @@
     views_.Stop();
     sharing_.Stop();
     quotas_.Stop();
+    suspects_.Stop();
     // Answers that were handed to the kernel go out; give the last ones a turn.
     stop_.expires_after(kStopPollInterval);
     stop_.async_wait([this](error_code) { stopped_.set_value(); });
   }
 
+  // Each daemon once, over whichever way it is connected.
+  void SendSuspects(const suspects_frame& told, std::size_t most) {
+    std::set<incarnation_id> to = origin_.linked();
+    to.merge(peers_.senders());
+    while (to.size() > most) {
+      to.erase(std::next(
+          to.begin(), static_cast<std::ptrdiff_t>(RandomBits64() % to.size())));
+    }
+    const auto frame = std::make_shared<const std::string>(Encode(told));
+    origin_.SendSuspects(frame, &to);
+    peers_.SendSuspects(frame, to);
+    if (!told.entries.empty()) {
+      origin_.TellFurtherDaemons();
+    }
+  }
+
   [[nodiscard]] process_load LoadNow(duration lag) const {
     return {.lag = lag,
             .heap_bytes = HeapBytes(),
@@ -488,8 +513,7 @@
 
   void Tick() {
     const time_point now = monotonic_clock::now();
-    const process_load load =
-        LoadNow(std::max(duration(0), now - next_tick_));
+    const process_load load = LoadNow(std::max(duration(0), now - next_tick_));
     if (IsStrained(load)) {
       LogProcessLoad(load);
     }
@@ -533,6 +557,7 @@
   typename Platform::views views_;
   view_sharing sharing_;
   quota_sharing quotas_;
+  suspect_sharing suspects_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
   time_point next_tick_ = time_point::max();  // When `tick_` expires.
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -115,7 +116,13 @@
   // The caller has gone.
   void Abandon(call_id id);
 
-  void TellSuspects(const suspects_frame& suspects);
+  // Sends a frame of suspects to those of `to` that are linked, and takes them
+  // out.
+  void SendSuspects(const std::shared_ptr<const std::string>& frame,
+                    std::set<incarnation_id>* to);
+  // Connects to some daemons that are not linked, which are so told of all
+  // suspects that are known.
+  void TellFurtherDaemons();
   // The daemons at these IP numbers, and no others, tell from now on what
   // changes in the store.
   void Follow(const std::vector<std::string>& ips);
@@ -141,6 +148,8 @@
   }
 
   [[nodiscard]] std::size_t in_progress() const { return calls_.size(); }
+  // Daemons that are linked.
+  [[nodiscard]] std::set<incarnation_id> linked() const;
   // Of all links to other daemons.
   [[nodiscard]] stream_load link_load() const;
   [[nodiscard]] const origin_counters& counters() const { return counters_; }
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -117,11 +117,28 @@
   }
 }
 
-void origin::TellSuspects(const suspects_frame& suspects) {
+void origin::SendSuspects(const std::shared_ptr<const std::string>& frame,
+                          std::set<incarnation_id>* to) {
   for (const auto& [ip, link] : links_) {
-    link->SendSuspects(suspects);
+    const auto connected = link->connected();
+    if (connected && to->erase(*connected) > 0) {
+      link->SendSuspects(frame);
+    }
+  }
+}
+
+std::set<incarnation_id> origin::linked() const {
+  std::set<incarnation_id> linked;
+  for (const auto& [ip, link] : links_) {
+    if (const auto connected = link->connected()) {
+      linked.insert(*connected);
+    }
   }
-  // A link tells what is known as soon as it is there.
+  return linked;
+}
+
+// A link tells what is known as soon as it is there.
+void origin::TellFurtherDaemons() {
   for (const std::string& ip : FurtherDaemons(Unlinked(), RandomBits64)) {
     LinkTo(ip)->Probe();
   }
@@ -203,6 +220,7 @@
     const bool unused =
         place->second->reachable() && place->second->outstanding() == 0 &&
         !place->second->follows() && now - place->second->last_used() > idle;
+    place->second->SendMissedSuspects();
     if (unused) {
       place->second->Close();
       place = links_.erase(place);
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -24,6 +24,10 @@
 // A peer that doesn't read would make this daemon keep all that it is sent.
 // Beyond this the connection ends; what was on it is asked for again.
 inline constexpr std::size_t kMaxUnsentBytes = 16 << 20;
+// A peer that has not read so much yet is told no news until it has: what it
+// misses is told at once then. Without a bound a peer that stands still would
+// make this daemon keep all of it.
+inline constexpr std::size_t kMostUnreadBytes = 64 << 10;
 
 // Owns the socket; kept alive by its pending operations until it is closed.
 // Used on its socket's thread only. Hears no more after Close().
@@ -43,6 +47,10 @@
   [[nodiscard]] bool open() const { return open_; }
   // Bytes that the peer has not taken yet.
   [[nodiscard]] std::size_t unsent_bytes() const { return unsent_bytes_; }
+  // What can be told later is not sent meanwhile.
+  [[nodiscard]] bool reads_slowly() const {
+    return unsent_bytes_ > kMostUnreadBytes;
+  }
   // Bytes of a frame that has come in part.
   [[nodiscard]] std::size_t unread_bytes() const { return received_.size(); }
   // When the last bytes came.
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -150,9 +150,28 @@
   return false;
 }
 
-void peer_link::SendSuspects(const suspects_frame& suspects) {
-  if (current_ != nullptr) {
-    current_->Send(Encode(suspects));
+void peer_link::SendSuspects(std::shared_ptr<const std::string> frame) {
+  if (current_ == nullptr) {
+    return;
+  }
+  if (current_->reads_slowly()) {
+    missed_suspects_ = true;
+  } else {
+    current_->Send(std::move(frame));
+  }
+}
+
+void peer_link::SendMissedSuspects() {
+  if (current_ != nullptr && !current_->reads_slowly() &&
+      std::exchange(missed_suspects_, false)) {
+    SendKnownSuspects();
+  }
+}
+
+void peer_link::SendKnownSuspects() {
+  const suspects_frame known = events_.known_suspects();
+  if (!known.entries.empty()) {
+    current_->Send(Encode(known));
   }
 }
 
@@ -344,7 +363,7 @@
     case frame_kind::kSuspects:
       if (const auto suspects = DecodeSuspectsFrame(frame.payload)) {
         const suspects_frame reply = events_.on_suspects(*suspects);
-        if (!reply.empty()) {
+        if (!reply.empty() && !stream->reads_slowly()) {
           stream->Send(Encode(reply));
         }
         return;
@@ -425,10 +444,8 @@
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
   events_.on_report(welcome.report);
-  const suspects_frame known = events_.known_suspects();
-  if (!known.entries.empty()) {
-    SendSuspects(known);
-  }
+  missed_suspects_ = false;
+  SendKnownSuspects();
   if (follows_) {
     current_->Send(EncodeNumbered(frame_kind::kFollow, events_.revision()));
   }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -107,7 +107,10 @@
   // The caller has gone: `done` is not called any more. True if nothing of the
   // call had been sent.
   bool Cancel(std::uint64_t number);
-  void SendSuspects(const suspects_frame& suspects);
+  // A peer that is slow to read is told what is known once it has read.
+  void SendSuspects(std::shared_ptr<const std::string> frame);
+  // Call once a second.
+  void SendMissedSuspects();
   // Tells what was used of quotas; connects if need be, for the next time.
   void SendUsage(const usage_frame& usage);
   // Tries to reach the peer although there is nothing to send.
@@ -124,6 +127,10 @@
 
   [[nodiscard]] link_state state() const;
   [[nodiscard]] const endpoint& address() const { return options_.address; }
+  // Which incarnation of the peer is connected, if one is.
+  [[nodiscard]] std::optional<incarnation_id> connected() const {
+    return current_ == nullptr ? std::nullopt : std::optional(receiver_);
+  }
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
   // Since when nothing was asked of the peer.
   [[nodiscard]] time_point last_used() const { return last_used_; }
@@ -163,6 +170,7 @@
   void OnAnswer(answer_frame answer);
   void OnStreamEnd(const stream_ptr& stream, std::string_view why);
   void OnBroken(const stream_ptr& stream, frame_kind kind);
+  void SendKnownSuspects();
   void Resume(incarnation_id receiver);
   [[nodiscard]] bool NeedsPing(time_point now) const;
   void Ping();
@@ -200,6 +208,7 @@
   std::deque<std::pair<std::uint64_t, boot_time>> proofs_asked_;
   std::uint64_t last_proof_number_ = 0;
   bool carries_calls_ = false;
+  bool missed_suspects_ = false;  // Some weren't sent.
   bool follows_ = false;
   time_point unreachable_since_ = time_point::max();
   bool reachable_ = true;
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -22,10 +22,6 @@
 // store for long and know of few, and all of them would answer with as many
 // whole views.
 constexpr std::size_t kAskedAtOnce = 3;
-// A follower that has not read so much yet gets no more until it has: what it
-// misses is told at once then, however many changes that were. Without a bound
-// a follower that stands still would make this daemon keep all of them.
-constexpr std::size_t kMostUnreadBytes = 64 << 10;
 
 std::string RemoteIp(const tcp::socket& socket) {
   error_code ignored;  // A connection that has ended already has none.
@@ -86,8 +82,26 @@
             .most_unsent_bytes = stream_->unsent_bytes(),
             .unread_bytes = stream_->unread_bytes()};
   }
-  [[nodiscard]] bool reads_slowly() const {
-    return stream_->unsent_bytes() > kMostUnreadBytes;
+  [[nodiscard]] bool reads_slowly() const { return stream_->reads_slowly(); }
+
+  // A sender that is slow to read is told what is known once it has read.
+  void SendSuspects(std::shared_ptr<const std::string> frame) {
+    if (reads_slowly()) {
+      missed_suspects_ = true;
+    } else {
+      Send(std::move(frame));
+    }
+  }
+  void SendMissedSuspects() {
+    if (!reads_slowly() && std::exchange(missed_suspects_, false)) {
+      SendKnownSuspects();
+    }
+  }
+  void SendKnownSuspects() {
+    const suspects_frame known{.entries = server_.calls_.KnownSuspects()};
+    if (!known.entries.empty()) {
+      Send(Encode(known));
+    }
   }
 
  private:
@@ -150,7 +164,7 @@
         const auto suspects = DecodeSuspectsFrame(frame.payload);
         if (suspects && server_.options_.on_suspects) {
           const suspects_frame reply = server_.options_.on_suspects(*suspects);
-          if (!reply.empty()) {
+          if (!reply.empty() && !reads_slowly()) {
             Send(Encode(reply));
           }
         }
@@ -206,6 +220,7 @@
   incarnation_id sender_{};                // Zero until its hello.
   vm_id vm_;                               // The sender's.
   std::optional<std::uint64_t> followed_;  // Only of a follower.
+  bool missed_suspects_ = false;           // Some weren't sent.
 };
 
 peer_server::peer_server(boost::asio::io_context& context,
@@ -262,10 +277,7 @@
                                   .leaving = calls_.leaving(),
                                   .load = calls_.Load(),
                                   .report = calls_.Report()}));
-  const suspects_frame known{.entries = calls_.KnownSuspects()};
-  if (!known.entries.empty()) {
-    from->Send(Encode(known));
-  }
+  from->SendKnownSuspects();
 }
 
 pong_frame peer_server::Pong() const {
@@ -378,13 +390,23 @@
   }
 }
 
-void peer_server::Tell(const suspects_frame& suspects) {
-  const auto bytes = std::make_shared<const std::string>(Encode(suspects));
-  for (const auto& [sender, to] : by_sender_) {
-    to->Send(bytes);
+void peer_server::SendSuspects(const std::shared_ptr<const std::string>& frame,
+                               const std::set<incarnation_id>& to) {
+  for (const incarnation_id sender : to) {
+    if (session* const open = Find(sender)) {
+      open->SendSuspects(frame);
+    }
   }
 }
 
+std::set<incarnation_id> peer_server::senders() const {
+  std::set<incarnation_id> senders;
+  for (const auto& [sender, open] : by_sender_) {
+    senders.insert(incarnation_id{sender});
+  }
+  return senders;
+}
+
 void peer_server::AskForChanges(std::uint64_t revision) {
   const auto question = std::make_shared<const std::string>(
       EncodeNumbered(frame_kind::kAskChanges, revision));
@@ -478,6 +500,9 @@
 
 void peer_server::Tick(time_point now) {
   attempts_.Expire(now);
+  for (const auto& [sender, to] : by_sender_) {
+    to->SendMissedSuspects();
+  }
 }
 
 }  // namespace pistachioweir
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -67,8 +67,9 @@
 
   // Tells all senders that this daemon is stopping.
   void Drain();
-  // Tells all senders of requests that may have crashed a target.
-  void Tell(const suspects_frame& suspects);
+  // Sends a frame of suspects to those of `to` that are connected.
+  void SendSuspects(const std::shared_ptr<const std::string>& frame,
+                    const std::set<incarnation_id>& to);
   // Asks some of the daemons that are connected, others each time, what has
   // changed behind `revision`. Those that know of nothing don't answer.
   void AskForChanges(std::uint64_t revision);
@@ -84,6 +85,8 @@
   // Where it listens; with port 0 in the options, the port that was given.
   [[nodiscard]] endpoint address() const;
   [[nodiscard]] std::size_t sessions() const { return by_sender_.size(); }
+  // Daemons that are connected.
+  [[nodiscard]] std::set<incarnation_id> senders() const;
   // Of all connections.
   [[nodiscard]] stream_load load() const;
   // Of answers that are kept until their senders have them.
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -239,7 +239,7 @@
             .on_report = [this](const neighbour_report&) { ++reports_; },
             .on_suspects =
                 [](const suspects_frame&) { return suspects_frame{}; },
-            .known_suspects = [] { return suspects_frame{}; },
+            .known_suspects = [this] { return known_; },
             .revision = [this] { return revision_; },
             .changes_since = std::move(changes_since),
             .on_changes =
@@ -281,6 +281,7 @@
   std::uint64_t revision_ = 0;
   std::vector<view_changes> changes_;
   int reports_ = 0;
+  suspects_frame known_;
   std::optional<bool> up_;
   std::optional<bool> leaving_;
 };
@@ -546,6 +547,104 @@
   EXPECT_EQ(read->cleared, told.cleared);
 }
 
+// A daemon that welcomes each connection and reads only when it is told to.
+class deaf_daemon {
+ public:
+  explicit deaf_daemon(boost::asio::io_context& context)
+      : context_(context),
+        acceptor_(
+            context,
+            tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    Accept();
+  }
+
+  [[nodiscard]] endpoint address() const {
+    return {.ip = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
+  }
+  [[nodiscard]] const std::string& read() const { return read_; }
+
+  void Read() {
+    reads_ = true;
+    for (const auto& socket : sockets_) {
+      ReadFrom(socket);
+    }
+  }
+
+ private:
+  using socket_ptr = std::shared_ptr<tcp::socket>;
+
+  void Accept() {
+    const auto socket = std::make_shared<tcp::socket>(context_);
+    acceptor_.async_accept(
+        *socket, [this, socket](boost::system::error_code error) {
+          if (error) {
+            return;
+          }
+          boost::asio::write(*socket, boost::asio::buffer(welcome_));
+          sockets_.push_back(socket);
+          if (reads_) {
+            ReadFrom(socket);
+          }
+          Accept();
+        });
+  }
+
+  void ReadFrom(const socket_ptr& socket) {
+    socket->async_read_some(
+        boost::asio::buffer(chunk_),
+        [this, socket](boost::system::error_code error, std::size_t bytes) {
+          if (!error) {
+            read_.append(chunk_.data(), bytes);
+            ReadFrom(socket);
+          }
+        });
+  }
+
+  const std::string welcome_ =
+      Encode(welcome_frame{.receiver = incarnation_id{9}});
+  boost::asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  std::vector<socket_ptr> sockets_;
+  std::array<char, 65536> chunk_{};
+  std::string read_;
+  bool reads_ = false;
+};
+
+suspects_frame Suspects(std::uint64_t first, std::uint64_t count) {
+  suspects_frame suspects;
+  for (std::uint64_t i = first; i < first + count; ++i) {
+    suspects.entries.push_back({.fingerprint = {.high = ~i, .low = ~i},
+                                .crashes = {crash_id{i}},
+                                .remaining = milliseconds(60000)});
+  }
+  return suspects;
+}
+
+// Guards against memory that is used up by news for a daemon that doesn't read.
+TEST_F(peer_link_test, SuspectsDontPileUpForAPeerThatDoesNotRead) {
+  constexpr std::size_t kMostHeld = 128 << 10;
+  constexpr int kFrames = 50000;
+  deaf_daemon far(context_);
+  LinkTo(far.address());
+  link_->Probe();
+  ASSERT_TRUE(RunUntil([&] { return link_->state() == link_state::kUp; }));
+  const auto frame =
+      std::make_shared<const std::string>(Encode(Suspects(1, 16)));
+  ASSERT_GT(kFrames * frame->size(), 16U << 20);
+  for (int i = 0; i < kFrames; ++i) {
+    link_->SendSuspects(frame);
+    ASSERT_LE(link_->load().unsent_bytes, kMostHeld);
+  }
+  // What it missed is told once it reads.
+  known_ = Suspects(100, 2);
+  const std::string told = Encode(known_);
+  far.Read();
+  EXPECT_TRUE(RunUntil([&] {
+    link_->SendMissedSuspects();
+    return far.read().find(told) != std::string::npos;
+  }));
+}
+
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
 TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
