Frames that other daemons don't take have one bound for the process

Each connection to another daemon may hold 16 MB that its peer has not taken, and a daemon of 59 has 116 of them, against 160 MB of memory.

All connections to other daemons now share one bound, an eighth of the process's memory, that counts 128 bytes for each frame besides its own. Beyond it a connection that already holds over 64 kB ends when it is to hold more. What was on it is asked for again over a new one, so that nothing runs twice and what has not run is told so. `peer_connection_lost` and, new, `peer_session_lost` tell `why="peer does not read"`.

A connection that is full now ends a moment later instead of at once: it ended in the middle of a loop over all of them, which it takes itself out of. Found by reading.

--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -124,6 +124,27 @@
   families->push_back(std::move(family));
 }
 
+void AddLoad(const process_load& load, std::vector<MetricFamily>* families) {
+  const auto gauge = [&](std::string_view name, std::string_view help,
+                         std::size_t value) {
+    Add(name, help, MetricType::Gauge, static_cast<double>(value), families);
+  };
+  Add("loop_lag_seconds", "How late the last timer of a second ran",
+      MetricType::Gauge, std::chrono::duration<double>(load.lag).count(),
+      families);
+  gauge("heap_bytes", "Memory that the allocator has handed out",
+        load.heap_bytes);
+  gauge("links", "Connections to other daemons", load.links.open);
+  gauge("link_unsent_bytes", "Frames that other daemons have not taken",
+        load.links.unsent_bytes);
+  gauge("sessions", "Connections of other daemons", load.sessions.open);
+  gauge("session_unsent_bytes", "Frames that those have not taken",
+        load.sessions.unsent_bytes);
+  gauge("caller_held_bytes", "Bodies of callers' requests", load.caller_bytes);
+  gauge("answer_bytes", "Answers kept until their senders settle them",
+        load.answer_bytes);
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -176,6 +197,7 @@
         static_cast<double>(sources.callers.sessions));
   gauge("view_revision", "Newest change of the store in the view",
         static_cast<double>(sources.view.revision));
+  AddLoad(sources.load, &families);
   AddView(sources.view, &families);
   AddQuotas(sources.quotas, &families);
   gauge("ready", "Whether callers may come", sources.ready ? 1 : 0);
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -12,8 +12,37 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-frame_stream::frame_stream(asio::ip::tcp::socket socket)
-    : socket_(std::move(socket)), last_heard_(monotonic_clock::now()) {}
+namespace {
+
+// What a small frame takes besides its bytes.
+constexpr std::size_t kFrameOverhead = 128;
+
+}  // namespace
+
+frame_stream::frame_stream(asio::ip::tcp::socket socket,
+                           std::shared_ptr<unsent_total> total)
+    : socket_(std::move(socket)),
+      total_(std::move(total)),
+      last_heard_(monotonic_clock::now()) {}
+
+frame_stream::~frame_stream() {
+  SetCounted(0);
+}
+
+void frame_stream::SetCounted(std::size_t bytes) {
+  if (total_ != nullptr) {
+    total_->bytes += bytes - counted_;
+    counted_ = bytes;
+  }
+}
+
+bool frame_stream::HasRoomFor(std::size_t bytes) const {
+  if (unsent_bytes_ > kMaxUnsentBytes) {
+    return false;
+  }
+  return total_ == nullptr || !reads_slowly() ||
+         total_->bytes + bytes <= total_->most;
+}
 
 void frame_stream::Start(on_frame frame, on_end end) {
   on_frame_ = std::move(frame);
@@ -65,14 +94,21 @@
 }
 
 void frame_stream::Send(std::shared_ptr<const std::string> bytes) {
-  if (!open_) {
+  if (!open_ || overfull_) {
     return;
   }
-  unsent_bytes_ += bytes->size();
-  if (unsent_bytes_ > kMaxUnsentBytes + bytes->size()) {
-    End("peer does not read");
+  if (!HasRoomFor(bytes->size() + kFrameOverhead)) {
+    overfull_ = true;
+    // Later: the sender may be in the middle of a list of connections.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->open_) {
+        self->End("peer does not read");
+      }
+    });
     return;
   }
+  unsent_bytes_ += bytes->size();
+  SetCounted(counted_ + bytes->size() + kFrameOverhead);
   unsent_.push_back(std::move(bytes));
   if (sending_.empty()) {
     Write();
@@ -97,6 +133,8 @@
           return;
         }
         self->unsent_bytes_ -= written;
+        self->SetCounted(self->counted_ - written -
+                         self->sending_.size() * kFrameOverhead);
         self->sending_.clear();
         if (!self->unsent_.empty()) {
           self->Write();
@@ -116,6 +154,7 @@
   if (!std::exchange(open_, false)) {
     return;
   }
+  SetCounted(0);
   error_code ignored;
   socket_.close(ignored);
   // The callbacks may be running: they are dropped when those return.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -41,7 +41,8 @@
   session(peer_server& server, tcp::socket socket)
       : server_(server),
         ip_(RemoteIp(socket)),
-        stream_(std::make_shared<frame_stream>(std::move(socket))) {}
+        stream_(std::make_shared<frame_stream>(std::move(socket),
+                                               server.options_.unsent)) {}
 
   void Start() {
     const std::weak_ptr<session> self = weak_from_this();
@@ -51,8 +52,11 @@
             found->OnFrame(frame);
           }
         },
-        [self](std::string_view /*why*/) {
+        [self](std::string_view why) {
           if (const auto found = self.lock()) {
+            LogEvent("peer_session_lost",
+                     {{.name = "peer", .value = found->ip_},
+                      {.name = "why", .value = std::string(why)}});
             found->server_.OnEnd(found);
           }
         });
