What connections hold has a header beside them

peer_link and peer_server, which know nothing of the daemon around them, included process_load.h for one struct. It stands in src/peer/stream_load.h, and frame_stream fills it in, which both did for themselves. No change of behaviour: peer_link_test and forward_path_test pass as before.

--- a/src/forward/process_load.cc
+++ b/src/forward/process_load.cc
@@ -3,7 +3,6 @@
 
 #include <malloc.h>
 
-#include <algorithm>
 #include <string>
 
 #include "include/base/log.h"
@@ -18,14 +17,6 @@
 
 }  // namespace
 
-void stream_load::Add(const stream_load& other) {
-  open += other.open;
-  unnamed += other.unnamed;
-  unsent_bytes += other.unsent_bytes;
-  most_unsent_bytes = std::max(most_unsent_bytes, other.most_unsent_bytes);
-  unread_bytes += other.unread_bytes;
-}
-
 std::size_t HeapBytes() {
   const auto info = mallinfo2();
   return info.uordblks + info.hblkhd;
--- a/src/forward/process_load.h
+++ b/src/forward/process_load.h
@@ -2,24 +2,12 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 
 #include "include/base/time.h"
+#include "src/peer/stream_load.h"
 
 namespace pistachioweir {
 
-// Connections to other daemons of one kind, and what waits on them.
-struct stream_load {
-  std::size_t open = 0;
-  // Connected, but without a hello or welcome yet.
-  std::size_t unnamed = 0;
-  std::size_t unsent_bytes = 0;
-  std::size_t most_unsent_bytes = 0;  // Of one connection.
-  std::size_t unread_bytes = 0;       // Of frames that have come in part.
-
-  void Add(const stream_load& other);
-};
-
 struct process_load {
   duration lag{0};             // How late the loop runs its timers.
   std::size_t heap_bytes = 0;  // In use, by the C library's allocator.
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -13,6 +13,7 @@
 
 #include "include/base/time.h"
 #include "src/peer/peer_frame.h"
+#include "src/peer/stream_load.h"
 
 namespace pistachioweir {
 
@@ -64,8 +65,12 @@
   [[nodiscard]] bool reads_slowly() const {
     return unsent_bytes_ > kMostUnreadBytes;
   }
-  // Bytes of a frame that has come in part.
-  [[nodiscard]] std::size_t unread_bytes() const { return received_.size(); }
+  [[nodiscard]] stream_load load() const {
+    return {.open = 1,
+            .unsent_bytes = unsent_bytes_,
+            .most_unsent_bytes = unsent_bytes_,
+            .unread_bytes = received_.size()};
+  }
   // When the last bytes came.
   [[nodiscard]] time_point last_heard() const { return last_heard_; }
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -79,14 +79,12 @@
 
 stream_load peer_link::load() const {
   stream_load sum;
-  for (const stream_ptr& stream : {current_, candidate_}) {
-    if (stream != nullptr) {
-      sum.Add({.open = 1,
-               .unnamed = stream == candidate_ ? 1U : 0U,
-               .unsent_bytes = stream->unsent_bytes(),
-               .most_unsent_bytes = stream->unsent_bytes(),
-               .unread_bytes = stream->unread_bytes()});
-    }
+  if (current_ != nullptr) {
+    sum.Add(current_->load());
+  }
+  if (candidate_ != nullptr) {
+    sum.Add(candidate_->load());
+    sum.unnamed = 1;
   }
   return sum;
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -22,10 +22,10 @@
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "include/forward/view_changes.h"
-#include "src/forward/process_load.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
+#include "src/peer/stream_load.h"
 
 namespace pistachioweir {
 
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -80,11 +80,9 @@
   [[nodiscard]] const vm_id& vm() const { return vm_; }
   [[nodiscard]] const std::string& ip() const { return ip_; }
   [[nodiscard]] stream_load load() const {
-    return {.open = 1,
-            .unnamed = sender_ == incarnation_id{} ? 1U : 0U,
-            .unsent_bytes = stream_->unsent_bytes(),
-            .most_unsent_bytes = stream_->unsent_bytes(),
-            .unread_bytes = stream_->unread_bytes()};
+    stream_load load = stream_->load();
+    load.unnamed = sender_ == incarnation_id{} ? 1 : 0;
+    return load;
   }
   [[nodiscard]] bool reads_slowly() const { return stream_->reads_slowly(); }
 
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -20,10 +20,10 @@
 #include "include/forward/view_changes.h"
 #include "include/forward/view_freshness.h"
 #include "include/once/attempt_table.h"
-#include "src/forward/process_load.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
+#include "src/peer/stream_load.h"
 
 namespace pistachioweir {
 
