Revert the bound that all connections to other daemons shared

A connection counted as read slowly while more than 64 kB were under way on it, which one answer of that size is; beyond the common bound whichever was to send next ended. Behind a new connection all kept answers are sent again and end it again.

What it was to bound has bounds elsewhere: news for slow peers isn't kept for them, bodies of callers' requests have a quarter of the memory.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -95,9 +95,6 @@
         workers_(1),
         context_(workers_.context(0)),
         incarnation_(NewIncarnation()),
-        unsent_(std::make_shared<unsent_total>(
-            unsent_total{.most = static_cast<std::size_t>(settings.memory_mb *
-                                                          kUnsentBytesPerMb)})),
         targets_(context_,
                  settings.target,
                  {.max_head_bytes = kMaxResponseHead,
@@ -110,28 +107,28 @@
             executor_log_,
             incarnation_),
         origin_(context_, OriginOptions(settings), executor_, origin_log_),
-        peers_(
-            context_,
-            {.address = settings.peer,
-             .self = incarnation_,
-             .on_suspects =
-                 [this](const suspects_frame& told) {
-                   return executor_.ImportSuspects(told);
-                 },
-             .revision = [this] { return sharing_.revision(); },
-             .changes_since =
-                 [this](std::uint64_t revision) {
-                   return sharing_.FrameSince(revision);
-                 },
-             .on_usage =
-                 [this](incarnation_id sender, const usage_report& report) {
-                   return quotas_.OnUsage(sender, report);
-                 },
-             .proof = [this] { return sharing_.Proof(); },
-             .on_changes =
-                 [this](const view_changes& told) { sharing_.OnChanges(told); },
-             .unsent = unsent_},
-            executor_),
+        peers_(context_,
+               {.address = settings.peer,
+                .self = incarnation_,
+                .on_suspects =
+                    [this](const suspects_frame& told) {
+                      return executor_.ImportSuspects(told);
+                    },
+                .revision = [this] { return sharing_.revision(); },
+                .changes_since =
+                    [this](std::uint64_t revision) {
+                      return sharing_.FrameSince(revision);
+                    },
+                .on_usage =
+                    [this](incarnation_id sender, const usage_report& report) {
+                      return quotas_.OnUsage(sender, report);
+                    },
+                .proof = [this] { return sharing_.Proof(); },
+                .on_changes =
+                    [this](const view_changes& told) {
+                      sharing_.OnChanges(told);
+                    }},
+               executor_),
         callers_(context_,
                  {.address = settings.caller,
                   .max_connections = settings.max_descriptors / 2,
@@ -205,8 +202,6 @@
   static constexpr std::size_t kMaxResponseHead = 64 << 10;
   // A quarter of the memory may be held for bodies of requests.
   static constexpr double kHeldBytesPerMb = 256.0 * 1024;
-  // And an eighth for frames that other daemons have not taken.
-  static constexpr double kUnsentBytesPerMb = 128.0 * 1024;
   static constexpr milliseconds kTickInterval{1000};
   // Log lines are written this long after the first, many at a time.
   static constexpr milliseconds kFlushDelay{50};
@@ -248,8 +243,7 @@
         .on_quota =
             [this](const std::string& ip, const quota_frame& quota) {
               quotas_.OnQuota(ip, quota);
-            },
-        .unsent = unsent_};
+            }};
   }
 
   // A request that is let in still takes a while until its target begins it.
@@ -555,7 +549,6 @@
   worker_pool workers_;
   boost::asio::io_context& context_;
   const incarnation_id incarnation_;
-  const std::shared_ptr<unsent_total> unsent_;
   call_log origin_log_{{}};
   call_log executor_log_{{}};
   target_pool<typename Platform::targets> targets_;
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -80,8 +80,6 @@
   std::function<void(organisation_id)> give_back;
   // The daemon at `ip` answered a report of use.
   std::function<void(const std::string& ip, const quota_frame&)> on_quota;
-  // Shared by all connections to other daemons.
-  std::shared_ptr<unsent_total> unsent;
 };
 
 struct origin_counters {
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -12,37 +12,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-namespace {
-
-// What a small frame takes besides its bytes.
-constexpr std::size_t kFrameOverhead = 128;
-
-}  // namespace
-
-frame_stream::frame_stream(asio::ip::tcp::socket socket,
-                           std::shared_ptr<unsent_total> total)
-    : socket_(std::move(socket)),
-      total_(std::move(total)),
-      last_heard_(monotonic_clock::now()) {}
-
-frame_stream::~frame_stream() {
-  SetCounted(0);
-}
-
-void frame_stream::SetCounted(std::size_t bytes) {
-  if (total_ != nullptr) {
-    total_->bytes += bytes - counted_;
-    counted_ = bytes;
-  }
-}
-
-bool frame_stream::HasRoomFor(std::size_t bytes) const {
-  if (unsent_bytes_ > kMaxUnsentBytes) {
-    return false;
-  }
-  return total_ == nullptr || !reads_slowly() ||
-         total_->bytes + bytes <= total_->most;
-}
+frame_stream::frame_stream(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), last_heard_(monotonic_clock::now()) {}
 
 void frame_stream::Start(on_frame frame, on_end end) {
   on_frame_ = std::move(frame);
@@ -97,7 +68,7 @@
   if (!open_ || overfull_) {
     return;
   }
-  if (!HasRoomFor(bytes->size() + kFrameOverhead)) {
+  if (unsent_bytes_ > kMaxUnsentBytes) {
     overfull_ = true;
     // Later: the sender may be in the middle of a list of connections.
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -108,7 +79,6 @@
     return;
   }
   unsent_bytes_ += bytes->size();
-  SetCounted(counted_ + bytes->size() + kFrameOverhead);
   unsent_.push_back(std::move(bytes));
   if (sending_.empty()) {
     Write();
@@ -133,8 +103,6 @@
           return;
         }
         self->unsent_bytes_ -= written;
-        self->SetCounted(self->counted_ - written -
-                         self->sending_.size() * kFrameOverhead);
         self->sending_.clear();
         if (!self->unsent_.empty()) {
           self->Write();
@@ -154,7 +122,6 @@
   if (!std::exchange(open_, false)) {
     return;
   }
-  SetCounted(0);
   error_code ignored;
   socket_.close(ignored);
   // The callbacks may be running: they are dropped when those return.
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -30,16 +30,6 @@
 // make this daemon keep all of it.
 inline constexpr std::size_t kMostUnreadBytes = 64 << 10;
 
-// What all connections of a daemon to others hold together. Each has a bound of
-// its own, but a hundred of them that are read slowly at one moment would use
-// up the memory of the process far below those bounds.
-struct unsent_total {
-  // Beyond this, whichever connection is to hold more ends, if its peer reads
-  // slowly. What was on it is asked for again over a new one.
-  std::size_t most = 64 << 20;
-  std::size_t bytes = 0;
-};
-
 // Owns the socket; kept alive by its pending operations until it is closed.
 // Used on its socket's thread only. Hears no more after Close().
 class frame_stream : public std::enable_shared_from_this<frame_stream> {
@@ -48,10 +38,7 @@
   // The connection ended, or broke the protocol.
   using on_end = std::function<void(std::string_view why)>;
 
-  // Without a `total` only its own bound holds.
-  explicit frame_stream(boost::asio::ip::tcp::socket socket,
-                        std::shared_ptr<unsent_total> total = nullptr);
-  ~frame_stream();
+  explicit frame_stream(boost::asio::ip::tcp::socket socket);
 
   void Start(on_frame frame, on_end end);
   void Send(std::string bytes);
@@ -79,8 +66,6 @@
   void Digest();
   void Write();
   void End(std::string_view why);
-  [[nodiscard]] bool HasRoomFor(std::size_t bytes) const;
-  void SetCounted(std::size_t bytes);
 
   boost::asio::ip::tcp::socket socket_;
   on_frame on_frame_;
@@ -90,8 +75,6 @@
   std::vector<std::shared_ptr<const std::string>> unsent_;
   std::vector<std::shared_ptr<const std::string>> sending_;
   std::size_t unsent_bytes_ = 0;  // Of both.
-  const std::shared_ptr<unsent_total> total_;
-  std::size_t counted_ = 0;  // Of the total, for both.
   time_point last_heard_;
   bool overfull_ = false;  // About to end; what is sent is dropped.
   bool open_ = true;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -289,8 +289,7 @@
 void peer_link::OnConnected(const socket_ptr& socket) {
   SetUpConnection(*socket, kPeerSilence);
   connecting_ = nullptr;
-  candidate_ =
-      std::make_shared<frame_stream>(std::move(*socket), options_.unsent);
+  candidate_ = std::make_shared<frame_stream>(std::move(*socket));
   const std::weak_ptr<frame_stream> stream = candidate_;
   candidate_->Start(
       [self = weak_from_this(), stream](const frame_view& frame) {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -48,8 +48,6 @@
   // those of before, and answer them with what it had kept for those (guard
   // SHARED_NUMBERS in spec/peer_attempts.pml).
   std::shared_ptr<std::uint64_t> last_number;
-  // Shared by all connections to other daemons.
-  std::shared_ptr<unsent_total> unsent;
 };
 
 enum class link_state : std::uint8_t { kDown, kConnecting, kUp };
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -41,8 +41,7 @@
   session(peer_server& server, tcp::socket socket)
       : server_(server),
         ip_(RemoteIp(socket)),
-        stream_(std::make_shared<frame_stream>(std::move(socket),
-                                               server.options_.unsent)) {}
+        stream_(std::make_shared<frame_stream>(std::move(socket))) {}
 
   void Start() {
     const std::weak_ptr<session> self = weak_from_this();
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -47,8 +47,6 @@
   std::function<std::optional<freshness_proof>()> proof;
   // Another daemon told what has changed, since AskForChanges() asked it.
   std::function<void(const view_changes&)> on_changes;
-  // Shared by all connections to other daemons.
-  std::shared_ptr<unsent_total> unsent;
 };
 
 struct follower_counters {
