Suspects: what the review of the fix found

- A daemon whose memory of told crashes was full learned of no further ones: a request that crashes targets was refused 59 s late.
Now they count, and only aren't passed on (ADaemonThatRemembersNoMoreStillLearns).
- A crash that was told while its request had completed within ten seconds was remembered as told, and ignored when it was told later (WhatWasInnocentMayBeToldAgain).
- A peer that is sent large bodies counted as slow and was told no suspects, 48 of 49 times.
Now bytes of news count, not those of bodies (SuspectsAreToldBesideLargeBodies).
- What is cleared was dropped for such a peer, and answers that say that a request is innocent as well.
Both now have the same 64 kB of news, some 1,400 requests.
Now it goes to ten, which is the bound of frames for each piece of news.
- A link that is doubted no longer replaces the session of the same daemon.
- The memory lasts two minutes, longer than what is told of a crash with its way.

--- a/include/quarantine/crash_suspects.h
+++ b/include/quarantine/crash_suspects.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -59,9 +60,9 @@
       time_point now);
   // The target is dead. Returns what other daemons should know, if anything.
   [[nodiscard]] std::vector<quarantine_entry> OnDied(time_point now);
-  // What another daemon told. Returns what of it is news: each daemon passes
-  // that on, since it is told by those only that have a connection to it. What
-  // is known already isn't passed on, so it ends.
+  // What another daemon told. Returns what of it was told for the first time:
+  // each daemon passes that on, since it is told by those only that have a
+  // connection to it. Each crash of a request is passed on once, so it ends.
   std::vector<quarantine_entry> Import(
       const std::vector<quarantine_entry>& entries,
       time_point now);
@@ -102,8 +103,10 @@
 
   static constexpr std::size_t kCompletedPlaces = 4096;
 
-  // The entry with those of its crashes that nobody told of before.
-  quarantine_entry Unheard(const quarantine_entry& entry, time_point now);
+  // Imports those crashes that were not told before. Returns the entry with
+  // those that others should be told, if there are any.
+  std::optional<quarantine_entry> ImportUntold(const quarantine_entry& entry,
+                                               time_point now);
   // Whether the target's death may be its doing.
   [[nodiscard]] bool IsSuspect(const cut_run& run, time_point now) const;
   [[nodiscard]] bool HasCompletedLately(const request_fingerprint& request,
--- a/include/quarantine/told_crashes.h
+++ b/include/quarantine/told_crashes.h
@@ -12,14 +12,21 @@
 namespace pistachioweir {
 
 struct told_crashes_options {
-  // Longer than daemons tell of a crash: for the period of its quarantine.
-  milliseconds memory{60000};
+  // Longer than daemons tell of a crash, which they do for the period of its
+  // quarantine.
+  milliseconds memory{120000};
   // Crashes of requests within `memory`.
   std::size_t most = 16384;
 };
 
-// Daemons pass on what they hear for the first time, over all ways at once, so
-// many copies come of each. Telling ends only if nothing is forgotten while
+enum class told_verdict : std::uint8_t {
+  kFirst,
+  kBefore,  // It was told within the memory.
+  kNoRoom,  // It may have been; it isn't remembered, and must not be passed on.
+};
+
+// Daemons pass on what they hear for the first time, so many copies come of
+// each. Telling ends only if nothing is forgotten while
 // copies of it may come. What is known of a request doesn't serve: it changes
 // as the request is suspected, cleared and suspected again, and its places are
 // taken by other requests. A daemon that was late then passed old copies on as
@@ -31,9 +38,9 @@
   explicit told_crashes(const told_crashes_options& options = {})
       : options_(options) {}
 
-  // True if it wasn't added within `memory`. False without room as well: what
-  // isn't remembered must not be passed on.
-  bool Add(const request_fingerprint& request, crash_id crash, time_point now);
+  told_verdict Add(const request_fingerprint& request,
+                   crash_id crash,
+                   time_point now);
 
  private:
   void Age(time_point now);
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <future>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <set>
@@ -484,14 +483,25 @@
     stop_.async_wait([this](error_code) { stopped_.set_value(); });
   }
 
+  // Up to `most` of them.
+  static std::set<incarnation_id> AtRandom(std::set<incarnation_id> all,
+                                           std::size_t most) {
+    if (all.size() <= most) {
+      return all;
+    }
+    std::vector<incarnation_id> some(all.begin(), all.end());
+    for (std::size_t i = 0; i < most; ++i) {
+      std::swap(some[i], some[i + RandomBits64() % (some.size() - i)]);
+    }
+    some.resize(most);
+    return {some.begin(), some.end()};
+  }
+
   // Each daemon once, over whichever way it is connected.
   void SendSuspects(const suspects_frame& told, std::size_t most) {
-    std::set<incarnation_id> to = origin_.linked();
-    to.merge(peers_.senders());
-    while (to.size() > most) {
-      to.erase(std::next(
-          to.begin(), static_cast<std::ptrdiff_t>(RandomBits64() % to.size())));
-    }
+    std::set<incarnation_id> connected = origin_.linked();
+    connected.merge(peers_.senders());
+    std::set<incarnation_id> to = AtRandom(std::move(connected), most);
     const auto frame = std::make_shared<const std::string>(Encode(told));
     origin_.SendSuspects(frame, &to);
     peers_.SendSuspects(frame, to);
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -116,8 +116,8 @@
   // The caller has gone.
   void Abandon(call_id id);
 
-  // Sends a frame of suspects to those of `to` that are linked, and takes them
-  // out.
+  // Sends a frame of suspects to those of `to` that are linked, and takes out
+  // those whose links are well.
   void SendSuspects(const std::shared_ptr<const std::string>& frame,
                     std::set<incarnation_id>* to);
   // Connects to some daemons that are not linked, which are so told of all
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -119,10 +119,15 @@
 
 void origin::SendSuspects(const std::shared_ptr<const std::string>& frame,
                           std::set<incarnation_id>* to) {
+  const time_point now = monotonic_clock::now();
   for (const auto& [ip, link] : links_) {
     const auto connected = link->connected();
-    if (connected && to->erase(*connected) > 0) {
-      link->SendSuspects(frame);
+    if (!connected || !to->contains(*connected)) {
+      continue;
+    }
+    link->SendSuspects(frame);
+    if (link->IsWell(now)) {
+      to->erase(*connected);
     }
   }
 }
--- a/src/forward/suspect_sharing.h
+++ b/src/forward/suspect_sharing.h
@@ -24,7 +24,7 @@
 // Daemons that each news is passed on to. Whoever has found it out tells all
 // that are connected; passing it on is for those that aren't, and if all told
 // all, each daemon would hear everything once from every other one.
-inline constexpr std::size_t kPassedOnTo = 5;
+inline constexpr std::size_t kPassedOnTo = 10;
 
 class suspect_sharing {
  public:
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -85,8 +85,18 @@
   }
 }
 
+bool frame_stream::SendNews(std::shared_ptr<const std::string> bytes) {
+  if (unsent_news_ + sending_news_ + bytes->size() > kMostUnreadBytes) {
+    return false;
+  }
+  unsent_news_ += bytes->size();
+  Send(std::move(bytes));
+  return true;
+}
+
 void frame_stream::Write() {
   sending_ = std::exchange(unsent_, {});
+  sending_news_ = std::exchange(unsent_news_, 0);
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(sending_.size());
   for (const auto& bytes : sending_) {
@@ -104,6 +114,7 @@
         }
         self->unsent_bytes_ -= written;
         self->sending_.clear();
+        self->sending_news_ = 0;
         if (!self->unsent_.empty()) {
           self->Write();
         }
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -25,8 +25,8 @@
 // A peer that doesn't read would make this daemon keep all that it is sent.
 // Beyond this the connection ends; what was on it is asked for again.
 inline constexpr std::size_t kMaxUnsentBytes = 16 << 20;
-// A peer that has not read so much yet is told no news until it has: what it
-// misses is told at once then. Without a bound a peer that stands still would
+// Bytes of news that a peer may leave unread. What it misses beyond that is
+// told at once when it has read. Without a bound a peer that stands still would
 // make this daemon keep all of it.
 inline constexpr std::size_t kMostUnreadBytes = 64 << 10;
 
@@ -43,15 +43,14 @@
   void Start(on_frame frame, on_end end);
   void Send(std::string bytes);
   void Send(std::shared_ptr<const std::string> bytes);
+  // False if the peer has not taken news of kMostUnreadBytes yet: nothing is
+  // sent. Bodies that are under way don't count.
+  bool SendNews(std::shared_ptr<const std::string> bytes);
   void Close();
 
   [[nodiscard]] bool open() const { return open_; }
   // Bytes that the peer has not taken yet.
   [[nodiscard]] std::size_t unsent_bytes() const { return unsent_bytes_; }
-  // What can be told later is not sent meanwhile.
-  [[nodiscard]] bool reads_slowly() const {
-    return unsent_bytes_ > kMostUnreadBytes;
-  }
   [[nodiscard]] stream_load load() const {
     return {.open = 1,
             .unsent_bytes = unsent_bytes_,
@@ -75,6 +74,8 @@
   std::vector<std::shared_ptr<const std::string>> unsent_;
   std::vector<std::shared_ptr<const std::string>> sending_;
   std::size_t unsent_bytes_ = 0;  // Of both.
+  std::size_t unsent_news_ = 0;   // Bytes of SendNews() in unsent_.
+  std::size_t sending_news_ = 0;  // Likewise in sending_.
   time_point last_heard_;
   bool overfull_ = false;  // About to end; what is sent is dropped.
   bool open_ = true;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -149,28 +149,22 @@
 }
 
 void peer_link::SendSuspects(std::shared_ptr<const std::string> frame) {
-  if (current_ == nullptr) {
-    return;
-  }
-  if (current_->reads_slowly()) {
+  if (current_ != nullptr && !current_->SendNews(std::move(frame))) {
     missed_suspects_ = true;
-  } else {
-    current_->Send(std::move(frame));
   }
 }
 
 void peer_link::SendMissedSuspects() {
-  if (current_ != nullptr && !current_->reads_slowly() &&
-      std::exchange(missed_suspects_, false)) {
+  if (current_ != nullptr && missed_suspects_) {
     SendKnownSuspects();
   }
 }
 
 void peer_link::SendKnownSuspects() {
   const suspects_frame known = events_.known_suspects();
-  if (!known.entries.empty()) {
-    current_->Send(Encode(known));
-  }
+  missed_suspects_ =
+      !known.entries.empty() &&
+      !current_->SendNews(std::make_shared<const std::string>(Encode(known)));
 }
 
 void peer_link::SendUsage(const usage_frame& usage) {
@@ -361,8 +355,8 @@
     case frame_kind::kSuspects:
       if (const auto suspects = DecodeSuspectsFrame(frame.payload)) {
         const suspects_frame reply = events_.on_suspects(*suspects);
-        if (!reply.empty() && !stream->reads_slowly()) {
-          stream->Send(Encode(reply));
+        if (!reply.empty()) {
+          stream->SendNews(std::make_shared<const std::string>(Encode(reply)));
         }
         return;
       }
@@ -442,7 +436,6 @@
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
   events_.on_report(welcome.report);
-  missed_suspects_ = false;
   SendKnownSuspects();
   if (follows_) {
     current_->Send(EncodeNumbered(frame_kind::kFollow, events_.revision()));
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -83,26 +83,26 @@
     load.unnamed = sender_ == incarnation_id{} ? 1 : 0;
     return load;
   }
-  [[nodiscard]] bool reads_slowly() const { return stream_->reads_slowly(); }
+  [[nodiscard]] bool reads_slowly() const {
+    return stream_->load().unsent_bytes > kMostUnreadBytes;
+  }
 
-  // A sender that is slow to read is told what is known once it has read.
   void SendSuspects(std::shared_ptr<const std::string> frame) {
-    if (reads_slowly()) {
+    if (!stream_->SendNews(std::move(frame))) {
       missed_suspects_ = true;
-    } else {
-      Send(std::move(frame));
     }
   }
+  // A sender that was slow to read is told what is known once it has read.
   void SendMissedSuspects() {
-    if (!reads_slowly() && std::exchange(missed_suspects_, false)) {
+    if (missed_suspects_) {
       SendKnownSuspects();
     }
   }
   void SendKnownSuspects() {
     const suspects_frame known{.entries = server_.calls_.KnownSuspects()};
-    if (!known.entries.empty()) {
-      Send(Encode(known));
-    }
+    missed_suspects_ =
+        !known.entries.empty() &&
+        !stream_->SendNews(std::make_shared<const std::string>(Encode(known)));
   }
 
  private:
@@ -165,8 +165,9 @@
         const auto suspects = DecodeSuspectsFrame(frame.payload);
         if (suspects && server_.options_.on_suspects) {
           const suspects_frame reply = server_.options_.on_suspects(*suspects);
-          if (!reply.empty() && !reads_slowly()) {
-            Send(Encode(reply));
+          if (!reply.empty()) {
+            stream_->SendNews(
+                std::make_shared<const std::string>(Encode(reply)));
           }
         }
         return suspects.has_value();
--- a/src/quarantine/crash_suspects.cc
+++ b/src/quarantine/crash_suspects.cc
@@ -93,25 +93,38 @@
     time_point now) {
   std::vector<quarantine_entry> news;
   for (const quarantine_entry& entry : entries) {
-    const quarantine_entry unheard = Unheard(entry, now);
-    if (unheard.crashes.front() != crash_id{} &&
-        !HasCompletedLately(entry.fingerprint, now) &&
-        quarantine_.Import(unheard, now)) {
-      news.push_back(unheard);
+    if (HasCompletedLately(entry.fingerprint, now)) {
+      continue;
+    }
+    if (const auto first = ImportUntold(entry, now)) {
+      news.push_back(*first);
     }
   }
   return news;
 }
 
-quarantine_entry crash_suspects::Unheard(const quarantine_entry& entry,
-                                         time_point now) {
-  quarantine_entry unheard = entry;
-  const auto end = std::remove_if(
-      unheard.crashes.begin(), unheard.crashes.end(), [&](crash_id crash) {
-        return crash == crash_id{} || !told_.Add(entry.fingerprint, crash, now);
-      });
-  std::fill(end, unheard.crashes.end(), crash_id{});
-  return unheard;
+std::optional<quarantine_entry> crash_suspects::ImportUntold(
+    const quarantine_entry& entry,
+    time_point now) {
+  quarantine_entry untold = entry;
+  quarantine_entry first = entry;
+  untold.crashes = first.crashes = {};
+  std::size_t untold_count = 0;
+  std::size_t first_count = 0;
+  for (const crash_id crash : entry.crashes) {
+    if (crash == crash_id{}) {
+      continue;
+    }
+    const told_verdict verdict = told_.Add(entry.fingerprint, crash, now);
+    if (verdict != told_verdict::kBefore) {
+      untold.crashes[untold_count++] = crash;
+    }
+    if (verdict == told_verdict::kFirst) {
+      first.crashes[first_count++] = crash;
+    }
+  }
+  const bool added = untold_count > 0 && quarantine_.Import(untold, now);
+  return added && first_count > 0 ? std::optional(first) : std::nullopt;
 }
 
 }  // namespace pistachioweir
--- a/src/quarantine/told_crashes.cc
+++ b/src/quarantine/told_crashes.cc
@@ -17,17 +17,19 @@
 
 }  // namespace
 
-bool told_crashes::Add(const request_fingerprint& request,
-                       crash_id crash,
-                       time_point now) {
+told_verdict told_crashes::Add(const request_fingerprint& request,
+                               crash_id crash,
+                               time_point now) {
   Age(now);
   const std::uint64_t hash = HashOf(request, crash);
-  if (older_.contains(hash) || newer_.contains(hash) ||
-      newer_.size() >= options_.most) {
-    return false;
+  if (older_.contains(hash) || newer_.contains(hash)) {
+    return told_verdict::kBefore;
+  }
+  if (newer_.size() >= options_.most) {
+    return told_verdict::kNoRoom;
   }
   newer_.insert(hash);
-  return true;
+  return told_verdict::kFirst;
 }
 
 void told_crashes::Age(time_point now) {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -400,6 +400,39 @@
   EXPECT_LE(frames, kMost);
 }
 
+// Guards against a request that isn't refused since many others were told of
+// before it.
+TEST_F(crash_suspects_test, ADaemonThatRemembersNoMoreStillLearns) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  const std::size_t most = told_crashes_options{}.most;
+  for (std::uint64_t i = 0; i < most; ++i) {
+    (void)other.Import({{.fingerprint = {.high = i, .low = i},
+                         .crashes = {crash_id{i + 1}},
+                         .remaining = milliseconds(60000)}},
+                       now_);
+  }
+  for (std::uint32_t i = 0; i < quarantine_options::kCrashesAmongOthers; ++i) {
+    Crash(one, kBad);
+    EXPECT_TRUE(other.Import(told_, now_).empty());
+  }
+  EXPECT_TRUE(Refuses(other, kBad));
+}
+
+// Guards against a crash that is ignored for good since the request had
+// completed shortly before it was told first.
+TEST_F(crash_suspects_test, WhatWasInnocentMayBeToldAgain) {
+  crash_suspects one(incarnation_id{1});
+  crash_suspects other(incarnation_id{2});
+  other.OnCompleted(kBad, now_);
+  Crash(one, kBad);
+  Crash(one, kBad);
+  EXPECT_TRUE(other.Import(one.Known(now_), now_ - seconds(5)).empty());
+  now_ += seconds(20);
+  EXPECT_EQ(other.Import(one.Known(now_), now_).size(), 1U);
+  EXPECT_TRUE(Refuses(other, kBad));
+}
+
 // A daemon starts after both crashes. Nobody tells it of them again, and the
 // request would crash its target too.
 TEST_F(crash_suspects_test, OneThatConnectsLaterIsToldWhatIsKnown) {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -645,6 +645,24 @@
   }));
 }
 
+// Guards against suspects that aren't told to a peer while large bodies are on
+// their way to it.
+TEST_F(peer_link_test, SuspectsAreToldBesideLargeBodies) {
+  constexpr std::size_t kBody = 4 << 20;
+  deaf_daemon far(context_);
+  LinkTo(far.address());
+  link_->Probe();
+  ASSERT_TRUE(RunUntil([&] { return link_->state() == link_state::kUp; }));
+  call_frame call = CallNamed("a");
+  call.request.body.assign(kBody, 'x');
+  link_->Send(call, [](const peer_answer&) {});
+  const std::string told = Encode(Suspects(1, 2));
+  link_->SendSuspects(std::make_shared<const std::string>(told));
+  far.Read();
+  EXPECT_TRUE(
+      RunUntil([&] { return far.read().find(told) != std::string::npos; }));
+}
+
 // Bytes that are no frame arrive at the peer's port: the connection ends, the
 // daemon goes on.
 TEST_F(peer_link_test, NonsenseEndsItsConnectionOnly) {
