--- /dev/null
+++ b/tests/suspect_order_test.cc
@@ -0,0 +1,569 @@
+// Whether telling of suspects ends, in orders of events that the test chooses.
+// Daemons are their crash_suspects, with what executor.cc, peer_server.cc and
+// peer_link.cc do with what those return; connections keep their order, and
+// the test chooses which of them brings its next frame.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/quarantine/crash_suspects.h"
+
+namespace pistachioweir {
+namespace {
+
+constexpr std::size_t kDaemons = 12;
+// Frames after which a test takes it that there is no end.
+constexpr std::size_t kMost = 100000;
+// Likewise. All that end have fewer waiting at any time.
+constexpr std::size_t kMostWaiting = 100000;
+// As crash_suspects::kCompletedPlaces, which is private.
+constexpr std::size_t kPlaces = 4096;
+
+request_fingerprint Request(const std::string& path) {
+  return Fingerprint(
+      {.service = "contracts", .method = path, .body = {}, .label = {}});
+}
+
+// Different requests whose places are the same, as many as `count`.
+std::vector<request_fingerprint> OfOnePlace(std::size_t count) {
+  const std::size_t place = Request("/alike/0").low % kPlaces;
+  std::vector<request_fingerprint> found;
+  for (std::size_t i = 0; found.size() < count; ++i) {
+    const request_fingerprint each = Request("/alike/" + std::to_string(i));
+    if (each.low % kPlaces == place) {
+      found.push_back(each);
+    }
+  }
+  return found;
+}
+
+// Different requests with a place each.
+std::vector<request_fingerprint> OfOwnPlaces(std::size_t count) {
+  std::map<std::size_t, request_fingerprint> found;
+  for (std::size_t i = 0; found.size() < count; ++i) {
+    const request_fingerprint each = Request("/own/" + std::to_string(i));
+    found.emplace(each.low % kPlaces, each);
+  }
+  std::vector<request_fingerprint> requests;
+  requests.reserve(found.size());
+  for (const auto& [place, request] : found) {
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+struct frame {
+  std::vector<quarantine_entry> entries;
+  std::vector<request_fingerprint> cleared;
+};
+
+struct result {
+  bool ended = false;
+  std::size_t delivered = 0;
+  std::size_t news = 0;          // Frames passed on.
+  std::size_t most_waiting = 0;  // Frames on all connections at once.
+  // Frames delivered, by what they were to the receiver.
+  std::map<std::string, std::size_t> kinds;
+};
+
+std::ostream& operator<<(std::ostream& out, const result& value) {
+  out << (value.ended ? "ended" : "NOT ENDED") << " delivered "
+      << value.delivered << " passed on " << value.news << " most waiting "
+      << value.most_waiting;
+  for (const auto& [kind, count] : value.kinds) {
+    out << ", " << kind << " " << count;
+  }
+  return out;
+}
+
+// Daemons with `links` connections between each two of them.
+class fleet {
+ public:
+  using chooser = std::function<std::size_t(std::size_t waiting)>;
+
+  explicit fleet(std::size_t size, std::size_t links = 2) : links_(links) {
+    for (std::size_t i = 0; i < size; ++i) {
+      daemons_.emplace_back(incarnation_id{i + 1});
+    }
+    connections_.resize(size * size * links);
+  }
+
+  void Crash(std::size_t at, const std::vector<request_fingerprint>& requests) {
+    for (const request_fingerprint& request : requests) {
+      daemons_[at].OnCut(request, now_ - milliseconds(10), now_);
+    }
+    Tell(at, {.entries = daemons_[at].OnDied(now_)});
+  }
+
+  void Complete(std::size_t at, const request_fingerprint& request) {
+    if (daemons_[at].OnCompleted(request, now_)) {
+      Tell(at, {.cleared = {request}});
+    }
+  }
+
+  // Brings what waits on one connection; its answer goes back over the same.
+  void Deliver(std::size_t connection) {
+    std::deque<frame>& queue = connections_[connection];
+    const frame told = std::move(queue.front());
+    queue.pop_front();
+    if (queue.empty()) {
+      std::erase(busy_, connection);
+    }
+    --waiting_;
+    ++result_.delivered;
+    now_ += std::chrono::microseconds(1);
+    const std::size_t link = connection % links_;
+    const std::size_t from = connection / links_ / daemons_.size();
+    const std::size_t to = connection / links_ % daemons_.size();
+    crash_suspects& daemon = daemons_[to];
+    // In the order of executor::ImportSuspects().
+    frame reply{.cleared = daemon.Innocent(told.entries, now_)};
+    frame news{.entries = daemon.Import(told.entries, now_)};
+    news.cleared = daemon.OnCleared(told.cleared, now_);
+    ++result_.kinds[!news.entries.empty()    ? "news"
+                    : !news.cleared.empty()  ? "cleared_news"
+                    : !reply.cleared.empty() ? "innocent"
+                    : !told.entries.empty()  ? "known suspect"
+                                             : "known cleared"];
+    if (!news.entries.empty() || !news.cleared.empty()) {
+      ++result_.news;
+      Tell(to, news);
+    }
+    if (!reply.cleared.empty()) {
+      Put(to, from, link, std::move(reply));
+    }
+  }
+
+  // Until nothing waits, or `most` frames were delivered.
+  result Run(std::size_t most, const chooser& choose) {
+    while (!busy_.empty() && result_.delivered < most &&
+           waiting_ < kMostWaiting) {
+      Deliver(busy_[choose(busy_.size())]);
+    }
+    result_.ended = busy_.empty();
+    return result_;
+  }
+
+  // The first frame between two daemons on the first of their connections.
+  void DeliverFrom(std::size_t from, std::size_t to) {
+    Deliver(Index(from, to, 0));
+  }
+  [[nodiscard]] std::size_t WaitingFrom(std::size_t from,
+                                        std::size_t to) const {
+    return connections_[Index(from, to, 0)].size();
+  }
+  // Daemons from `first` on read nothing until Continue().
+  void Pause(std::size_t first) {
+    first_paused_ = first;
+    std::erase_if(busy_, [this](std::size_t each) { return Paused(each); });
+  }
+  void Continue() {
+    first_paused_ = daemons_.size();
+    for (std::size_t i = 0; i < connections_.size(); ++i) {
+      if (!connections_[i].empty() &&
+          std::ranges::find(busy_, i) == busy_.end()) {
+        busy_.push_back(i);
+      }
+    }
+  }
+  // What one that connects tells of what it knew, on one connection.
+  void TellAnew(std::size_t from,
+                std::size_t to,
+                const std::vector<quarantine_entry>& known) {
+    Put(from, to, 0, {.entries = known});
+  }
+  [[nodiscard]] std::size_t waiting() const { return waiting_; }
+  [[nodiscard]] const result& so_far() const { return result_; }
+  [[nodiscard]] crash_suspects& at(std::size_t i) { return daemons_[i]; }
+  [[nodiscard]] time_point now() const { return now_; }
+
+ private:
+  [[nodiscard]] bool Paused(std::size_t connection) const {
+    return connection / links_ % daemons_.size() >= first_paused_;
+  }
+  [[nodiscard]] std::size_t Index(std::size_t from,
+                                  std::size_t to,
+                                  std::size_t link) const {
+    return (from * daemons_.size() + to) * links_ + link;
+  }
+
+  void Put(std::size_t from, std::size_t to, std::size_t link, frame told) {
+    const std::size_t connection = Index(from, to, link);
+    if (connections_[connection].empty() && !Paused(connection)) {
+      busy_.push_back(connection);
+    }
+    connections_[connection].push_back(std::move(told));
+    result_.most_waiting = std::max(result_.most_waiting, ++waiting_);
+  }
+
+  // peers_.Tell() and origin_.TellSuspects(): all, the sender too.
+  void Tell(std::size_t from, const frame& told) {
+    for (std::size_t link = 0; link < links_; ++link) {
+      for (std::size_t to = 0; to < daemons_.size(); ++to) {
+        if (to != from) {
+          Put(from, to, link, told);
+        }
+      }
+    }
+  }
+
+  const std::size_t links_;
+  std::vector<crash_suspects> daemons_;
+  std::vector<std::deque<frame>> connections_;
+  std::vector<std::size_t> busy_;  // With something on them, oldest first.
+  std::size_t waiting_ = 0;
+  std::size_t first_paused_ = SIZE_MAX;
+  time_point now_{seconds(1000)};
+  result result_;
+};
+
+fleet::chooser Oldest() {
+  return [](std::size_t) { return 0; };
+}
+// One connection at random: late copies on some.
+fleet::chooser AtRandom(std::uint32_t seed) {
+  return [random = std::mt19937(seed)](std::size_t waiting) mutable {
+    return random() % waiting;
+  };
+}
+fleet::chooser Newest() {
+  return [](std::size_t waiting) { return waiting - 1; };
+}
+
+// What a fleet of this size may take for `suspects` that are told once and
+// cleared once by each daemon, over all links, each answered once.
+constexpr std::size_t Bound(std::size_t suspects) {
+  return 4 * kDaemons * kDaemons * 2 * (suspects + 1);
+}
+
+// One crash; each request completes elsewhere while that is told.
+result CrashAndComplete(const std::vector<request_fingerprint>& requests,
+                        const fleet::chooser& choose,
+                        std::size_t between) {
+  fleet all(kDaemons);
+  all.Crash(0, requests);
+  // A few are told, then those that run the repeated requests clear them.
+  std::size_t at = 1;
+  for (const request_fingerprint& request : requests) {
+    all.Run(all.so_far().delivered + between, choose);
+    all.Complete(at, request);
+    at = at % (kDaemons - 1) + 1;
+  }
+  return all.Run(kMost, choose);
+}
+
+TEST(suspect_order_test, SuspectsWithPlacesOfTheirOwnEnd) {
+  for (const std::size_t between : {20U, 60U, 200U}) {
+    const auto requests = OfOwnPlaces(8);
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+      const result got = CrashAndComplete(requests, AtRandom(seed), between);
+      EXPECT_TRUE(got.ended) << got;
+      EXPECT_LE(got.delivered, Bound(8)) << got;
+    }
+    const result oldest = CrashAndComplete(requests, Oldest(), between);
+    EXPECT_TRUE(oldest.ended) << oldest;
+    EXPECT_LE(oldest.delivered, Bound(8)) << oldest;
+    const result newest = CrashAndComplete(requests, Newest(), between);
+    EXPECT_TRUE(newest.ended) << newest;
+    EXPECT_LE(newest.delivered, Bound(8)) << newest;
+  }
+}
+
+TEST(suspect_order_test, TwoSuspectsOfOnePlaceEnd) {
+  for (const std::size_t between : {20U, 60U, 200U}) {
+    const auto requests = OfOnePlace(2);
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+      const result got = CrashAndComplete(requests, AtRandom(seed), between);
+      EXPECT_TRUE(got.ended) << "random " << seed << " " << between << got;
+      EXPECT_LE(got.delivered, Bound(2)) << got;
+    }
+    const result oldest = CrashAndComplete(requests, Oldest(), between);
+    EXPECT_TRUE(oldest.ended) << "oldest " << between << oldest;
+    EXPECT_LE(oldest.delivered, Bound(2)) << oldest;
+    const result newest = CrashAndComplete(requests, Newest(), between);
+    EXPECT_TRUE(newest.ended) << "newest " << between << newest;
+    EXPECT_LE(newest.delivered, Bound(2)) << newest;
+  }
+}
+
+// One request in progress at many targets that crash at one moment; nobody
+// completes it.
+result ManyCrashes(std::size_t crashes, const fleet::chooser& choose) {
+  fleet all(kDaemons);
+  for (std::size_t i = 0; i < crashes; ++i) {
+    all.Crash(i, {Request("/sign/bad")});
+  }
+  return all.Run(kMost, choose);
+}
+
+TEST(suspect_order_test, EightCrashesOfOneRequestEnd) {
+  for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+    const result got = ManyCrashes(8, AtRandom(seed));
+    EXPECT_TRUE(got.ended) << got;
+    EXPECT_LE(got.delivered, Bound(8)) << got;
+  }
+  EXPECT_TRUE(ManyCrashes(8, Oldest()).ended);
+}
+
+TEST(suspect_order_test, NineCrashesOfOneRequestEnd) {
+  for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+    const result got = ManyCrashes(9, AtRandom(seed));
+    EXPECT_TRUE(got.ended) << got;
+    EXPECT_LE(got.delivered, Bound(9)) << got;
+  }
+  EXPECT_TRUE(ManyCrashes(9, Oldest()).ended) << "oldest first";
+}
+
+// The shortest order: two daemons, one connection, two requests of one place.
+// One has both cleared while a late copy of their suspicion is on its way.
+TEST(suspect_order_test, TwoDaemonsEnd) {
+  const auto requests = OfOnePlace(2);
+  fleet both(2, 1);
+  both.Crash(0, requests);
+  both.DeliverFrom(0, 1);  // Passed on, back to 0 as well: the late copy.
+  both.Complete(0, requests[0]);
+  both.Complete(0, requests[1]);
+  const result got = both.Run(10000, Oldest());
+  EXPECT_TRUE(got.ended) << got;
+}
+
+// All are told before the first is cleared, as at a fleet with time to spare.
+// A daemon that heard nothing of the clearing connects then and tells.
+TEST(suspect_order_test, SuspectsOfOnePlaceThatAreClearedLaterEnd) {
+  const auto requests = OfOnePlace(2);
+  fleet all(kDaemons);
+  all.Crash(0, requests);
+  EXPECT_TRUE(all.Run(kMost, AtRandom(1)).ended);
+  all.Complete(1, requests[0]);
+  all.Complete(2, requests[1]);
+  EXPECT_TRUE(all.Run(kMost, AtRandom(1)).ended);
+}
+
+TEST(suspect_order_test, SuspectsOfOnePlaceThatAreToldAnewEnd) {
+  const auto requests = OfOnePlace(2);
+  std::size_t endless = 0;
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    fleet all(kDaemons);
+    all.Crash(0, requests);
+    EXPECT_TRUE(all.Run(kMost, AtRandom(seed)).ended);
+    const std::vector<quarantine_entry> known = all.at(5).Known(all.now());
+    all.Complete(1, requests[0]);
+    all.Complete(2, requests[1]);
+    EXPECT_TRUE(all.Run(kMost, AtRandom(seed)).ended);
+    all.TellAnew(5, 6, known);  // On a connection that was slow to be made.
+    endless += all.Run(kMost, AtRandom(seed)).ended ? 0 : 1;
+  }
+  EXPECT_EQ(endless, 0U);
+}
+
+// Suspects as a day has them: by chance some have one place. What is told
+// before the clearing begins is all but `late` frames.
+TEST(suspect_order_test, ManySuspectsWithLateCopiesEnd) {
+  for (const std::size_t suspects : {32U, 96U, 192U}) {
+    std::vector<request_fingerprint> requests;
+    std::map<std::size_t, std::size_t> places;
+    std::size_t sharing = 0;
+    for (std::size_t i = 0; i < suspects; ++i) {
+      requests.push_back(Request("/day/" + std::to_string(i)));
+      sharing += places[requests.back().low % kPlaces]++;
+    }
+    for (const std::size_t late : {0U, 1U, 10U, 100U}) {
+      fleet all(kDaemons);
+      const fleet::chooser choose = AtRandom(3);
+      for (std::size_t i = 0; i < suspects; i += crash_suspects::kMostTold) {
+        all.Crash((i / crash_suspects::kMostTold) % kDaemons,
+                  {requests.begin() + static_cast<std::ptrdiff_t>(i),
+                   requests.begin() + static_cast<std::ptrdiff_t>(
+                                          i + crash_suspects::kMostTold)});
+      }
+      while (all.waiting() > late) {
+        all.Run(all.so_far().delivered + 1, choose);
+      }
+      for (std::size_t i = 0; i < suspects; ++i) {
+        all.Complete((3 * i) % kDaemons, requests[i]);
+        all.Run(all.so_far().delivered + 1, choose);
+      }
+      const result got = all.Run(kMost, choose);
+      std::cout << "MANY suspects " << suspects << " sharing " << sharing
+                << " late " << late << ": " << got << "\n";
+      EXPECT_TRUE(got.ended);
+    }
+  }
+}
+
+// Some daemons stand still from the crash on, until the others have told each
+// other all; then they read what has come, in any order of connections. The
+// requests are completed after the crash was told to all that run.
+std::size_t EndlessWithPauses(std::size_t daemons,
+                              std::size_t paused,
+                              const std::vector<request_fingerprint>& requests,
+                              bool told_before) {
+  constexpr std::size_t kSeeds = 20;
+  std::size_t endless = 0;
+  std::size_t most_delivered = 0;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    fleet all(daemons);
+    const fleet::chooser choose = AtRandom(seed);
+    if (!told_before) {
+      all.Pause(daemons - paused);
+    }
+    for (std::size_t i = 0; i < requests.size(); i += 16) {
+      all.Crash(i / 16 % 4,
+                {requests.begin() + static_cast<std::ptrdiff_t>(i),
+                 requests.begin() + static_cast<std::ptrdiff_t>(
+                                        std::min(i + 16, requests.size()))});
+    }
+    all.Run(kMost, choose);
+    all.Pause(daemons - paused);
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+      all.Complete(i % 4, requests[i]);
+    }
+    all.Run(kMost, choose);
+    all.Continue();
+    const result got = all.Run(kMost, choose);
+    endless += got.ended ? 0 : 1;
+    if (got.ended) {
+      most_delivered = std::max(most_delivered, got.delivered);
+    }
+  }
+  std::cout << "PAUSE daemons " << daemons << " paused " << paused
+            << " suspects " << requests.size()
+            << (told_before ? " paused before the clearing"
+                            : " paused before the crash")
+            << ": endless " << endless << " of " << kSeeds
+            << ", most delivered where it ended " << most_delivered << "\n";
+  return endless;
+}
+
+TEST(suspect_order_test, DaemonsThatReadLateWithPlacesOfTheirOwnEnd) {
+  for (const std::size_t paused : {1U, 4U, 8U}) {
+    EXPECT_EQ(EndlessWithPauses(kDaemons, paused, OfOwnPlaces(2), false), 0U);
+    EXPECT_EQ(EndlessWithPauses(kDaemons, paused, OfOwnPlaces(2), true), 0U);
+  }
+}
+
+TEST(suspect_order_test, DaemonsThatReadLateEnd) {
+  for (const std::size_t paused : {1U, 2U, 4U, 8U}) {
+    EXPECT_EQ(EndlessWithPauses(kDaemons, paused, OfOnePlace(2), false), 0U);
+    EXPECT_EQ(EndlessWithPauses(kDaemons, paused, OfOnePlace(2), true), 0U);
+  }
+  EXPECT_EQ(EndlessWithPauses(30, 1, OfOnePlace(2), false), 0U);
+  EXPECT_EQ(EndlessWithPauses(30, 4, OfOnePlace(2), false), 0U);
+}
+
+// As many as the crashes of a day leave, not chosen: of 192, four pairs have
+// one place, of 96 none.
+TEST(suspect_order_test, OneDaemonThatReadsLateAmongManySuspectsEnds) {
+  for (const std::size_t suspects : {96U, 192U}) {
+    std::vector<request_fingerprint> requests;
+    for (std::size_t i = 0; i < suspects; ++i) {
+      requests.push_back(Request("/day/" + std::to_string(i)));
+    }
+    EXPECT_EQ(EndlessWithPauses(kDaemons, 1, requests, false), 0U);
+  }
+}
+
+// So many of the frames that tell of the crash are late; the rest is over.
+TEST(suspect_order_test, LateCopiesOfOnePlaceEnd) {
+  for (const std::size_t late : {0U, 1U, 3U, 10U, 30U, 100U}) {
+    std::size_t endless = 0;
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+      const auto requests = OfOnePlace(2);
+      fleet all(kDaemons);
+      const fleet::chooser choose = AtRandom(seed);
+      all.Crash(0, requests);
+      do {
+        all.Run(all.so_far().delivered + 1, choose);
+      } while (all.waiting() > late || all.so_far().news < kDaemons - 1);
+      all.Complete(1, requests[0]);
+      all.Complete(2, requests[1]);
+      endless += all.Run(kMost, choose).ended ? 0 : 1;
+    }
+    std::cout << "LATE copies " << late << ": endless " << endless
+              << " of 20\n";
+    EXPECT_EQ(endless, 0U);
+  }
+}
+
+// Several daemons connect and tell what they knew before the clearing.
+TEST(suspect_order_test, SeveralThatTellAnewEnd) {
+  for (const std::size_t telling : {1U, 3U, 11U, 50U}) {
+    std::size_t endless = 0;
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+      const auto requests = OfOnePlace(2);
+      fleet all(kDaemons);
+      const fleet::chooser choose = AtRandom(seed);
+      all.Crash(0, requests);
+      all.Run(kMost, choose);
+      const auto known = all.at(5).Known(all.now());
+      all.Complete(1, requests[0]);
+      all.Complete(2, requests[1]);
+      for (std::size_t i = 0; i < telling; ++i) {
+        all.TellAnew(i % kDaemons, (i + 1 + i / kDaemons) % kDaemons, known);
+      }
+      endless += all.Run(kMost, choose).ended ? 0 : 1;
+    }
+    std::cout << "ANEW telling " << telling << ": endless " << endless
+              << " of 20\n";
+    EXPECT_EQ(endless, 0U);
+  }
+}
+
+// More suspects than a daemon keeps: what had to make room is news again.
+TEST(suspect_order_test, MoreSuspectsThanAreKeptEnd) {
+  for (const std::size_t crashes : {256U, 258U, 320U}) {
+    fleet all(4, 1);
+    std::size_t next = 0;
+    for (std::size_t i = 0; i < crashes; ++i) {
+      std::vector<request_fingerprint> requests;
+      for (std::size_t j = 0; j < crash_suspects::kMostTold; ++j) {
+        requests.push_back(Request("/more/" + std::to_string(next++)));
+      }
+      all.Crash(i % 4, requests);
+    }
+    // Each crash is told to 3, passed on by each of those to 3.
+    const std::size_t most = 2 * crashes * 12;
+    const result got = all.Run(most, AtRandom(1));
+    std::cout << "KEPT suspects " << next << ": " << got << "\n";
+    EXPECT_TRUE(got.ended);
+  }
+}
+
+// Ten seconds of a busy daemon: whatever completes there takes the place of
+// what was cleared.
+TEST(suspect_order_test, OtherRequestsThatCompleteMeanwhileChangeNothing) {
+  const auto requests = OfOnePlace(2);
+  for (const bool everywhere : {false, true}) {
+    fleet all(kDaemons);
+    const fleet::chooser choose = AtRandom(7);
+    all.Crash(0, {requests[0]});
+    all.Run(60, choose);
+    all.Complete(1, requests[0]);
+    result got;
+    for (std::size_t i = 0; i < 100; ++i) {
+      // Harmless and never suspected, at one daemon or at all in turn.
+      all.Complete(everywhere ? i % kDaemons : 2, requests[1]);
+      got = all.Run(all.so_far().delivered + 40, choose);
+      if (got.ended) {
+        break;
+      }
+    }
+    got = all.Run(kMost, choose);
+    EXPECT_TRUE(got.ended) << got;
+    EXPECT_LE(got.delivered, Bound(1)) << got;
+  }
+}
+
+}  // namespace
+}  // namespace pistachioweir
