Tests: two of the new ones hung on time and on the allocator

- FramesAreFewAgainstTheirNews let the telling of suspects go on for 50 ms before they complete, which wasn't enough there, so that suspects arrived behind their clearing.
It now goes on until all has arrived; what is checked is the same.
- TellingPeersThatDontReadIsBounded measured 151 MB from the outside: the sanitizer keeps what was freed.

--- a/tests/suspect_sharing_test.cc
+++ b/tests/suspect_sharing_test.cc
@@ -131,7 +131,7 @@
         {.entries = daemons[crash]->suspects.OnDied(now), .cleared = {}},
         suspects_source::kHere);
   }
-  context.run_for(milliseconds(50));
+  context.poll();  // All that is told at once arrives.
   // Each is sent again by its caller, and completes.
   for (std::uint64_t each = 1; each <= suspect; ++each) {
     told_daemon& at = *daemons[random() % kDaemons];
--- a/tests/unread_peers_test.cc
+++ b/tests/unread_peers_test.cc
@@ -26,6 +26,14 @@
 
 using tcp = boost::asio::ip::tcp;
 
+// The address sanitizer keeps what is freed, so that memory in use can't be
+// told from the outside.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr bool kMemoryTells = false;
+#else
+constexpr bool kMemoryTells = true;
+#endif
+
 double ResidentMb() {
   std::ifstream in("/proc/self/statm");
   std::size_t total = 0;
@@ -66,8 +74,10 @@
       .cleared = {{.high = 0x123456789abcdefULL, .low = 0xfedcba9876543210}}};
   const auto frame = std::make_shared<const std::string>(Encode(cleared));
   double most = 0;
+  std::size_t most_unsent = 0;
   for (std::size_t i = 1; i <= 1000000 && server.sessions() > 0; ++i) {
     server.SendSuspects(frame, server.senders());
+    most_unsent = std::max(most_unsent, server.load().unsent_bytes);
     if (i % 1000 == 0) {
       context.poll();
     }
@@ -76,7 +86,10 @@
     }
   }
   constexpr double kMostMb = 32;  // What a daemon may use for control.
-  EXPECT_LE(most, kMostMb);
+  EXPECT_LE(most_unsent, kPeers * 2 * kMostUnreadBytes);
+  if (kMemoryTells) {
+    EXPECT_LE(most, kMostMb);
+  }
 }
 
 }  // namespace
