One piece of code draws some at random

The change had written again, for daemons that news is passed on to, what FurtherDaemons does for daemons without a connection: the front of a shuffle. Both call SomeAtRandom in suspect_spread.h now.

--- a/include/quarantine/suspect_spread.h
+++ b/include/quarantine/suspect_spread.h
@@ -2,6 +2,7 @@
 // connected already.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,16 +25,24 @@
 // would leave a small data centre out now and then.
 inline constexpr std::size_t kFurtherDaemons = 3;
 
+// Up to `most` different ones of `all`.
+template <typename T, typename Random>
+[[nodiscard]] std::vector<T> SomeAtRandom(std::vector<T> all,
+                                          std::size_t most,
+                                          const Random& random) {
+  const std::size_t count = std::min(most, all.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(all[i], all[i + random() % (all.size() - i)]);
+  }
+  all.resize(count);
+  return all;
+}
+
 // Up to kFurtherDaemons different ones of `others`.
 [[nodiscard]] inline std::vector<std::string> FurtherDaemons(
     std::vector<std::string> others,
     const std::function<std::uint64_t()>& random) {
-  for (std::size_t i = 0; i < kFurtherDaemons && i < others.size(); ++i) {
-    std::swap(others[i], others[i + random() % (others.size() - i)]);
-  }
-  others.resize(others.size() < kFurtherDaemons ? others.size()
-                                                : kFurtherDaemons);
-  return others;
+  return SomeAtRandom(std::move(others), kFurtherDaemons, random);
 }
 
 }  // namespace pistachioweir
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -29,6 +29,7 @@
 #include "include/forward/service_view.h"
 #include "include/forward/view_changes.h"
 #include "include/forward/view_state.h"
+#include "include/quarantine/suspect_spread.h"
 #include "src/base/stop_signals.h"
 #include "src/forward/caller_server.h"
 #include "src/forward/executor.h"
@@ -483,25 +484,14 @@
     stop_.async_wait([this](error_code) { stopped_.set_value(); });
   }
 
-  // Up to `most` of them.
-  static std::set<incarnation_id> AtRandom(std::set<incarnation_id> all,
-                                           std::size_t most) {
-    if (all.size() <= most) {
-      return all;
-    }
-    std::vector<incarnation_id> some(all.begin(), all.end());
-    for (std::size_t i = 0; i < most; ++i) {
-      std::swap(some[i], some[i + RandomBits64() % (some.size() - i)]);
-    }
-    some.resize(most);
-    return {some.begin(), some.end()};
-  }
-
   // Each daemon once, over whichever way it is connected.
   void SendSuspects(const suspects_frame& told, std::size_t most) {
     std::set<incarnation_id> connected = origin_.linked();
     connected.merge(peers_.senders());
-    std::set<incarnation_id> to = AtRandom(std::move(connected), most);
+    const std::vector<incarnation_id> some = SomeAtRandom(
+        std::vector<incarnation_id>(connected.begin(), connected.end()), most,
+        RandomBits64);
+    std::set<incarnation_id> to(some.begin(), some.end());
     const auto frame = std::make_shared<const std::string>(Encode(told));
     origin_.SendSuspects(frame, &to);
     peers_.SendSuspects(frame, to);
