A request whose caller has disconnected before it was read isn't sent

Cause: the session starts a request as soon as it has read it, and learns from the next read that the caller has disconnected. A daemon whose event loop is 0.7 s late finds both in the socket and sends the request all the same.

Evidence: late_caller_test doesn't run the event loop between the request and the end of its connection. Before: 2 requests at the target in place of 1, each time, on an accepted connection and on one that still waits to be accepted.

Change: before a request is sent on, the socket is looked at without taking anything. One system call a request; counter caller_read_too_late, and a line caller_gone with the reason.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -25,6 +25,7 @@
 #include "include/forward/service_view.h"
 #include "src/forward/caller_protocol_concept.h"
 #include "src/forward/origin.h"
+#include "src/net/connection_end.h"
 #include "src/net/http_reader.h"
 
 namespace pistachioweir {
@@ -42,6 +43,8 @@
   std::size_t open_requests = 0;
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
+  // Requests read only after their callers had disconnected; not forwarded.
+  std::uint64_t read_too_late = 0;
   recent_maximum max_write_time;  // Of responses.
   bool draining = false;  // Each connection closes after its next response.
   bool refusing = false;  // Requests are refused without being run.
@@ -211,6 +214,17 @@
     RecordProgress();
     relayed_call call =
         Protocol::Decode(std::move(request), monotonic_clock::now());
+    // If the event loop is late, the caller may have given up before its
+    // request is read. The end of its connection would be read only after the
+    // request has been sent to a target.
+    if (HasPeerClosed(socket_)) {
+      ++state_->read_too_late;
+      LogEvent("caller_gone",
+               {{.name = "why", .value = "its request was read too late"},
+                {.name = "request", .value = call.id}});
+      Close();
+      return;
+    }
     if (state_->held_bytes > state_->max_held_bytes) {
       Refuse(begun, call.id, reason::kTableFull, kBodyLimitRetryAfter);
       return;
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -193,6 +193,9 @@
           sources.callers.requests);
   counter("caller_malformed", "Malformed requests from callers",
           sources.callers.malformed);
+  counter("caller_read_too_late",
+          "Requests read after their callers had disconnected",
+          sources.callers.read_too_late);
   counter("log_lines_dropped",
           "Log lines dropped because the reader was too slow",
           DroppedLogLines());
