A call starts once the input that is ready has been handled

What callers and targets saw: requests reached their targets more than half a second after their callers had left (GONE), beside targets whose daemons are late.

Cause: the daemon beside a target started a call as soon as its frame was read, or as soon as a run ended and freed a slot. If its event loop is late, the cancellation of the call lies behind it in the same stream, or in another socket that is ready, and is handled afterwards. The end of a connection whose sender has given its calls up likewise.

Change: a call takes its slot as before and starts in a handler that is posted behind the input that is ready; a cancellation or the end of its connection until then withdraws it, as not executed. A stream between daemons is read to its end, up to 1 MB, before its frames are handled: a daemon reads 16 KB at a time, and 0.7 s of calls are more than that.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <string>
 
@@ -187,7 +189,7 @@
   for (const std::uint64_t id : open) {
     served_call& served = calls_.at(id);
     if (served.started == time_point()) {
-      admission_.Cancel(served.admitted);
+      Withdraw(id);
       Refuse(id, reason::kDraining, kDrainRetryAfter);
       continue;
     }
@@ -288,7 +290,7 @@
   if (decision.action == admission_action::kRefused) {
     Refuse(id, decision.why, decision.retry_after);
   } else if (decision.action == admission_action::kRun) {
-    Start(id);
+    ScheduleStart(id);
   } else {
     log_.Add(id, served.call.request_id, "queued",
              {{.name = "ahead", .value = std::to_string(admission_.queued())}});
@@ -307,7 +309,7 @@
     }
     if (event->decision.action == admission_action::kRun) {
       found->second.admitted = event->decision.handle;
-      StartQueued(event->cookie);
+      ScheduleStart(event->cookie);
     } else {
       Refuse(event->cookie, event->decision.why, event->decision.retry_after);
     }
@@ -330,15 +332,37 @@
   });
 }
 
-// The target may have left while the request was queued.
-void executor::StartQueued(std::uint64_t id) {
-  const time_point now = monotonic_clock::now();
-  if (!HasTargetLeft(now)) {
-    Start(id);
-    return;
+// A daemon whose event loop is late finds the cancellation of a call among the
+// input that is ready together with the call, or with the end of the run that
+// frees its slot. A start before that input is handled would send the target a
+// request whose caller is known to have left.
+void executor::ScheduleStart(std::uint64_t id) {
+  starting_.push_back(id);
+  if (starting_.size() == 1) {
+    boost::asio::post(wakeup_.get_executor(), [this] { StartScheduled(); });
+  }
+}
+
+void executor::StartScheduled() {
+  for (const std::uint64_t id : std::exchange(starting_, {})) {
+    if (!HasTargetLeft(monotonic_clock::now())) {
+      Start(id);
+      continue;
+    }
+    admission_.Finish(calls_.at(id).admitted, {.answered = false},
+                      monotonic_clock::now());
+    Refuse(id, reason::kWrongTarget, RetryAfterOf(reason::kWrongTarget));
   }
-  admission_.Finish(calls_.at(id).admitted, {.answered = false}, now);
-  Refuse(id, reason::kWrongTarget, RetryAfterOf(reason::kWrongTarget));
+  ProcessAdmissionEvents();
+}
+
+bool executor::Withdraw(std::uint64_t id) {
+  const admission_handle admitted = calls_.at(id).admitted;
+  if (std::erase(starting_, id) == 0) {
+    return admission_.Cancel(admitted);
+  }
+  admission_.Finish(admitted, {.answered = false}, monotonic_clock::now());
+  return true;
 }
 
 void executor::Start(std::uint64_t id) {
@@ -483,10 +507,18 @@
     cancel();
     return;
   }
-  if (admission_.Cancel(served.admitted)) {
+  if (Withdraw(id)) {
     Refuse(id, reason::kCancelled, milliseconds(0));
     ProcessAdmissionEvents();
   }
 }
 
+void executor::OnConnectionEnd(std::uint64_t id) {
+  if (std::ranges::find(starting_, id) != starting_.end()) {
+    Withdraw(id);
+    Refuse(id, reason::kConnectionLost, milliseconds(0));
+    ProcessAdmissionEvents();
+  }
+}
+
 }  // namespace pistachioweir
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -136,6 +136,10 @@
   // once continues to its end: half of it may be done, and its effect must be
   // complete or absent.
   void Cancel(std::uint64_t id);
+  // The connection that carried the call has ended. Refuses the call if it is
+  // about to start: its sender has given it up, or asks for it over another
+  // connection and may send it elsewhere. Queued and running calls go on.
+  void OnConnectionEnd(std::uint64_t id);
 
   // Announces that the daemon is stopping: other daemons then send calls here
   // only if no other target can accept them. Such calls are served.
@@ -192,7 +196,12 @@
   [[nodiscard]] static time_point LatestStart(const served_call& served,
                                               time_point now);
   [[nodiscard]] reason RefusalOf(const served_call& served, time_point now);
-  void StartQueued(std::uint64_t id);
+  // Starts the call once the input that is ready now has been handled.
+  void ScheduleStart(std::uint64_t id);
+  void StartScheduled();
+  // Gives back the slot or the place in the queue of a call that hasn't
+  // started. Returns false if it has neither.
+  bool Withdraw(std::uint64_t id);
   void Start(std::uint64_t id);
   void OnRunEnd(std::uint64_t id, run_result result);
   void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
@@ -226,6 +235,9 @@
   downstream_failure_rate downstream_failures_;
   call_map calls_;
   std::uint64_t next_id_ = 1;
+  // Calls that hold a slot and start with the next StartScheduled(), which is
+  // posted unless this is empty.
+  std::vector<std::uint64_t> starting_;
   time_point target_down_until_;
   std::string target_start_;  // Empty until one is registered.
   crash_suspects suspects_;
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -18,6 +18,8 @@
 void frame_stream::Start(on_frame frame, on_end end) {
   on_frame_ = std::move(frame);
   on_end_ = std::move(end);
+  error_code ignored;
+  socket_.non_blocking(true, ignored);  // For ReadRest().
   Read();
 }
 
@@ -34,10 +36,24 @@
         }
         self->last_heard_ = monotonic_clock::now();
         self->received_.append(self->chunk_.data(), bytes);
+        self->ReadRest(bytes);
+        // The end of the connection is then handled before calls that were read
+        // together with it start.
+        self->Read();
         self->Digest();
       });
 }
 
+void frame_stream::ReadRest(std::size_t last_read) {
+  error_code error;
+  std::size_t total = last_read;
+  while (last_read == chunk_.size() && total < kMaxReadBytes) {
+    last_read = socket_.read_some(asio::buffer(chunk_), error);
+    received_.append(chunk_.data(), last_read);
+    total += last_read;
+  }
+}
+
 void frame_stream::Digest() {
   std::size_t used = 0;
   while (open_) {
@@ -56,7 +72,6 @@
   }
   if (open_) {
     received_.erase(0, used);
-    Read();
   }
 }
 
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -25,6 +25,10 @@
 // A peer that doesn't read would make this daemon keep all that it is sent.
 // Beyond this the connection ends; what was on it is asked for again.
 inline constexpr std::size_t kMaxUnsentBytes = 16 << 20;
+// Bytes that are read at a time before their frames are handled. Holds what a
+// peer sends within seconds, so that a daemon whose event loop is late sees a
+// call's cancellation together with the call; other connections wait meanwhile.
+inline constexpr std::size_t kMaxReadBytes = 1 << 20;
 // Bytes of news that a peer may leave unread. What it misses beyond that is
 // told at once when it has read. Without a bound a peer that stands still would
 // make this daemon keep all of it.
@@ -62,6 +66,8 @@
 
  private:
   void Read();
+  // Appends what else is ready, if the last read filled the buffer.
+  void ReadRest(std::size_t last_read);
   void Digest();
   void Write();
   void End(std::string_view why);
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -296,6 +296,15 @@
   }
   attempts_.OnDisconnected(ended->sender(), monotonic_clock::now());
   by_sender_.erase(found);
+  const auto of_sender = running_.find(KeyOf(ended->sender()));
+  if (of_sender == running_.end()) {
+    return;
+  }
+  // A call that is refused is removed from the map.
+  const auto running = of_sender->second;
+  for (const auto& [number, id] : running) {
+    calls_.OnConnectionEnd(id);
+  }
 }
 
 void peer_server::OnCall(session& from, call_frame call) {
