The time that a call waits between daemons is taken from its deadline

What callers and targets saw: a call that the daemon beside its target reads 0.7 s late has its whole time left there. It is sent to the target after its caller's deadline (GONE), and the target works on it for nobody.

Cause: a call carries how much time it has left, which counts from when its frame is read. Waits in the sender's buffers, on the network and unread in the socket don't count.

Evidence: late_executor_test, ACallReadAfterItsDeadlineIsNotSent: a call with 300 ms left that is read after 700 ms. Before: 2 requests at the target in place of 1, and the answer is "completed" in place of "not executed".

Change: a call carries its sender's clock. The receiver takes the smallest recent difference of both clocks as that of a frame that hardly waited; what another one exceeds it by is its wait. Pings carry the clock as well, so that there is a recent smallest difference.

Builds in one fleet: the clock is sent only over connections whose receiver has returned a ping that carried it. Older builds ignore what a ping carries and get calls as before; the version of the protocol stays.

executor_received tells transit_ms.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -234,6 +234,9 @@
   if (HasTargetLeft(now)) {
     return reason::kWrongTarget;
   }
+  if (served.deadline <= now) {
+    return reason::kDeadlinePassed;
+  }
   if (suspects_.RemainingQuarantine(served.fingerprint, now) >
       milliseconds(0)) {
     return reason::kQuarantined;
@@ -272,6 +275,8 @@
             {.name = "rank", .value = std::to_string(served.call.rank)},
             {.name = "left_ms",
              .value = std::to_string(served.call.remaining.count())},
+            {.name = "transit_ms",
+             .value = std::to_string(served.call.transit.count())},
             {.name = "running", .value = std::to_string(admission_.running())},
             {.name = "queued", .value = std::to_string(admission_.queued())}});
   const reason refusal = RefusalOf(served, now);
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -11,12 +11,15 @@
 
 constexpr std::uint32_t kHelloFields = 3;
 constexpr std::uint32_t kWelcomeFields = 13;
-constexpr std::uint32_t kCallFields = 19;
+constexpr std::uint32_t kCallFields = 20;
+constexpr std::uint32_t kCallFieldsWithoutSendTime = 19;
 constexpr std::uint32_t kAnswerFields = 22;
 constexpr std::uint32_t kPongFields = 11;
 constexpr std::uint32_t kProofFields = 3;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
+// Time since a VM was started; a later one is a broken message.
+constexpr milliseconds kMaxSendTime = std::chrono::hours(24 * 365 * 100);
 constexpr microseconds kMaxMeasured = std::chrono::hours(24);
 // Suspects of one frame; more are of no use, see quarantine_options.
 constexpr std::uint32_t kMaxSuspects = 1024;
@@ -51,6 +54,11 @@
   return report;
 }
 
+milliseconds ReadSendTime(msgpack_reader& reader) {
+  return milliseconds(
+      reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxSendTime.count())));
+}
+
 microseconds ReadMicroseconds(msgpack_reader& reader) {
   return microseconds(
       reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxMeasured.count())));
@@ -58,6 +66,19 @@
 
 }  // namespace
 
+milliseconds SendTime(boot_time now) {
+  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+}
+
+void Elapse(milliseconds waited, call_frame* call) {
+  call->remaining = std::max(milliseconds(0), call->remaining - waited);
+  call->objective_left =
+      std::max(milliseconds(0), call->objective_left - waited);
+  if (call->start_within > milliseconds(0)) {
+    call->start_within = std::max(milliseconds(1), call->start_within - waited);
+  }
+}
+
 std::string Encode(const hello_frame& frame) {
   return frame_writer(kHelloFields)
       .Put(kPeerProtocolVersion)
@@ -77,8 +98,9 @@
 }
 
 std::string Encode(const call_frame& frame) {
-  return frame_writer(kCallFields)
-      .Put(frame.number)
+  const bool timed = frame.sent > milliseconds(0);
+  frame_writer writer(timed ? kCallFields : kCallFieldsWithoutSendTime);
+  writer.Put(frame.number)
       .Put(frame.settled_below)
       .Put(frame.target_id)
       .Put(frame.route)
@@ -96,8 +118,11 @@
       .Put(frame.request.verb)
       .Put(frame.request.target)
       .Put(frame.request.header_block)
-      .Put(frame.request.body)
-      .Finish(frame_kind::kCall);
+      .Put(frame.request.body);
+  if (timed) {
+    writer.Put(frame.sent);
+  }
+  return writer.Finish(frame_kind::kCall);
 }
 
 std::string Encode(const answer_frame& frame) {
@@ -160,6 +185,10 @@
   return frame_writer(1).Put(number).Finish(kind);
 }
 
+std::string EncodePing(milliseconds sent) {
+  return frame_writer(1).Put(sent).Finish(frame_kind::kPing);
+}
+
 std::string EncodeEmpty(frame_kind kind) {
   return frame_writer(0).Finish(kind);
 }
@@ -195,7 +224,10 @@
 }
 
 std::optional<call_frame> DecodeCallFrame(std::string_view payload) {
-  msgpack_reader reader(payload, kCallFields);
+  auto reader = msgpack_reader::UpTo(payload, kCallFields);
+  if (!reader.ok() || reader.size() < kCallFieldsWithoutSendTime) {
+    return std::nullopt;
+  }
   call_frame frame;
   frame.number = reader.Unsigned();
   frame.settled_below = reader.Unsigned();
@@ -217,6 +249,9 @@
   frame.request.target = reader.String();
   frame.request.header_block = reader.String();
   frame.request.body = reader.String();
+  if (reader.size() == kCallFields) {
+    frame.sent = ReadSendTime(reader);
+  }
   if (!reader.ok() || !repeats) {
     return std::nullopt;
   }
@@ -310,6 +345,15 @@
   return number;
 }
 
+std::optional<milliseconds> DecodePing(std::string_view payload) {
+  msgpack_reader reader(payload, 1);
+  const milliseconds sent = ReadSendTime(reader);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  return sent;
+}
+
 frame_state NextFrame(std::string_view bytes,
                       std::size_t max_bytes,
                       frame_view* frame) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "include/admit/admission_controller.h"
+#include "include/base/boot_clock.h"
 #include "include/base/enum_table.h"
 #include "include/base/ids.h"
 #include "include/base/outcome.h"
@@ -30,7 +31,9 @@
   kAnswer,      // Its end.
   kCancel,      // The caller of an attempt has gone.
   kAsk,         // What became of an attempt that was sent before?
-  kPing,        // Is this connection alive?
+  kPing,        // Is this connection alive? With the sender's clock, but of
+                // older builds. The first one is returned as a sign that the
+                // receiver reads call_frame::sent.
   kPong,        // It is; with the load of the target. Also an answer to kAsk
                 // of an attempt in progress, and to kFollow.
   kLeaving,     // The receiver of calls is stopping: send it no new ones.
@@ -100,12 +103,23 @@
   // The target must have begun within this time; zero if only the deadline
   // bounds that.
   milliseconds start_within{0};
+  // SendTime() at which the times above were true; zero if the receiver may be
+  // of a build that doesn't read it.
+  milliseconds sent{0};
+  // How long the frame waited on its way, as far as the receiver can tell. Not
+  // transmitted.
+  milliseconds transit{0};
   std::string caller_service;
   std::string organisation;  // Whose key the caller gave; may be empty.
   std::string request_id;
   relayed_request request;
 };
 
+// The sender's clock, for transit_time.
+[[nodiscard]] milliseconds SendTime(boot_time now);
+// Subtracts `waited` from the times of a call.
+void Elapse(milliseconds waited, call_frame* call);
+
 struct answer_frame {
   std::uint64_t number = 0;
   outcome_kind kind = outcome_kind::kUnknown;
@@ -157,10 +171,11 @@
 [[nodiscard]] std::string Encode(const proof_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
-// revision of the asker's view, kAskProof the number of the question, kPing,
-// kLeaving and kUnfollow nothing. For kChanges see changes_frame.h, for kUsage
-// and kQuota quota_frame.h.
+// revision of the asker's view, kAskProof the number of the question, kPing its
+// SendTime() (see EncodePing), kLeaving and kUnfollow nothing. For kChanges see
+// changes_frame.h, for kUsage and kQuota quota_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
+[[nodiscard]] std::string EncodePing(milliseconds sent);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
 
 // Nothing if `payload` isn't exactly one frame of that kind.
@@ -177,6 +192,8 @@
     std::string_view payload);
 [[nodiscard]] std::optional<std::uint64_t> DecodeNumber(
     std::string_view payload);
+// Nothing for a ping of an older build, which carries no time.
+[[nodiscard]] std::optional<milliseconds> DecodePing(std::string_view payload);
 
 // The frame in front of a stream of bytes.
 struct frame_view {
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -119,13 +119,9 @@
   const time_point now = monotonic_clock::now();
   const milliseconds waited =
       record.call.remaining - TimeLeft(record.deadline, now);
-  record.call.remaining -= waited;
-  record.call.objective_left =
-      std::max(milliseconds(0), record.call.objective_left - waited);
-  if (record.call.start_within > milliseconds(0)) {
-    record.call.start_within =
-        std::max(milliseconds(1), record.call.start_within - waited);
-  }
+  Elapse(waited, &record.call);
+  record.call.sent =
+      reads_send_time_ ? SendTime(boot_clock::now()) : milliseconds(0);
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
   record.sent_at = now;
@@ -349,6 +345,11 @@
         return;
       }
       break;
+    case frame_kind::kPing:
+      if (stream == current_) {
+        reads_send_time_ = true;
+      }
+      return;
     case frame_kind::kLeaving:
       events_.on_leaving(true);
       return;
@@ -431,6 +432,7 @@
     current_->Close();
   }
   current_ = std::exchange(candidate_, nullptr);
+  reads_send_time_ = false;
   Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
   events_.on_leaving(welcome.leaving);
@@ -440,6 +442,8 @@
   if (follows_) {
     current_->Send(EncodeNumbered(frame_kind::kFollow, events_.revision()));
   }
+  // Ahead of the first calls, so that the peer knows how old they are.
+  Ping();
   Resume(welcome.receiver);
 }
 
@@ -449,20 +453,15 @@
 void peer_link::Resume(incarnation_id receiver) {
   const incarnation_id before = std::exchange(receiver_, receiver);
   std::vector<std::uint64_t> lost;
-  bool asks = false;
   for (auto& [number, record] : calls_) {
     if (record.sent_to == incarnation_id{}) {
       Write(record);
     } else if (record.sent_to == receiver) {
       current_->Send(EncodeNumbered(frame_kind::kAsk, number));
-      asks = true;
     } else {
       lost.push_back(number);
     }
   }
-  if (asks) {
-    Ping();
-  }
   if (before != incarnation_id{} && before != receiver) {
     LogEvent("peer_restarted",
              {{.name = "peer", .value = ToString(options_.address)},
@@ -595,7 +594,7 @@
 void peer_link::Ping() {
   last_asked_ = monotonic_clock::now();
   unconfirmed_since_ = std::min(unconfirmed_since_, last_asked_);
-  current_->Send(EncodeEmpty(frame_kind::kPing));
+  current_->Send(EncodePing(SendTime(boot_clock::now())));
 }
 
 // The peer has heard what was sent until then. What it sends by itself says
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -192,8 +192,9 @@
   boost::asio::steady_timer connect_timer_;
 
   std::map<std::uint64_t, call_record> calls_;  // Without an answer.
-  stream_ptr current_;                          // Welcomed, or nullptr.
-  stream_ptr candidate_;                        // Connected, not welcomed yet.
+  stream_ptr current_;            // Welcomed, or nullptr.
+  bool reads_send_time_ = false;  // The peer of `current_` does.
+  stream_ptr candidate_;          // Connected, not welcomed yet.
   socket_ptr connecting_;
   std::uint64_t connect_attempt_ = 0;
   incarnation_id receiver_{};  // Of the last welcome.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -158,9 +158,16 @@
         }
         return number.has_value();
       }
-      case frame_kind::kPing:
+      case frame_kind::kPing: {
+        if (const auto sent = DecodePing(frame.payload)) {
+          server_.Transit(sender_, *sent);
+          if (!std::exchange(returned_ping_, true)) {
+            Send(EncodePing(*sent));
+          }
+        }
         Send(Encode(server_.Pong()));
         return true;
+      }
       case frame_kind::kSuspects: {
         const auto suspects = DecodeSuspectsFrame(frame.payload);
         if (suspects && server_.options_.on_suspects) {
@@ -223,6 +230,7 @@
   vm_id vm_;                               // The sender's.
   std::optional<std::uint64_t> followed_;  // Only of a follower.
   bool missed_suspects_ = false;           // Some weren't sent.
+  bool returned_ping_ = false;             // See frame_kind::kPing.
 };
 
 peer_server::peer_server(boost::asio::io_context& context,
@@ -309,6 +317,10 @@
 
 void peer_server::OnCall(session& from, call_frame call) {
   const attempt_key attempt{.sender = from.sender(), .number = call.number};
+  if (call.sent > milliseconds(0)) {
+    call.transit = Transit(from.sender(), call.sent);
+    Elapse(call.transit, &call);
+  }
   attempts_.Settle(from.sender(), call.settled_below);
   switch (attempts_.Begin(attempt)) {
     case attempt_verdict::kStart:
@@ -353,6 +365,10 @@
   }
 }
 
+milliseconds peer_server::Transit(incarnation_id sender, milliseconds sent) {
+  return transit_[KeyOf(sender)].OnMessage(sent, boot_clock::now());
+}
+
 void peer_server::SendRefusal(session& to, std::uint64_t number) {
   answer_frame answer;
   answer.number = number;
@@ -511,6 +527,10 @@
 
 void peer_server::Tick(time_point now) {
   attempts_.Expire(now);
+  std::erase_if(transit_, [this, at = boot_clock::now()](const auto& entry) {
+    return !by_sender_.contains(entry.first) &&
+           at - entry.second.last_message() > attempt_table::kRetention;
+  });
   for (const auto& [sender, to] : by_sender_) {
     to->SendMissedSuspects();
   }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -24,6 +24,7 @@
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
 #include "src/peer/stream_load.h"
+#include "src/peer/transit_time.h"
 
 namespace pistachioweir {
 
@@ -104,6 +105,8 @@
   void OnCall(session& from, call_frame call);
   void OnAsk(session& from, std::uint64_t number);
   void OnCancel(const session& from, std::uint64_t number);
+  // Returns how long a message of `sender` waited that was sent at `sent`.
+  milliseconds Transit(incarnation_id sender, milliseconds sent);
   void OnEnd(const std::shared_ptr<session>& ended);
   void OnAnswer(const attempt_key& attempt, const answer_frame& answer);
   [[nodiscard]] pong_frame Pong() const;
@@ -118,6 +121,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   attempt_table attempts_;
   std::uint64_t calls_read_ = 0;
+  // By sender, kept while its attempts are.
+  std::unordered_map<std::uint64_t, transit_time> transit_;
   follower_counters counters_;
   std::uint64_t last_asked_ = 0;            // For changes; a sender.
   std::set<std::shared_ptr<session>> all_;  // Connections that are open.
--- a/tests/late_executor_test.cc
+++ b/tests/late_executor_test.cc
@@ -177,6 +177,22 @@
   EXPECT_EQ(target_.requests.size(), 1U);
 }
 
+// Guards against calls that reach the target after their deadline, since the
+// time in which they were not read doesn't count.
+TEST_F(late_executor_test, ACallReadAfterItsDeadlineIsNotSent) {
+  WarmUp();
+  Send("warm");  // The link knows by now that the daemon reads send times.
+  ASSERT_TRUE(RunBothUntil([&] { return answered_ == 2; }));
+  Send("late", milliseconds(300));
+  RunNearFor(milliseconds(50));
+  std::this_thread::sleep_for(milliseconds(700));
+  RunFarFor(kSettle);
+  EXPECT_EQ(target_.requests.size(), 2U);
+  RunNearFor(kSettle);
+  EXPECT_EQ(answered_, 3);
+  EXPECT_EQ(last_answer_.answer.kind, outcome_kind::kNotExecuted);
+}
+
 // Guards against queued calls that are begun when a run ends although their
 // cancellation has arrived.
 TEST_F(late_executor_test, ACancelledCallIsNotBegunFromTheQueue) {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -532,6 +532,32 @@
 }
 
 // One daemon tells of suspects, and the other has seen one of them complete.
+// Guards against calls that an older build refuses, which reads none with a
+// send time and answers no ping with one.
+TEST(CallFrameTest, CarriesASendTimeOnlyIfThereIsOne) {
+  // The first bytes of a MessagePack array of 19 and of 20 fields.
+  constexpr std::string_view kOlder("\xdc\x00\x13", 3);
+  constexpr std::string_view kNewer("\xdc\x00\x14", 3);
+  call_frame call = CallNamed("a");
+  EXPECT_EQ(Encode(call).substr(kFrameHeadBytes, kOlder.size()), kOlder);
+  call.sent = milliseconds(12345);
+  const std::string bytes = Encode(call);
+  EXPECT_EQ(bytes.substr(kFrameHeadBytes, kNewer.size()), kNewer);
+  const auto decoded =
+      DecodeCallFrame(std::string_view(bytes).substr(kFrameHeadBytes));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->sent, call.sent);
+  EXPECT_EQ(decoded->request_id, "a");
+}
+
+TEST(PingFrameTest, APingOfAnOlderBuildHasNoTime) {
+  const std::string older = EncodeEmpty(frame_kind::kPing);
+  EXPECT_FALSE(DecodePing(std::string_view(older).substr(kFrameHeadBytes)));
+  const std::string newer = EncodePing(milliseconds(12345));
+  EXPECT_EQ(DecodePing(std::string_view(newer).substr(kFrameHeadBytes)),
+            milliseconds(12345));
+}
+
 TEST(SuspectsFrameTest, CarriesSuspectsAndWhatIsCleared) {
   const suspects_frame told{.entries = {{.fingerprint = {.high = 1, .low = 2},
                                          .crashes = {crash_id{3}},
