A cancellation isn't lost if its link has no connection

Cause: a link sent a cancellation only over a connection that was up, else dropped it; and a lookup that the link itself gave up after 0.25 s without its peer was never cancelled. Links to a daemon that is 0.4 s late are closed as silent, so that this happens where daemons are late. The call stays in the queue there and starts later.

Evidence: peer_link_test, ACallCancelledWithoutAConnectionIsNotBegun and ALookupThatTheLinkGaveUpIsNotBegun: both began 2 runs in place of 1 with the cancellation dropped as before.

Change: cancellations are kept, 4,096 at most, and sent once the same incarnation of the peer is connected again. Another incarnation has no such calls.

--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -33,6 +33,9 @@
 // Between attempts to reach a peer.
 constexpr milliseconds kRetryInterval{100};
 
+// Cancellations that are kept for a peer without a connection. Older ones are
+// of calls whose deadlines end them soon.
+constexpr std::size_t kMaxUnsentCancels = 4096;
 // Questions for a proof that may wait for their answers at a time.
 constexpr std::size_t kMostProofsAsked = 16;
 
@@ -138,12 +141,25 @@
   if (sent_to == incarnation_id{}) {
     return true;
   }
-  if (sent_to == receiver_ && current_ != nullptr) {
-    current_->Send(EncodeNumbered(frame_kind::kCancel, number));
+  if (sent_to == receiver_) {
+    SendCancel(number);
   }
   return false;
 }
 
+// A call whose cancellation is lost with a connection runs on, or is begun from
+// the peer's queue, although nobody waits for it.
+void peer_link::SendCancel(std::uint64_t number) {
+  if (current_ != nullptr) {
+    current_->Send(EncodeNumbered(frame_kind::kCancel, number));
+    return;
+  }
+  if (unsent_cancels_.size() == kMaxUnsentCancels) {
+    unsent_cancels_.pop_front();
+  }
+  unsent_cancels_.push_back(number);
+}
+
 void peer_link::SendSuspects(std::shared_ptr<const std::string> frame) {
   if (current_ != nullptr && !current_->SendNews(std::move(frame))) {
     missed_suspects_ = true;
@@ -452,6 +468,11 @@
 // spec/peer_attempts.pml).
 void peer_link::Resume(incarnation_id receiver) {
   const incarnation_id before = std::exchange(receiver_, receiver);
+  for (const std::uint64_t number : std::exchange(unsent_cancels_, {})) {
+    if (before == receiver) {
+      SendCancel(number);
+    }
+  }
   std::vector<std::uint64_t> lost;
   for (auto& [number, record] : calls_) {
     if (record.sent_to == incarnation_id{}) {
@@ -532,6 +553,9 @@
     if (record.sent_to == incarnation_id{}) {
       ended.emplace_back(number, outcome_kind::kNotExecuted);
     } else if (!patient && record.call.repeats == repeat_policy::kIdempotent) {
+      if (record.sent_to == receiver_) {
+        SendCancel(number);
+      }
       ended.emplace_back(number, outcome_kind::kUnknown);
     }
   }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -178,6 +178,8 @@
   // When the connection is doubted, if nothing more comes.
   [[nodiscard]] time_point DoubtedSince() const;
   void Write(call_record& record);
+  // Now, or once the same incarnation of the peer is connected again.
+  void SendCancel(std::uint64_t number);
   void EndCall(std::uint64_t number, outcome_kind kind, reason why);
   void GiveUpMovable();
   void ArmTimer();
@@ -192,6 +194,8 @@
   boost::asio::steady_timer connect_timer_;
 
   std::map<std::uint64_t, call_record> calls_;  // Without an answer.
+  // Calls at `receiver_` that were cancelled while there was no connection.
+  std::deque<std::uint64_t> unsent_cancels_;
   stream_ptr current_;            // Welcomed, or nullptr.
   bool reads_send_time_ = false;  // The peer of `current_` does.
   stream_ptr candidate_;          // Connected, not welcomed yet.
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -139,6 +139,9 @@
     }
   }
 
+  // Whether new connections are closed at once.
+  void Refuse(bool refuse) { refuse_ = refuse; }
+
   void ResetOpen() {
     for (const auto& pair : pairs_) {
       pair->Close();
@@ -195,7 +198,7 @@
                              }
                              boost::system::error_code failed;
                              next->right.connect(to_, failed);
-                             if (failed) {
+                             if (failed || refuse_) {
                                next->Close();
                              } else {
                                pairs_.push_back(next);
@@ -210,6 +213,7 @@
   const tcp::endpoint to_;
   tcp::acceptor acceptor_;
   std::vector<std::shared_ptr<pair>> pairs_;
+  bool refuse_ = false;
 };
 
 class peer_link_test : public testing::Test {
@@ -438,6 +442,47 @@
 
 // The daemon beside the target stops. It tells its peers at once, so that they
 // send new calls elsewhere; the call in progress gets its answer.
+// Guards against calls that are begun from the queue although they were
+// cancelled while their link had no connection.
+TEST_F(peer_link_test, ACallCancelledWithoutAConnectionIsNotBegun) {
+  receiver far(context_, incarnation_id{9}, 0);
+  far.calls.SetSlots(1);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address());
+  Send("runs");
+  const std::uint64_t number = Send("left", repeat_policy::kIdempotent);
+  ASSERT_TRUE(RunUntil([&] { return far.calls.in_progress() == 2; }));
+  proxy.ResetOpen();
+  ASSERT_TRUE(RunUntil([&] { return link_->state() != link_state::kUp; }));
+  link_->Cancel(number);
+  ASSERT_TRUE(RunUntil([&] { return link_->state() == link_state::kUp; }));
+  RunFor(milliseconds(100));
+  far.AnswerNext("done");
+  RunFor(milliseconds(100));
+  EXPECT_EQ(far.runs.size(), 1U);
+}
+
+// As above, for a lookup that the link has given up as lost.
+TEST_F(peer_link_test, ALookupThatTheLinkGaveUpIsNotBegun) {
+  receiver far(context_, incarnation_id{9}, 0);
+  far.calls.SetSlots(1);
+  cut_proxy proxy(context_, far.server.address());
+  LinkTo(proxy.address());
+  Send("runs");
+  Send("left", repeat_policy::kIdempotent);
+  ASSERT_TRUE(RunUntil([&] { return far.calls.in_progress() == 2; }));
+  proxy.Refuse(true);
+  proxy.ResetOpen();
+  ASSERT_TRUE(RunUntil([&] { return Answered("left"); }));
+  EXPECT_EQ(AnswerTo("left").answer.kind, outcome_kind::kUnknown);
+  proxy.Refuse(false);
+  ASSERT_TRUE(RunUntil([&] { return link_->state() == link_state::kUp; }));
+  RunFor(milliseconds(100));
+  far.AnswerNext("done");
+  RunFor(milliseconds(100));
+  EXPECT_EQ(far.runs.size(), 1U);
+}
+
 TEST_F(peer_link_test, AStoppingPeerTellsAndFinishes) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
