--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -236,7 +236,7 @@
   call_map calls_;
   std::uint64_t next_id_ = 1;
   // Calls that hold a slot and start with the next StartScheduled(), which is
-  // posted unless this is empty.
+  // pending whenever there are any.
   std::vector<std::uint64_t> starting_;
   time_point target_down_until_;
   std::string target_start_;  // Empty until one is registered.
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -31,9 +31,9 @@
   kAnswer,      // Its end.
   kCancel,      // The caller of an attempt has gone.
   kAsk,         // What became of an attempt that was sent before?
-  kPing,        // Is this connection alive? With the sender's clock, but of
-                // older builds. The first one is returned as a sign that the
-                // receiver reads call_frame::sent.
+  kPing,        // Is this connection alive? Carries the sender's clock, except
+                // from older builds. The receiver returns the first one, which
+                // tells the sender that it reads call_frame::sent.
   kPong,        // It is; with the load of the target. Also an answer to kAsk
                 // of an attempt in progress, and to kFollow.
   kLeaving,     // The receiver of calls is stopping: send it no new ones.
@@ -103,8 +103,8 @@
   // The target must have begun within this time; zero if only the deadline
   // bounds that.
   milliseconds start_within{0};
-  // SendTime() at which the times above were true; zero if the receiver may be
-  // of a build that doesn't read it.
+  // SendTime() at which the times above were true; zero unless the receiver is
+  // known to read it.
   milliseconds sent{0};
   // How long the frame waited on its way, as far as the receiver can tell. Not
   // transmitted.
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -121,7 +121,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   attempt_table attempts_;
   std::uint64_t calls_read_ = 0;
-  // By sender, kept while its attempts are.
+  // By sender; kept for as long as its attempts.
   std::unordered_map<std::uint64_t, transit_time> transit_;
   follower_counters counters_;
   std::uint64_t last_asked_ = 0;            // For changes; a sender.
