--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -440,8 +440,6 @@
   EXPECT_FALSE(Answered("lookup"));
 }
 
-// The daemon beside the target stops. It tells its peers at once, so that they
-// send new calls elsewhere; the call in progress gets its answer.
 // Guards against calls that are begun from the queue although they were
 // cancelled while their link had no connection.
 TEST_F(peer_link_test, ACallCancelledWithoutAConnectionIsNotBegun) {
@@ -483,6 +481,8 @@
   EXPECT_EQ(far.runs.size(), 1U);
 }
 
+// The daemon beside the target stops. It tells its peers at once, so that they
+// send new calls elsewhere; the call in progress gets its answer.
 TEST_F(peer_link_test, AStoppingPeerTellsAndFinishes) {
   receiver far(context_, incarnation_id{9}, 0);
   LinkTo(far.server.address());
@@ -576,9 +576,7 @@
   EXPECT_EQ(changes_[1].after, 39U);
 }
 
-// One daemon tells of suspects, and the other has seen one of them complete.
-// Guards against calls that an older build refuses, which reads none with a
-// send time and answers no ping with one.
+// Guards against calls with a send time, which an older build refuses.
 TEST(CallFrameTest, CarriesASendTimeOnlyIfThereIsOne) {
   // The first bytes of a MessagePack array of 19 and of 20 fields.
   constexpr std::string_view kOlder("\xdc\x00\x13", 3);
@@ -603,6 +601,7 @@
             milliseconds(12345));
 }
 
+// One daemon tells of suspects, and the other has seen one of them complete.
 TEST(SuspectsFrameTest, CarriesSuspectsAndWhatIsCleared) {
   const suspects_frame told{.entries = {{.fingerprint = {.high = 1, .low = 2},
                                          .crashes = {crash_id{3}},
