Lines and gauges of what a target says of itself in its answers

Nothing told that a target had named a limit, or how many requests a second start there, so that three hypotheses could not be told apart. platform/ decodes Server-Limit and Server-Leaving; target_notices keeps which of several answers counts; the executor logs target_rate_limit, target_leaving and target_notice_unreadable, and /metrics has target_rate_limit, target_leaving and starts_per_second. No decision uses them yet.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -95,6 +95,10 @@
   if (start == target_start_) {
     return;
   }
+  const std::optional<double> limit_before = notices_.rate_limit();
+  const bool left_before = notices_.leaving_since().has_value();
+  notices_.SetStart(start);
+  LogNotices(limit_before, left_before, "another start is listed");
   if (!std::exchange(target_start_, start).empty()) {
     ReportTargetCrash(monotonic_clock::now());
   }
@@ -373,6 +377,7 @@
 void executor::Start(std::uint64_t id) {
   served_call& served = calls_.at(id);
   served.started = monotonic_clock::now();
+  recent_starts_.Add(served.started);
   log_.Add(
       id, served.call.request_id, "run_at_target",
       {{.name = "queued_us",
@@ -402,6 +407,21 @@
   target_down_until_ = now + kTargetRetryDelay;
 }
 
+void executor::UpdateNotices(const served_call& served,
+                             const target_notice& notice,
+                             time_point now) {
+  if (!notice.unreadable.empty()) {
+    LogWarning("target_notice_unreadable",
+               {{.name = "target", .value = served.call.target_id},
+                {.name = "value", .value = notice.unreadable},
+                {.name = "request", .value = served.call.request_id}});
+  }
+  const std::optional<double> limit_before = notices_.rate_limit();
+  const bool left_before = notices_.leaving_since().has_value();
+  notices_.OnAnswer(served.call.target_id, notice, served.started, now);
+  LogNotices(limit_before, left_before, served.call.request_id);
+}
+
 void executor::UpdateSuspects(const served_call& served,
                               const run_result& result,
                               time_point now) {
@@ -428,6 +448,9 @@
                     now);
   UpdateTargetState(result, now);
   UpdateSuspects(served, result, now);
+  if (answered || result.end == run_end::kNotExecuted) {
+    UpdateNotices(served, result.notice, now);
+  }
   if (answered) {
     vouching_.OnAnswer(result.closing, now);
     by_kind_[served.kind].throttle.OnResult(
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,8 +20,10 @@
 #include "include/admit/adaptive_throttle.h"
 #include "include/admit/admission_controller.h"
 #include "include/base/ids.h"
+#include "include/base/recent_count.h"
 #include "include/base/recent_extreme.h"
 #include "include/base/time.h"
+#include "include/forward/target_notice.h"
 #include "include/forward/target_vouching.h"
 #include "include/forward/view_state.h"
 #include "include/quarantine/crash_suspects.h"
@@ -159,6 +162,12 @@
   // Sent to callers' daemons with each answer, besides the load.
   [[nodiscard]] neighbour_report Report() const;
   [[nodiscard]] const executor_counters& counters() const { return counters_; }
+  // What the target last said about itself.
+  [[nodiscard]] const target_notices& notices() const { return notices_; }
+  // Requests sent to the target within the last second.
+  [[nodiscard]] std::uint32_t recent_starts(time_point now) const {
+    return recent_starts_.Get(now);
+  }
 
  private:
   struct served_call {
@@ -212,6 +221,14 @@
   [[nodiscard]] std::optional<double> DownstreamPressure(time_point now) const;
   [[nodiscard]] double OwnPressure(time_point now) const;
   void UpdateTargetState(const run_result& result, time_point now);
+  void UpdateNotices(const served_call& served,
+                     const target_notice& notice,
+                     time_point now);
+  // Logs what has changed; `source` is the request or the daemon that it was
+  // learnt from.
+  void LogNotices(std::optional<double> limit_before,
+                  bool left_before,
+                  std::string_view source) const;
   void UpdateSuspects(const served_call& served,
                       const run_result& result,
                       time_point now);
@@ -241,6 +258,8 @@
   time_point target_down_until_;
   std::string target_start_;  // Empty until one is registered.
   crash_suspects suspects_;
+  target_notices notices_;
+  recent_count recent_starts_;
   target_vouching vouching_;
   std::string logged_vouched_;  // As last logged.
   std::function<view_state()> view_state_;
--- a/src/forward/executor_reports.cc
+++ b/src/forward/executor_reports.cc
@@ -16,6 +16,10 @@
 // answers are exchanged within this time.
 constexpr milliseconds kPressureValidity{1000};
 
+std::string LimitText(std::optional<double> per_second) {
+  return per_second ? std::to_string(*per_second) : "none";
+}
+
 }  // namespace
 
 load_report executor::Load() const {
@@ -101,6 +105,27 @@
   logged_vouched_ = std::move(vouched);
 }
 
+void executor::LogNotices(std::optional<double> limit_before,
+                          bool left_before,
+                          std::string_view source) const {
+  if (notices_.rate_limit() != limit_before) {
+    LogEvent("target_rate_limit",
+             {{.name = "target", .value = notices_.target()},
+              {.name = "limit", .value = LimitText(notices_.rate_limit())},
+              {.name = "before", .value = LimitText(limit_before)},
+              {.name = "starts_per_s",
+               .value = std::to_string(recent_starts(monotonic_clock::now()))},
+              {.name = "source", .value = std::string(source)}});
+  }
+  const bool leaving = notices_.leaving_since().has_value();
+  if (leaving != left_before) {
+    LogEvent("target_leaving",
+             {{.name = "target", .value = notices_.target()},
+              {.name = "leaving", .value = leaving ? "yes" : "no"},
+              {.name = "source", .value = std::string(source)}});
+  }
+}
+
 bool executor::HasTargetLeft(time_point now) const {
   return !vouching_.IsListed() && view_state_ &&
          !vouching_.MayServe(view_state_(), now);
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -203,6 +204,15 @@
   gauge("running", "Requests at the target", load.in_flight);
   gauge("queued", "Requests queued for the target", load.queued);
   gauge("limit", "Concurrency limit of the target", load.limit);
+  const std::optional<double> rate_limit = sources.runs.notices().rate_limit();
+  if (rate_limit) {
+    gauge("target_rate_limit", "Requests a second that the target takes",
+          *rate_limit);
+  }
+  gauge("target_leaving", "Whether the target says that it is leaving",
+        sources.runs.notices().leaving_since() ? 1 : 0);
+  gauge("starts_per_second", "Requests sent to the target in the last second",
+        sources.runs.recent_starts(monotonic_clock::now()));
   gauge("caller_connections", "Connections of callers",
         static_cast<double>(sources.callers.sessions));
   gauge("view_revision", "Newest revision of the store in the view",
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -243,6 +243,9 @@
       return false;
     }
     run_result result{.end = EndOf(answer), .closing = !response.keep_alive};
+    if (answer != target_answer::kWrongTarget) {
+      result.notice = Protocol::Notice(response);
+    }
     result.response = {.status = response.status,
                        .header_block = ToBlock(response.headers),
                        .body = std::move(response.body)};
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -8,6 +8,7 @@
 
 #include "include/base/enum_table.h"
 #include "include/base/time.h"
+#include "include/forward/target_notice.h"
 #include "include/route/route_table.h"
 #include "src/net/http_reader.h"
 #include "src/net/relayed_message.h"
@@ -49,6 +50,8 @@
   bool interrupted = false;
   // With kAnswered: the target closes the connection after its response.
   bool closing = false;
+  // With kAnswered and kNotExecuted: what the target says about itself.
+  target_notice notice;
 };
 
 // Classification of a response on a target's connection.
@@ -67,6 +70,8 @@
   // Headers to add to the caller's own, as a block.
   { Protocol::Headers(run, left) } -> std::same_as<std::string>;
   { Protocol::Classify(run, r) } -> std::same_as<target_answer>;
+  // What the target says about itself in a response.
+  { Protocol::Notice(r) } -> std::same_as<target_notice>;
 };
 
 }  // namespace pistachioweir
