--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -26,6 +26,8 @@
     poison: bool = False  # It crashes targets.
     key: str = None  # That it was sent with.
     during_stop: bool = False  # At its beginning or its end.
+    limited: bool = False  # The answer names a limit of its target.
+    leaving: bool = False  # The answer says that its target is leaving.
     calm: bool = False  # Nothing had disturbed the daemon when it ended.
 
 
@@ -115,6 +117,8 @@
                    (line.split(": ", 1) for line in lines[1:] if line)}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         told.end = status
+        told.limited = "server-limit" in headers
+        told.leaving = "server-leaving" in headers
         told.retry_after = "retry-after" in headers
         if status == 200:
             self._check_success(told, headers, body)
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -16,7 +16,7 @@
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
                "store_for_some", "store_for_none", "leave", "leave_at_return",
-               "lapse")
+               "lapse", "limit", "limits", "say_leaving")
 
 
 class Faults:
@@ -38,8 +38,8 @@
             await asyncio.sleep(self.dice.uniform(*self.gap))
         await asyncio.gather(*self.tasks)
 
-    async def kill(self, dice):
-        daemon = dice.choice(self.world.daemons)
+    async def kill(self, dice, daemon=None):
+        daemon = daemon or dice.choice(self.world.daemons)
         if daemon.stopping:
             return
         daemon.stopping = True
@@ -277,6 +277,53 @@
         await self.world.register(target)
         self.world.busy_targets.discard(target)
 
+    async def limit(self, dice, target=None):
+        """A target names a limit, which changes and ends."""
+        target = target or dice.choice(self.world.targets)
+        limits, start = self.world.limits, target.id
+        if target.limit is not None:
+            return
+        limit = dice.choice([dice.uniform(1.0, 12.0), dice.uniform(0.2, 1.0)])
+        for factor in dice.sample([1.0, 0.5, 1.0, 2.0], k=3):
+            if target.id != start:
+                return
+            limit *= factor
+            limits.name(target, limit)
+            await asyncio.sleep(dice.uniform(2.0, 6.0))
+        if target.id == start:
+            limits.name(target, None)
+
+    async def limits(self, dice):
+        """Two targets of a service name limits, and daemons beside them are restarted."""
+        service = dice.choice(self.world.services)
+        of_service = [each for each in self.world.targets if each.home == service]
+        chosen = dice.sample(of_service, k=min(2, len(of_service)))
+        naming = [asyncio.create_task(self.limit(dice, each)) for each in chosen]
+        await asyncio.sleep(dice.uniform(2.0, 8.0))
+        await self.stop(dice, self.world.daemons[self.world.targets.index(chosen[0])])
+        await asyncio.gather(*naming)
+
+    async def say_leaving(self, dice):
+        """A target says in its answers that it is leaving, and stays listed as ready; the
+        daemon beside it may be restarted."""
+        target = dice.choice(self.world.targets)
+        if target in self.world.busy_targets:
+            return
+        self.world.busy_targets.add(target)
+        target.history.end(time.monotonic())
+        target.left_at = time.monotonic()
+        target.leaves = target.says_leaving = True
+        await asyncio.sleep(dice.uniform(0.5, 3.0))
+        if dice.random() < 0.5:
+            await self.kill(dice, self.world.daemons[self.world.targets.index(target)])
+        await asyncio.sleep(dice.uniform(2.0, 5.0))
+        old = target.id
+        target.crash()
+        await target.start()
+        await self.world.register(target)
+        await self.world.store.remove("servers/" + old)
+        self.world.busy_targets.discard(target)
+
     async def lapse(self, dice):
         """The store is away for all for longer than entries last: those of live targets
         run out, and are back within two seconds of its return."""
--- a/tools/soaking/leaving.py
+++ b/tools/soaking/leaving.py
@@ -18,6 +18,28 @@
         if well is not None and well <= now - CONTACT:
             self.since[target_id] = now
 
+    def late_by_answers(self):
+        """Runs at targets whose leaving the same daemon had passed on in an answer, of
+        requests sent later than DRAIN behind that. Only a restart or a pause of that
+        daemon excuses it."""
+        world = self.world
+        passed_on = {}  # By target id and daemon.
+        for told in world.ledger.told:
+            for target_id, _ in world.runs.get(told.request, []) if told.leaving else []:
+                key = target_id, told.daemon
+                passed_on[key] = min(told.ended_at, passed_on.get(key, told.ended_at))
+        found = []
+        for told in world.ledger.told:
+            for target_id, at in world.runs.get(told.request, []):
+                since = passed_on.get((target_id, told.daemon), told.sent_at)
+                sender = world.daemons[told.daemon - 1]
+                if (told.sent_at - since > DRAIN and sender.history.ran(since, at) and
+                        sender.paused.calm(since, at)):
+                    found.append(f"{told.request}: reached {target_id}, sent "
+                                 f"{(told.sent_at - since) * 1000:.0f} ms after daemon "
+                                 f"{told.daemon} had passed on that it is leaving")
+        return found
+
     def late(self):
         """Runs later than DRAIN behind that, sent and handed over by daemons in touch."""
         world = self.world
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -14,11 +14,12 @@
 
 class Target:
     def __init__(self, ip, port, service, zone, dice: random.Random, runs, on_poison,
-                 shown):
+                 shown, limits):
         self.ip, self.port, self.service, self.zone = ip, port, service, zone
         self.dice = dice
         self.runs = runs  # By request id: list of (target id, when it began).
         self.shown = shown  # By request id: the organisation and the key it came with.
+        self.limits = limits
         self.on_poison = on_poison  # Called with this target and the path.
         self.home = service  # Whose it is where its address isn't lent.
         self.history = History()  # Of its starts, as soon as all can know of one.
@@ -27,6 +28,8 @@
         self.id = ""
         self.left_at = None  # When it said that it leaves.
         self.leaves = False  # It ends its connections behind its answers.
+        self.says_leaving = False  # And says so in them.
+        self.limit = None  # Requests a second that it names in its answers.
         self.registered_at = 0.0
         self.lose_answers = 0.0
         self.running = 0
@@ -43,11 +46,17 @@
         self.starts += 1
         self.id = f"i-{self.ip.rsplit('.', 1)[1]}-{self.starts}"
         self.left_at = None
-        self.leaves = False
+        self.leaves = self.says_leaving = False
+        self.limit = None
         self.registered_at = float("inf")
         self.server = await asyncio.start_server(
             self._serve, self.ip, self.port, backlog=512)
 
+    def says(self):
+        """Header lines in which it says something about itself."""
+        lines = "" if self.limit is None else f"Server-Limit: {self.limit:.3f}\r\n"
+        return lines + ("Server-Leaving: 1\r\n" if self.says_leaving else "")
+
     def is_up(self):
         return self.server is not None and self.server.is_serving()
 
@@ -85,8 +94,10 @@
             self._send(writer, 421, request, b"", "Not-Executed: 1\r\n")
             return
         if self.running >= self.slots + 4:
-            self._send(writer, 503, request, b"", "Not-Executed: 1\r\n")
+            self.limits.arrived(self, request)
+            self._send(writer, 503, request, b"", "Not-Executed: 1\r\n" + self.says())
             return
+        self.limits.arrived(self, request)
         self.runs.setdefault(request, []).append((self.id, time.monotonic()))
         self.shown[request] = (headers.get("tenant"), headers.get("authorization"))
         if "poison" in path:
@@ -106,7 +117,7 @@
         body = (request + ":" + self.id + ":").encode() + b"x" * self.dice.randrange(3000)
         closing = "Connection: close\r\n" if self.leaves else ""
         self._send(writer, 200, request, body,
-                   f"Response-Signature: {signature(request, body)}\r\n{closing}")
+                   f"Response-Signature: {signature(request, body)}\r\n{closing}{self.says()}")
         await writer.drain()
         if closing:
             writer.close()
