Starts at a target keep to the limit that it names in its answers

What callers saw: a target that had said how many requests a second it takes got more, and failed what it had room for. Cause: nothing read that answer; only the number of requests that run at a time was bounded.

The daemon beside a target is the only one that talks to it, so it meters all starts: first and further tries, calls of targets, recovered calls, the queue. The bucket of rate_limit gates admission_controller where slots do, so that the queue's order, deadlines and assured shares hold; what can't start in time is refused at once as rate_limited with the delay from the limit. What started in the second before counts. The load report gives the limit as concurrency and queue, by which callers' daemons, also of older builds, place elsewhere while others have room.

--- a/include/admit/admission_controller.h
+++ b/include/admit/admission_controller.h
@@ -17,6 +17,7 @@
 #include "include/admit/admission_level.h"
 #include "include/admit/admission_rank.h"
 #include "include/admit/concurrency_limit.h"
+#include "include/admit/rate_limit.h"
 #include "include/admit/service_time.h"
 #include "include/base/outcome.h"
 #include "include/base/priority.h"
@@ -153,6 +154,13 @@
   // everything, so that they don't spend attempts here.
   void SetAvailable(bool available) { available_ = available; }
 
+  // How many requests a second the target takes, as it says itself; nothing for
+  // any number. Bounds all starts, also those from the queue. Requests that it
+  // would delay beyond their deadlines are refused as kRateLimited.
+  void SetRateLimit(std::optional<double> per_second, time_point now) {
+    rate_.Set(per_second, now);
+  }
+
   // A newer manifest is in force; its method indices apply from now on.
   // Requests in progress are kept.
   void Reconfigure(std::uint32_t slots, std::uint32_t methods);
@@ -160,12 +168,13 @@
   // When TakeNext() must be called at the latest, even without another event.
   [[nodiscard]] time_point next_wakeup() const;
   // Expected queueing time of a request with this priority that arrives now.
-  [[nodiscard]] duration EstimatedWait(priority level) const;
+  [[nodiscard]] duration EstimatedWait(priority level, time_point now) const;
   [[nodiscard]] load_report Report(std::uint32_t method, time_point now) const;
   [[nodiscard]] const admission_counters& counters() const { return counters_; }
   // The target's own level, without the downstream ones.
   [[nodiscard]] admission_rank own_level() const { return level_.level(); }
   [[nodiscard]] std::uint32_t limit() const;
+  [[nodiscard]] const rate_limit& rate() const { return rate_; }
   [[nodiscard]] std::uint32_t running() const { return running_; }
   [[nodiscard]] std::uint32_t queued() const { return queued_; }
 
@@ -190,6 +199,7 @@
   struct item_list {
     std::uint32_t first = kNone;
     std::uint32_t last = kNone;
+    std::uint32_t count = 0;
     duration work{0};  // Sum of `expected`.
   };
 
@@ -201,12 +211,16 @@
   [[nodiscard]] std::size_t QueueOf(priority level) const;
   [[nodiscard]] admission_rank LevelFor(std::uint32_t method,
                                         time_point now) const;
-  [[nodiscard]] duration QueueDelay(std::size_t queue) const;
+  [[nodiscard]] duration QueueDelay(std::size_t queue, time_point now) const;
+  [[nodiscard]] bool HasCapacity(time_point now) const;
+  [[nodiscard]] reason InfeasibleReason() const;
+  void LimitByRate(time_point now, load_report* report) const;
   [[nodiscard]] bool CanFinish(const item& entry,
                                duration wait,
                                time_point now) const;
   [[nodiscard]] milliseconds RetryAfter(admission_rank rank,
                                         admission_rank level,
+                                        time_point now,
                                         std::uint32_t random) const;
   admission_decision Refuse(const admission_request& request,
                             reason why,
@@ -241,6 +255,7 @@
   std::vector<downstream_level> downstream_;  // By method.
   service_time overall_service_time_;
   concurrency_limit limit_;
+  rate_limit rate_;
   admission_level level_;
   admission_counters counters_;
 };
--- a/include/admit/service_time.h
+++ b/include/admit/service_time.h
@@ -14,6 +14,8 @@
   // samples: an estimate that is too long makes every deadline look infeasible,
   // so that nothing runs and nothing corrects it.
   [[nodiscard]] duration Mean(time_point now) const;
+  // The mean as last measured, however long ago.
+  [[nodiscard]] duration LastMean() const;
   // Mean plus mean deviation; most requests stay within it.
   [[nodiscard]] duration UpperEstimate(time_point now) const;
 
--- a/include/base/outcome.h
+++ b/include/base/outcome.h
@@ -20,8 +20,9 @@
                                                                 "not_executed",
                                                                 "unknown"});
 
-// Why a request was not completed. Reasons up to kTargetRefused go with
-// kNotExecuted, later ones with kUnknown.
+// Why a request was not completed. Reasons up to kTargetRefused, and
+// kRateLimited, go with kNotExecuted, the others with kUnknown. Daemons of
+// different builds exchange the numbers, so new reasons are added at the end.
 enum class reason : std::uint8_t {
   kNone,
   kBadRequest,
@@ -55,10 +56,11 @@
   kHomeUnreachable,
   kAnswerDiscarded,
   kStale,
+  kRateLimited,
 };
 
 inline constexpr std::size_t kReasonCount =
-    static_cast<std::size_t>(reason::kStale) + 1;
+    static_cast<std::size_t>(reason::kRateLimited) + 1;
 
 inline constexpr enum_table<reason, kReasonCount> kReasonNames({
     "none",
@@ -93,6 +95,7 @@
     "home_unreachable",
     "answer_discarded",
     "stale",
+    "rate_limited",
 });
 
 // A target's answer, passed through as it came.
--- a/src/admin/reason_text.cc
+++ b/src/admin/reason_text.cc
@@ -70,6 +70,8 @@
      "read the result where the target keeps it"},
     {"the target's daemon can't tell any more whether the call ran",
      "find out whether it ran before sending it again"},
+    {"the target takes fewer requests a second than callers send",
+     "come back after the time given; see target_rate_limit for what it takes"},
 }};
 
 }  // namespace
--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace pistachioweir {
 
@@ -55,24 +56,42 @@
   return std::max(level_.level(), now < below.until ? below.level : 0);
 }
 
+bool admission_controller::HasCapacity(time_point now) const {
+  return running_ < limit() && rate_.MayStart(now);
+}
+
 // Work of the same or higher priority goes first; lower priorities yield.
-duration admission_controller::QueueDelay(std::size_t queue) const {
+duration admission_controller::QueueDelay(std::size_t queue,
+                                          time_point now) const {
   duration work(0);
+  std::size_t ahead = 0;
   for (std::size_t i = 0; i <= queue; ++i) {
     work += queues_[i].work;
+    ahead += queues_[i].count;
   }
-  const duration wait = work / limit();
+  const duration wait = std::max(work / limit(), rate_.Wait(ahead, now));
   if (options_.assured_share <= 0) {
     return wait;
   }
-  // At worst it gets its assured share of the slots.
+  // At worst it gets its assured share of the slots, and of the starts that the
+  // target's rate limit allows.
   const double own = static_cast<double>(queues_[queue].work.count()) /
                      (options_.assured_share * limit());
-  return std::min(wait, duration(static_cast<duration::rep>(own)));
+  const double starts = (queues_[queue].count + 1) / options_.assured_share;
+  return std::min(
+      wait, std::max(duration(static_cast<duration::rep>(own)),
+                     rate_.Wait(static_cast<std::size_t>(starts) - 1, now)));
+}
+
+duration admission_controller::EstimatedWait(priority level,
+                                             time_point now) const {
+  return queued_ == 0 ? duration(0) : QueueDelay(QueueOf(level), now);
 }
 
-duration admission_controller::EstimatedWait(priority level) const {
-  return queued_ == 0 ? duration(0) : QueueDelay(QueueOf(level));
+// Why a request can't start in time.
+reason admission_controller::InfeasibleReason() const {
+  return rate_.per_second() && running_ < limit() ? reason::kRateLimited
+                                                  : reason::kDeadlineInfeasible;
 }
 
 bool admission_controller::CanFinish(const item& entry,
@@ -98,7 +117,7 @@
     return Refuse(request, reason::kOverload, now, random);
   }
   level_.OnArrival(rank, now);
-  if (queued_ == 0 && running_ < limit()) {
+  if (queued_ == 0 && HasCapacity(now)) {
     const std::uint32_t index = Allocate(request, now);
     if (index == kNone) {
       return Refuse(request, reason::kQueueFull, now, random);
@@ -109,11 +128,12 @@
   }
   const std::size_t queue = QueueOf(request.level);
   const duration expected = service_times_[request.method].UpperEstimate(now);
-  const bool feasible = !options_.use_deadlines ||
-                        now + QueueDelay(queue) + expected <= request.deadline;
+  const bool feasible =
+      !options_.use_deadlines ||
+      now + QueueDelay(queue, now) + expected <= request.deadline;
   if (!feasible) {
     EvictLowerThan(queue);
-    return Refuse(request, reason::kDeadlineInfeasible, now, random);
+    return Refuse(request, InfeasibleReason(), now, random);
   }
   if (queued_ >= options_.max_queue && !EvictForSpace(queue)) {
     return Refuse(request, reason::kQueueFull, now, random);
@@ -135,12 +155,12 @@
     next_sweep_ = now + kSweepPeriod;
     EvictInfeasible(now);
   }
-  while (evicted_.first == kNone && queued_ > 0 && running_ < limit()) {
+  while (evicted_.first == kNone && queued_ > 0 && HasCapacity(now)) {
     const std::uint32_t index = PickQueued();
     item& chosen = items_[index];
     const std::size_t queue = QueueOf(chosen.request.level);
     if (options_.use_deadlines && !CanFinish(chosen, duration(0), now)) {
-      Evict(index, reason::kDeadlineInfeasible);
+      Evict(index, InfeasibleReason());
       level_.OnLoadRefusal(now);
       break;
     }
@@ -153,7 +173,7 @@
                                         .handle = {index, chosen.generation}}};
   }
   if (evicted_.first == kNone) {
-    if (queued_ == 0 && running_ < limit()) {
+    if (queued_ == 0 && HasCapacity(now)) {
       level_.OnIdle(now);
     }
     return std::nullopt;
@@ -249,10 +269,34 @@
 
 load_report admission_controller::Report(std::uint32_t method,
                                          time_point now) const {
-  return {.admission_level = available_ ? LevelFor(method, now) : kRankCount,
-          .in_flight = running_,
-          .queued = queued_,
-          .limit = limit()};
+  load_report report{
+      .admission_level = available_ ? LevelFor(method, now) : kRankCount,
+      .in_flight = running_,
+      .queued = queued_,
+      .limit = limit()};
+  LimitByRate(now, &report);
+  return report;
+}
+
+// Callers derive the wait from the queue, the limit and what a request usually
+// takes. A rate limit is expressed in these terms, so that they send what it
+// doesn't allow elsewhere, also those of an older build.
+void admission_controller::LimitByRate(time_point now,
+                                       load_report* report) const {
+  const std::chrono::duration<double> usual = overall_service_time_.LastMean();
+  if (!rate_.per_second() || usual <= duration(0)) {
+    return;
+  }
+  const double concurrent = std::ceil(*rate_.per_second() * usual.count());
+  const double limit =
+      std::clamp(concurrent, 1.0, static_cast<double>(report->limit));
+  const std::chrono::duration<double> wait = rate_.Wait(queued_, now);
+  constexpr double kMaxQueued = 1e6;
+  const double queued =
+      std::min(kMaxQueued, (wait / usual + 1) * limit - 1 - running_);
+  report->limit = static_cast<std::uint32_t>(limit);
+  report->queued = std::max(report->queued,
+                            static_cast<std::uint32_t>(std::max(0.0, queued)));
 }
 
 // A refused caller should retry when there is capacity: after the queued work,
@@ -260,8 +304,9 @@
 // keeps callers that were refused together from retrying together.
 milliseconds admission_controller::RetryAfter(admission_rank rank,
                                               admission_rank level,
+                                              time_point now,
                                               std::uint32_t random) const {
-  const duration drain = QueueDelay(kPriorityCount - 1);
+  const duration drain = QueueDelay(kPriorityCount - 1, now);
   const std::int64_t above = level > rank ? level - rank : 0;
   const auto fall = milliseconds(above * 1000 / kRanksPerSecond);
   const auto base =
@@ -277,7 +322,8 @@
     time_point now,
     std::uint32_t random) {
   ++counters_.refused[static_cast<std::size_t>(request.level)];
-  if (why == reason::kDeadlineInfeasible || why == reason::kQueueFull) {
+  if (why == reason::kDeadlineInfeasible || why == reason::kQueueFull ||
+      why == reason::kRateLimited) {
     level_.OnLoadRefusal(now);
     // From now on every less important request is refused first.
     if (options_.use_level && request.level == priority::kCritical) {
@@ -285,10 +331,10 @@
     }
   }
   const admission_rank rank = RankOf(request.level, request.ticket);
-  return {
-      .action = admission_action::kRefused,
-      .why = why,
-      .retry_after = RetryAfter(rank, LevelFor(request.method, now), random)};
+  return {.action = admission_action::kRefused,
+          .why = why,
+          .retry_after =
+              RetryAfter(rank, LevelFor(request.method, now), now, random)};
 }
 
 // Evicts the newest request of the lowest priority: it has waited least.
@@ -331,7 +377,7 @@
                                 ? CanFinish(entry, duration(0), now)
                                 : now < entry.request.deadline;
       if (!feasible) {
-        Evict(index, reason::kDeadlineInfeasible);
+        Evict(index, InfeasibleReason());
         level_.OnLoadRefusal(now);
       }
       index = next;
@@ -407,7 +453,8 @@
   entry.started = now;
   ++running_;
   ++counters_.started;
-  level_.OnStart(QueueDelay(kPriorityCount - 1), now);
+  rate_.OnStart(now);
+  level_.OnStart(QueueDelay(kPriorityCount - 1, now), now);
 }
 
 void admission_controller::Append(item_list& list, std::uint32_t index) {
@@ -416,6 +463,7 @@
   entry.next = kNone;
   (list.last == kNone ? list.first : items_[list.last].next) = index;
   list.last = index;
+  ++list.count;
   list.work += entry.expected;
 }
 
@@ -425,6 +473,7 @@
       entry.next;
   (entry.next == kNone ? list.last : items_[entry.next].previous) =
       entry.previous;
+  --list.count;
   list.work -= entry.expected;
 }
 
--- a/src/admit/service_time.cc
+++ b/src/admit/service_time.cc
@@ -30,6 +30,10 @@
   last_sample_ = now;
 }
 
+duration service_time::LastMean() const {
+  return duration(static_cast<duration::rep>(mean_));
+}
+
 int service_time::Halvings(time_point now) const {
   if (now <= last_sample_) {
     return 0;
--- a/src/daemon/caller_protocol.cc
+++ b/src/daemon/caller_protocol.cc
@@ -52,6 +52,7 @@
     502,  // kHomeUnreachable
     502,  // kAnswerDiscarded
     502,  // kStale
+    503,  // kRateLimited
 };
 // A reason that is new in the enum alone would shift all behind it.
 static_assert(kStatuses.back() != 0);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -95,10 +95,7 @@
   if (start == target_start_) {
     return;
   }
-  const std::optional<double> limit_before = notices_.rate_limit();
-  const bool left_before = notices_.leaving_since().has_value();
-  notices_.SetStart(start);
-  LogNotices(limit_before, left_before, "another start is listed");
+  ChangeNotices([&] { notices_.SetStart(start); }, "another start is listed");
   if (!std::exchange(target_start_, start).empty()) {
     ReportTargetCrash(monotonic_clock::now());
   }
@@ -377,7 +374,6 @@
 void executor::Start(std::uint64_t id) {
   served_call& served = calls_.at(id);
   served.started = monotonic_clock::now();
-  recent_starts_.Add(served.started);
   log_.Add(
       id, served.call.request_id, "run_at_target",
       {{.name = "queued_us",
@@ -416,10 +412,16 @@
                 {.name = "value", .value = notice.unreadable},
                 {.name = "request", .value = served.call.request_id}});
   }
-  const std::optional<double> limit_before = notices_.rate_limit();
-  const bool left_before = notices_.leaving_since().has_value();
-  notices_.OnAnswer(served.call.target_id, notice, served.started, now);
-  LogNotices(limit_before, left_before, served.call.request_id);
+  ChangeNotices(
+      [&] {
+        notices_.OnAnswer(served.call.target_id, notice, served.started, now);
+      },
+      served.call.request_id);
+}
+
+void executor::ImportNotice(const known_notice& notice, const std::string& ip) {
+  ChangeNotices([&] { notices_.Import(notice, monotonic_clock::now()); }, ip);
+  ProcessAdmissionEvents();
 }
 
 void executor::UpdateSuspects(const served_call& served,
@@ -475,7 +477,11 @@
 
 void executor::Refuse(std::uint64_t id, reason why, milliseconds retry_after) {
   served_call& served = calls_.at(id);
-  const duration waited = monotonic_clock::now() - served.arrived;
+  const time_point now = monotonic_clock::now();
+  const duration waited = now - served.arrived;
+  if (why == reason::kRateLimited) {
+    LogRateLimited(id, served, now);
+  }
   log_.Add(
       id, served.call.request_id, "executor_refused",
       {{.name = "why", .value = std::string(kReasonNames.Name(why))},
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -20,7 +20,6 @@
 #include "include/admit/adaptive_throttle.h"
 #include "include/admit/admission_controller.h"
 #include "include/base/ids.h"
-#include "include/base/recent_count.h"
 #include "include/base/recent_extreme.h"
 #include "include/base/time.h"
 #include "include/forward/target_notice.h"
@@ -105,6 +104,16 @@
   // to the listener. Returns the received suspects that completed here
   // recently, as cleared.
   suspects_frame ImportSuspects(const suspects_frame& received);
+  // Receives what the target says about itself whenever that changes.
+  void OnNotice(std::function<void(const known_notice&)> listener) {
+    on_notice_ = std::move(listener);
+  }
+  // What the target last said about itself, for other daemons.
+  [[nodiscard]] known_notice Notice() const {
+    return notices_.Known(monotonic_clock::now());
+  }
+  // Applies what the daemon at `ip` had been told before this one restarted.
+  void ImportNotice(const known_notice& notice, const std::string& ip);
   // The initial suspects for a daemon that connects.
   [[nodiscard]] std::vector<quarantine_entry> KnownSuspects() const;
   // Whether a request from a local caller is refused because equal requests
@@ -166,7 +175,7 @@
   [[nodiscard]] const target_notices& notices() const { return notices_; }
   // Requests sent to the target within the last second.
   [[nodiscard]] std::uint32_t recent_starts(time_point now) const {
-    return recent_starts_.Get(now);
+    return admission_.rate().recent_starts(now);
   }
 
  private:
@@ -214,6 +223,9 @@
   void Start(std::uint64_t id);
   void OnRunEnd(std::uint64_t id, run_result result);
   void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
+  void LogRateLimited(std::uint64_t id,
+                      const served_call& served,
+                      time_point now);
   void Answer(std::uint64_t id, answer_frame answer);
   void ProcessAdmissionEvents();
   void ArmWakeup();
@@ -224,11 +236,10 @@
   void UpdateNotices(const served_call& served,
                      const target_notice& notice,
                      time_point now);
-  // Logs what has changed; `source` is the request or the daemon that it was
-  // learnt from.
-  void LogNotices(std::optional<double> limit_before,
-                  bool left_before,
-                  std::string_view source) const;
+  // Changes notices_ by `update`, and applies, logs and publishes the result if
+  // it differs. `source` is the request or the daemon that it was learnt from.
+  void ChangeNotices(const std::function<void()>& update,
+                     std::string_view source);
   void UpdateSuspects(const served_call& served,
                       const run_result& result,
                       time_point now);
@@ -259,13 +270,13 @@
   std::string target_start_;  // Empty until one is registered.
   crash_suspects suspects_;
   target_notices notices_;
-  recent_count recent_starts_;
   target_vouching vouching_;
   std::string logged_vouched_;  // As last logged.
   std::function<view_state()> view_state_;
   std::function<milliseconds()> view_age_;
   std::function<std::optional<milliseconds>()> store_answered_ago_;
   suspects_listener on_suspects_;
+  std::function<void(const known_notice&)> on_notice_;
   bool slots_known_ = false;
   bool leaving_ = false;
   bool draining_ = false;  // Implies leaving_.
--- a/src/forward/executor_reports.cc
+++ b/src/forward/executor_reports.cc
@@ -2,10 +2,13 @@
 // that it vouches for.
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "include/base/call_log.h"
 #include "include/base/log.h"
 #include "src/forward/executor.h"
 
@@ -66,7 +69,7 @@
       continue;
     }
     const std::chrono::duration<double> wait =
-        admission_.EstimatedWait(kind.level);
+        admission_.EstimatedWait(kind.level, now);
     const std::chrono::duration<double> objective = kind.objective;
     max_pressure = std::max(max_pressure, wait / (kHalf * objective));
   }
@@ -105,25 +108,57 @@
   logged_vouched_ = std::move(vouched);
 }
 
-void executor::LogNotices(std::optional<double> limit_before,
-                          bool left_before,
-                          std::string_view source) const {
-  if (notices_.rate_limit() != limit_before) {
-    LogEvent("target_rate_limit",
-             {{.name = "target", .value = notices_.target()},
-              {.name = "limit", .value = LimitText(notices_.rate_limit())},
-              {.name = "before", .value = LimitText(limit_before)},
-              {.name = "starts_per_s",
-               .value = std::to_string(recent_starts(monotonic_clock::now()))},
-              {.name = "source", .value = std::string(source)}});
-  }
+void executor::ChangeNotices(const std::function<void()>& update,
+                             std::string_view source) {
+  const time_point now = monotonic_clock::now();
+  const std::optional<double> limit_before = notices_.rate_limit();
+  const bool left_before = notices_.leaving_since().has_value();
+  const std::string target_before = notices_.target();
+  update();
+  const std::optional<double> limit = notices_.rate_limit();
   const bool leaving = notices_.leaving_since().has_value();
+  const bool says_anything = limit || leaving;
+  const bool is_other_target =
+      says_anything && notices_.target() != target_before;
+  if (limit == limit_before && leaving == left_before && !is_other_target) {
+    return;
+  }
+  if (limit != limit_before) {
+    LogEvent(
+        "target_rate_limit",
+        {{.name = "target", .value = notices_.target()},
+         {.name = "limit", .value = LimitText(limit)},
+         {.name = "before", .value = LimitText(limit_before)},
+         {.name = "starts_per_s", .value = std::to_string(recent_starts(now))},
+         {.name = "source", .value = std::string(source)}});
+    admission_.SetRateLimit(limit, now);
+  }
   if (leaving != left_before) {
     LogEvent("target_leaving",
              {{.name = "target", .value = notices_.target()},
               {.name = "leaving", .value = leaving ? "yes" : "no"},
               {.name = "source", .value = std::string(source)}});
   }
+  if (on_notice_) {
+    on_notice_(Notice());
+  }
+}
+
+void executor::LogRateLimited(std::uint64_t id,
+                              const served_call& served,
+                              time_point now) {
+  log_.Add(
+      id, served.call.request_id, "rate_limited",
+      {{.name = "target", .value = notices_.target()},
+       {.name = "limit", .value = LimitText(notices_.rate_limit())},
+       {.name = "starts_per_s", .value = std::to_string(recent_starts(now))},
+       {.name = "heard_ms",
+        .value =
+            std::to_string(ToMilliseconds(now - notices_.heard_at()).count())},
+       {.name = "wait_ms",
+        .value = std::to_string(
+            ToMilliseconds(admission_.rate().Wait(admission_.queued(), now))
+                .count())}});
 }
 
 bool executor::HasTargetLeft(time_point now) const {
