A target that says in its answers that it is leaving gets no requests a second later

What callers saw: a target whose entry calls it ready got requests for as long as it ran, although each of its answers said that it is leaving; what is at it when it ends is lost. The daemon beside it now holds that word like an entry that says leaving: one second later nothing reaches that instance, whoever sent it, queued calls included; answers that say so don't let the daemon vouch for it; another start of the target begins anew.

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -232,7 +232,7 @@
   if (!slots_known_ || IsTargetDown(now)) {
     return reason::kNotReady;
   }
-  if (HasTargetLeft(now)) {
+  if (HasTargetLeft(served.call.target_id, now)) {
     return reason::kWrongTarget;
   }
   if (served.deadline <= now) {
@@ -351,7 +351,7 @@
 
 void executor::StartScheduled() {
   for (const std::uint64_t id : std::exchange(starting_, {})) {
-    if (!HasTargetLeft(monotonic_clock::now())) {
+    if (!HasTargetLeft(calls_.at(id).call.target_id, monotonic_clock::now())) {
       Start(id);
       continue;
     }
@@ -454,7 +454,7 @@
     UpdateNotices(served, result.notice, now);
   }
   if (answered) {
-    vouching_.OnAnswer(result.closing, now);
+    vouching_.OnAnswer(result.closing || result.notice.leaving, now);
     by_kind_[served.kind].throttle.OnResult(
         !IsServerError(result.response.status), now);
   }
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -247,9 +247,10 @@
   void LogVouching(const view_state& view, time_point now);
   void PublishCleared(const request_fingerprint& request,
                       const std::string& request_id);
-  // Whether requests mustn't reach the target any more, even if their senders'
-  // views still list it.
-  [[nodiscard]] bool HasTargetLeft(time_point now) const;
+  // Whether requests for this instance of the target mustn't reach it any more,
+  // even if their senders' views still list it.
+  [[nodiscard]] bool HasTargetLeft(const std::string& target,
+                                   time_point now) const;
   [[nodiscard]] bool IsTargetDown(time_point now) const;
 
   const target_runner run_;
--- a/src/forward/executor_reports.cc
+++ b/src/forward/executor_reports.cc
@@ -161,7 +161,12 @@
                 .count())}});
 }
 
-bool executor::HasTargetLeft(time_point now) const {
+bool executor::HasTargetLeft(const std::string& target, time_point now) const {
+  const auto said = notices_.leaving_since();
+  if (said && target == notices_.target() &&
+      now - *said > target_vouching::kLeavingGrace) {
+    return true;
+  }
   return !vouching_.IsListed() && view_state_ &&
          !vouching_.MayServe(view_state_(), now);
 }
