A restarted daemon is told again what its target had said of itself

What callers saw: once the daemon beside a target had restarted, the target got what others sent until its first answer, whatever limit it had named, and requests although it had said that it is leaving. Cause: only that daemon knew, and a restart loses it, while the daemons that it had told go on sending.

The daemon beside a target now tells the others when what the target says changes (frame kNotice). They don't place on a target that is leaving, and give the notice back to a daemon whose incarnation is new, ahead of the calls that wait for it. The newest of several counts, none once the target has answered, none of another start. Daemons of older builds are found by the ping that they don't extend: they get no notices, and rate_limited as overload.

--- a/fuzz/peer_frame_fuzz.cc
+++ b/fuzz/peer_frame_fuzz.cc
@@ -41,6 +41,8 @@
   (void)pistachioweir::DecodeCallFrame(bytes);
   (void)pistachioweir::DecodeAnswerFrame(bytes);
   (void)pistachioweir::DecodePong(bytes);
+  (void)pistachioweir::DecodeNotice(bytes);
+  (void)pistachioweir::DecodeReturnedPing(bytes);
   (void)pistachioweir::DecodeSuspectsFrame(bytes);
   (void)pistachioweir::DecodeNumber(bytes);
   (void)pistachioweir::DecodeProof(bytes);
--- a/include/forward/target_notice.h
+++ b/include/forward/target_notice.h
@@ -81,6 +81,10 @@
   bool answered_ = false;  // False if all is imported.
   std::optional<double> rate_limit_;
   time_point heard_at_;
+  // Lowest limit, infinite for none, of the answers since `heard_at_` that
+  // raised none, and when the last of them was read.
+  std::optional<double> lowest_ignored_;
+  time_point ignored_at_;
   std::optional<time_point> leaving_since_;
   time_point answered_at_;  // When the last answer was read.
 };
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -180,6 +180,10 @@
         [this](const suspects_frame& suspects, suspects_source source) {
           suspects_.Publish(suspects, source);
         });
+    executor_.OnNotice([this](const known_notice& notice) {
+      origin_.OnNotice(settings_.target.ip, notice);
+      peers_.PublishNotice();
+    });
     executor_.SetViewState([this] { return views_.state(); },
                            [this] { return sharing_.age(); },
                            [this] { return sharing_.store_answered_ago(); });
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -23,6 +23,7 @@
 #include "include/config/settings.h"
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
+#include "include/forward/target_notice.h"
 #include "include/organisation/key_check.h"
 #include "include/quota/quota_ledger.h"
 #include "include/retry/repeat_budget.h"
@@ -130,6 +131,8 @@
   // Subscribes to store changes from the daemons at these IP addresses, and
   // unsubscribes from all others.
   void Follow(const std::vector<std::string>& ips);
+  // The daemon at `ip` told what the target beside it says about itself.
+  void OnNotice(const std::string& ip, const known_notice& notice);
   // Requests store changes from the daemon at `ip` once.
   void AskChanges(const std::string& ip);
   // Reports quota usage to the daemon at `ip`.
@@ -268,6 +271,10 @@
   void KeepLapsed(time_point now);
   void SetKept(std::vector<target_entry> kept);
   void OnReport(const std::string& ip, const neighbour_report& report);
+  [[nodiscard]] known_notice NoticeOf(const std::string& ip) const;
+  // Takes targets out of use that have said that they are leaving.
+  void ApplyNotices();
+  void ExpireNotices(time_point now);
   service_state& StateOf(const std::string& service);
   [[nodiscard]] repeat_budget_options RepeatOptions(time_point now);
   void ShareReserve(time_point now);
@@ -295,6 +302,11 @@
   reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP.
+  struct heard_notice {
+    known_notice notice;
+    time_point learnt_at;  // By the daemon beside the target.
+  };
+  std::map<std::string, heard_notice> notices_;  // By IP.
   std::string last_proof_peer_;  // IP; the round-robin position of AskProofs().
   const std::shared_ptr<std::uint64_t> last_number_ =
       std::make_shared<std::uint64_t>(0);  // Last call number, of all links.
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -21,6 +21,8 @@
 // A link opened only for gossip is closed after this long: its frames have been
 // sent, and the peer has answered with newer state.
 constexpr milliseconds kGossipLinkIdle{3000};
+// A notice of a target that isn't listed is dropped after this long.
+constexpr milliseconds kNoticeRetention{60000};
 
 }  // namespace
 
@@ -71,6 +73,9 @@
           },
       .on_report =
           [this, ip](const neighbour_report& report) { OnReport(ip, report); },
+      .on_notice = [this,
+                    ip](const known_notice& notice) { OnNotice(ip, notice); },
+      .known_notice_of_peer = [this, ip] { return NoticeOf(ip); },
       .on_suspects =
           [this](const suspects_frame& suspects) {
             return options_.on_suspects ? options_.on_suspects(suspects)
@@ -99,6 +104,61 @@
   KeepLapsed(now);
 }
 
+void origin::OnNotice(const std::string& ip, const known_notice& notice) {
+  LogEvent("target_notice",
+           {{.name = "start", .value = notice.start},
+            {.name = "limit",
+             .value = notice.rate_limit ? std::to_string(*notice.rate_limit)
+                                        : "none"},
+            {.name = "leaving", .value = notice.leaving ? "yes" : "no"},
+            {.name = "age_ms", .value = std::to_string(notice.age.count())},
+            {.name = "from", .value = ip}});
+  notices_[ip] = {.notice = notice,
+                  .learnt_at = monotonic_clock::now() - notice.age};
+  if (view_ != nullptr) {
+    ApplyNotices();
+  }
+}
+
+known_notice origin::NoticeOf(const std::string& ip) const {
+  const auto found = notices_.find(ip);
+  if (found == notices_.end()) {
+    return {};
+  }
+  known_notice notice = found->second.notice;
+  notice.age = ToMilliseconds(monotonic_clock::now() - found->second.learnt_at);
+  return notice;
+}
+
+void origin::ApplyNotices() {
+  for (const target_entry& target : view_->targets) {
+    const auto found = notices_.find(target.address.ip);
+    if (found == notices_.end()) {
+      continue;
+    }
+    const known_notice& notice = found->second.notice;
+    if (notice.leaving && StartName(target) == notice.start) {
+      balancer& targets = StateOf(target.service).targets;
+      if (const auto ref = targets.RefOf(target.id)) {
+        targets.MarkLeaving(*ref);
+      }
+    }
+  }
+}
+
+// The view may list a start later than its notice arrives, and an entry may
+// vanish while the store is away.
+void origin::ExpireNotices(time_point now) {
+  std::set<std::string> starts;
+  for (const target_entry& target : view_->targets) {
+    starts.insert(StartName(target));
+  }
+  std::erase_if(notices_, [&](const auto& entry) {
+    return !starts.contains(entry.second.notice.start) &&
+           now - entry.second.learnt_at > kNoticeRetention;
+  });
+}
+
 void origin::ForTargetsAt(
     const std::string& ip,
     const std::function<void(balancer&, target_ref)>& work) {
@@ -215,6 +275,9 @@
   ShareReserve(now);
   lapsed_.Expire(now);
   KeepLapsed(now);
+  if (!notices_.empty() && view_ != nullptr) {
+    ExpireNotices(now);
+  }
   for (auto it = links_.begin(); it != links_.end();) {
     const milliseconds idle =
         it->second->carries_calls() ? kLinkIdle : kGossipLinkIdle;
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -65,6 +65,7 @@
   for (const auto& [service, targets] : by_service) {
     StateOf(service).targets.SetTargets(targets, now);
   }
+  ApplyNotices();
   CloseUnusedLinks();
 }
 
--- a/src/forward/target_notice.cc
+++ b/src/forward/target_notice.cc
@@ -1,6 +1,9 @@
 // Selection among the statements of a target's answers.
 #include "include/forward/target_notice.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace pistachioweir {
 namespace {
 
@@ -16,6 +19,7 @@
   start_.clear();
   answered_ = false;
   rate_limit_.reset();
+  lowest_ignored_.reset();
   leaving_since_.reset();
 }
 
@@ -59,12 +63,23 @@
 void target_notices::OnRateLimit(std::optional<double> limit,
                                  time_point sent,
                                  time_point now) {
+  constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+  const double value = limit.value_or(kUnlimited);
+  const double known = rate_limit_.value_or(kUnlimited);
   const bool is_newer = sent >= heard_at_;
-  const bool is_not_higher = limit && (!rate_limit_ || *limit <= *rate_limit_);
-  if (is_newer || is_not_higher) {
-    rate_limit_ = limit;
-    heard_at_ = now;
+  if (value > known && !is_newer) {
+    lowest_ignored_ = std::min(value, lowest_ignored_.value_or(kUnlimited));
+    ignored_at_ = now;
+    return;
   }
+  // An ignored answer that was read after this one's request was sent may be
+  // newer than this one.
+  const bool may_be_older = lowest_ignored_ && ignored_at_ > sent;
+  const double accepted =
+      may_be_older ? std::min(value, *lowest_ignored_) : value;
+  rate_limit_ = accepted == kUnlimited ? std::nullopt : std::optional(accepted);
+  heard_at_ = now;
+  lowest_ignored_.reset();
 }
 
 bool target_notices::Import(const known_notice& notice, time_point now) {
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -16,6 +16,12 @@
 constexpr std::uint32_t kAnswerFields = 22;
 constexpr std::uint32_t kPongFields = 11;
 constexpr std::uint32_t kProofFields = 3;
+constexpr std::uint32_t kNoticeFields = 4;
+constexpr std::uint32_t kReturnedPingFields = 2;
+// Rates are transmitted in thousandths, plus one; zero for none.
+constexpr double kRateUnits = 1000;
+// More requests a second than any target can be sent.
+constexpr double kMaxRate = 1e9;
 // A deadline further away than this is a broken message.
 constexpr milliseconds kMaxRemaining = std::chrono::hours(24);
 // Time since a VM was started; a later one is a broken message.
@@ -189,6 +195,25 @@
   return frame_writer(1).Put(sent).Finish(frame_kind::kPing);
 }
 
+std::string EncodeReturnedPing(milliseconds sent) {
+  return frame_writer(kReturnedPingFields)
+      .Put(sent)
+      .Put(static_cast<std::uint32_t>(peer_features::kNotices))
+      .Finish(frame_kind::kPing);
+}
+
+std::string Encode(const known_notice& notice) {
+  const double rate = std::min(notice.rate_limit.value_or(0), kMaxRate);
+  const auto units = static_cast<std::uint64_t>(rate * kRateUnits);
+  constexpr milliseconds kOldest = std::chrono::hours(1);
+  return frame_writer(kNoticeFields)
+      .Put(notice.start)
+      .Put(notice.rate_limit ? units + 1 : std::uint64_t{0})
+      .Put(notice.leaving)
+      .Put(std::min(notice.age, kOldest))
+      .Finish(frame_kind::kNotice);
+}
+
 std::string EncodeEmpty(frame_kind kind) {
   return frame_writer(0).Finish(kind);
 }
@@ -354,6 +379,35 @@
   return sent;
 }
 
+peer_features DecodeReturnedPing(std::string_view payload) {
+  auto reader = msgpack_reader::UpTo(payload, kReturnedPingFields);
+  if (!reader.ok() || reader.size() < kReturnedPingFields) {
+    return peer_features::kNone;
+  }
+  reader.Skip();
+  const std::uint32_t features = reader.Unsigned32();
+  constexpr auto kNotices = static_cast<std::uint32_t>(peer_features::kNotices);
+  return reader.ok() && (features & kNotices) != 0 ? peer_features::kNotices
+                                                   : peer_features::kNone;
+}
+
+std::optional<known_notice> DecodeNotice(std::string_view payload) {
+  msgpack_reader reader(payload, kNoticeFields);
+  known_notice notice;
+  notice.start = reader.String();
+  const std::uint64_t units = reader.UnsignedUpTo(
+      static_cast<std::uint64_t>(kMaxRate * kRateUnits) + 1);
+  notice.leaving = reader.Bool();
+  notice.age = ReadMilliseconds(reader);
+  if (!reader.ok()) {
+    return std::nullopt;
+  }
+  if (units > 0) {
+    notice.rate_limit = static_cast<double>(units - 1) / kRateUnits;
+  }
+  return notice;
+}
+
 frame_state NextFrame(std::string_view bytes,
                       std::size_t max_bytes,
                       frame_view* frame) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -17,6 +17,7 @@
 #include "include/base/ids.h"
 #include "include/base/outcome.h"
 #include "include/base/time.h"
+#include "include/forward/target_notice.h"
 #include "include/forward/view_freshness.h"
 #include "include/quarantine/quarantine.h"
 #include "include/route/route_table.h"
@@ -33,7 +34,8 @@
   kAsk,         // What became of an attempt that was sent before?
   kPing,        // Is this connection alive? Carries the sender's clock, except
                 // from older builds. The receiver returns the first one, which
-                // tells the sender that it reads call_frame::sent.
+                // tells the sender that it reads call_frame::sent, and what
+                // else by its peer_features.
   kPong,        // It is; with the load of the target. Also an answer to kAsk
                 // of an attempt in progress, and to kFollow.
   kLeaving,     // The receiver of calls is stopping: send it no new ones.
@@ -47,12 +49,17 @@
   kUsage,       // What was let in here of organisations' quotas.
   kQuota,       // The answer: what is left of them.
   kHeartbeat,   // As kPong, but sent unasked: says nothing of the way there.
+  kNotice,  // What the target beside the receiver of calls says about itself,
+            // whenever that changes; and back, since that daemon loses it by
+            // a restart. The first one, which may be empty, tells that its
+            // sender reads them and reason::kRateLimited.
 };
 
-inline constexpr enum_table<frame_kind, 19> kFrameKindNames(
-    {"hello", "welcome", "call", "answer", "cancel", "ask", "ping", "pong",
-     "leaving", "suspects", "ask_changes", "changes", "follow", "unfollow",
-     "ask_proof", "proof", "usage", "quota", "heartbeat"});
+inline constexpr enum_table<frame_kind, 20> kFrameKindNames(
+    {"hello",       "welcome", "call",   "answer",    "cancel",
+     "ask",         "ping",    "pong",   "leaving",   "suspects",
+     "ask_changes", "changes", "follow", "unfollow",  "ask_proof",
+     "proof",       "usage",   "quota",  "heartbeat", "notice"});
 
 // Frames of another version are refused: the connection ends.
 inline constexpr std::uint32_t kPeerProtocolVersion = 7;
@@ -151,6 +158,9 @@
   freshness_proof proof;     // Revision zero if there is none.
 };
 
+// Frames that a daemon reads besides those of kPeerProtocolVersion, as bits.
+enum class peer_features : std::uint32_t { kNone = 0, kNotices = 1 };
+
 struct suspects_frame {
   std::vector<quarantine_entry> entries;
   // Requests that were suspected and crash nothing.
@@ -170,12 +180,15 @@
                                  frame_kind kind = frame_kind::kPong);
 [[nodiscard]] std::string Encode(const proof_frame& frame);
 [[nodiscard]] std::string Encode(const suspects_frame& frame);
+[[nodiscard]] std::string Encode(const known_notice& notice);
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
 // revision of the asker's view, kAskProof the number of the question, kPing its
 // SendTime() (see EncodePing), kLeaving and kUnfollow nothing. For kChanges see
 // changes_frame.h, for kUsage and kQuota quota_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodePing(milliseconds sent);
+// A ping that is returned to its sender, with what this build reads.
+[[nodiscard]] std::string EncodeReturnedPing(milliseconds sent);
 [[nodiscard]] std::string EncodeEmpty(frame_kind kind);
 
 // Nothing if `payload` isn't exactly one frame of that kind.
@@ -195,6 +208,11 @@
 // Nothing for a ping of an older build, which carries no time.
 [[nodiscard]] std::optional<milliseconds> DecodePing(std::string_view payload);
 
+// What the peer reads that returned a ping; kNone for an older build.
+[[nodiscard]] peer_features DecodeReturnedPing(std::string_view payload);
+[[nodiscard]] std::optional<known_notice> DecodeNotice(
+    std::string_view payload);
+
 // The frame in front of a stream of bytes.
 struct frame_view {
   frame_kind kind = frame_kind::kPing;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -109,7 +109,7 @@
                                        .deadline = deadline,
                                        .done = std::move(done)})
           .first->second;
-  if (current_ != nullptr) {
+  if (current_ != nullptr && resumed_) {
     Write(record);
   } else if (state() == link_state::kDown) {
     Connect();
@@ -355,6 +355,7 @@
       if (const auto pong = DecodePong(frame.payload)) {
         if (frame.kind == frame_kind::kPong && stream == current_) {
           Confirm(monotonic_clock::now());
+          Resume();
         }
         events_.on_load(pong->load);
         events_.on_report(pong->report);
@@ -364,8 +365,20 @@
     case frame_kind::kPing:
       if (stream == current_) {
         reads_send_time_ = true;
+        if (DecodeReturnedPing(frame.payload) == peer_features::kNotices) {
+          SendNotice();
+        }
+        Resume();
       }
       return;
+    case frame_kind::kNotice:
+      if (const auto notice = DecodeNotice(frame.payload)) {
+        if (events_.on_notice) {
+          events_.on_notice(*notice);
+        }
+        return;
+      }
+      break;
     case frame_kind::kLeaving:
       events_.on_leaving(true);
       return;
@@ -460,13 +473,38 @@
   }
   // Ahead of the first calls, so that the peer knows how old they are.
   Ping();
-  Resume(welcome.receiver);
+  welcomed_ = welcome.receiver;
+  resumed_ = false;
+  ResumeOrWait();
+}
+
+// A daemon that has restarted doesn't know what its target had said. It is told
+// before it gets calls, which have to wait until it has answered the ping: only
+// then is it known to read notices.
+void peer_link::ResumeOrWait() {
+  const bool restarted = welcomed_ != receiver_;
+  if (!restarted || !NoticeOfPeer().says_anything()) {
+    Resume();
+  }
+}
+
+known_notice peer_link::NoticeOfPeer() const {
+  return events_.known_notice_of_peer ? events_.known_notice_of_peer()
+                                      : known_notice();
+}
+
+void peer_link::SendNotice() {
+  current_->Send(Encode(NoticeOfPeer()));
 }
 
 // What was sent to the incarnation that answers is asked for; what was sent to
 // an earlier one can't be known any more (guard RECEIVER_INCARNATION in
 // spec/peer_attempts.pml).
-void peer_link::Resume(incarnation_id receiver) {
+void peer_link::Resume() {
+  if (std::exchange(resumed_, true)) {
+    return;
+  }
+  const incarnation_id receiver = welcomed_;
   const incarnation_id before = std::exchange(receiver_, receiver);
   for (const std::uint64_t number : std::exchange(unsent_cancels_, {})) {
     if (before == receiver) {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -63,6 +63,10 @@
   std::function<void(bool leaving)> on_leaving;
   std::function<void(const load_report&)> on_load;
   std::function<void(const neighbour_report&)> on_report;
+  // The peer told what its target says about itself.
+  std::function<void(const known_notice&)> on_notice;
+  // What a peer is told that has restarted; see frame_kind::kNotice.
+  std::function<known_notice()> known_notice_of_peer;
   // Returns what the peer doesn't know.
   std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // What a peer is told that has just been connected to.
@@ -129,7 +133,7 @@
   [[nodiscard]] const endpoint& address() const { return options_.address; }
   // Which incarnation of the peer is connected, if one is.
   [[nodiscard]] std::optional<incarnation_id> connected() const {
-    return current_ == nullptr ? std::nullopt : std::optional(receiver_);
+    return current_ == nullptr ? std::nullopt : std::optional(welcomed_);
   }
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
   // Since when nothing was asked of the peer.
@@ -171,7 +175,10 @@
   void OnStreamEnd(const stream_ptr& stream, std::string_view why);
   void OnBroken(const stream_ptr& stream, frame_kind kind);
   void SendKnownSuspects();
-  void Resume(incarnation_id receiver);
+  void ResumeOrWait();
+  void SendNotice();
+  [[nodiscard]] known_notice NoticeOfPeer() const;
+  void Resume();
   [[nodiscard]] bool NeedsPing(time_point now) const;
   void Ping();
   void Confirm(time_point until);
@@ -201,7 +208,10 @@
   stream_ptr candidate_;          // Connected, not welcomed yet.
   socket_ptr connecting_;
   std::uint64_t connect_attempt_ = 0;
-  incarnation_id receiver_{};  // Of the last welcome.
+  incarnation_id welcomed_{};  // Of the last welcome.
+  // Calls may be sent over `current_`, to `receiver_`.
+  bool resumed_ = false;
+  incarnation_id receiver_{};  // `welcomed_` as of the last Resume().
   time_point last_asked_;      // When a ping was sent.
   // The peer has heard what was sent until then, by its last pong, welcome or
   // answer.
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -32,6 +32,16 @@
   return static_cast<std::uint64_t>(sender);
 }
 
+// Older builds end a connection over which a reason comes that they don't know.
+std::string EncodeForOlder(const answer_frame& answer) {
+  if (answer.why != reason::kRateLimited) {
+    return Encode(answer);
+  }
+  answer_frame known = answer;
+  known.why = reason::kOverload;
+  return Encode(known);
+}
+
 }  // namespace
 
 // One connection.
@@ -78,6 +88,7 @@
   }
   [[nodiscard]] const vm_id& vm() const { return vm_; }
   [[nodiscard]] const std::string& ip() const { return ip_; }
+  [[nodiscard]] bool reads_notices() const { return reads_notices_; }
   [[nodiscard]] stream_load load() const {
     stream_load load = stream_->load();
     load.unnamed = sender_ == incarnation_id{} ? 1 : 0;
@@ -162,7 +173,7 @@
         if (const auto sent = DecodePing(frame.payload)) {
           server_.Transit(sender_, *sent);
           if (!std::exchange(returned_ping_, true)) {
-            Send(EncodePing(*sent));
+            Send(EncodeReturnedPing(*sent));
           }
         }
         Send(Encode(server_.Pong()));
@@ -210,6 +221,14 @@
         }
         return number.has_value();
       }
+      case frame_kind::kNotice: {
+        const auto notice = DecodeNotice(frame.payload);
+        if (notice) {
+          reads_notices_ = true;
+          server_.OnNotice(*this, *notice);
+        }
+        return notice.has_value();
+      }
       case frame_kind::kFollow: {
         const auto revision = DecodeNumber(frame.payload);
         server_.OnFollow(*this, revision);
@@ -231,6 +250,7 @@
   std::optional<std::uint64_t> followed_;  // Only of a follower.
   bool missed_suspects_ = false;           // Some weren't sent.
   bool returned_ping_ = false;             // See frame_kind::kPing.
+  bool reads_notices_ = false;             // See frame_kind::kNotice.
 };
 
 peer_server::peer_server(boost::asio::io_context& context,
@@ -356,11 +376,14 @@
       running_.erase(of_sender);
     }
   }
-  const auto bytes = std::make_shared<const std::string>(Encode(answer));
+  session* const to = Find(attempt.sender);
+  const auto bytes = std::make_shared<const std::string>(
+      to != nullptr && to->reads_notices() ? Encode(answer)
+                                           : EncodeForOlder(answer));
   if (!attempts_.Finish(attempt, bytes)) {
     return;  // Its sender has given it up.
   }
-  if (session* const to = Find(attempt.sender)) {
+  if (to != nullptr) {
     to->Send(bytes);
   }
 }
@@ -470,6 +493,29 @@
                                .proof = proof.value_or(freshness_proof())}));
 }
 
+void peer_server::OnNotice(session& from, const known_notice& notice) {
+  if (notice.says_anything()) {
+    calls_.ImportNotice(notice, from.ip());
+  }
+  const known_notice own = calls_.Notice();
+  if (own.says_anything()) {
+    from.Send(Encode(own));
+  }
+}
+
+void peer_server::PublishNotice() {
+  std::shared_ptr<const std::string> notice;
+  for (const auto& [sender, to] : by_sender_) {
+    if (!to->reads_notices()) {
+      continue;
+    }
+    if (notice == nullptr) {
+      notice = std::make_shared<const std::string>(Encode(calls_.Notice()));
+    }
+    to->Send(notice);
+  }
+}
+
 void peer_server::OnFollow(session& from,
                            std::optional<std::uint64_t> revision) {
   from.SetFollowed(revision);
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -77,6 +77,8 @@
   // Tells all followers what they don't know, but for `except`, the daemon that
   // told it.
   void TellFollowers(const std::string& except);
+  // Tells the daemons that call here what the target says about itself now.
+  void PublishNotice();
   // Tells them that this daemon is there, and how old its view is. Call several
   // times a second.
   void Heartbeat();
@@ -113,6 +115,7 @@
   void SendRefusal(session& to, std::uint64_t number);
   bool TellChanges(session& to, std::uint64_t revision);
   void OnAskProof(session& from, std::uint64_t number);
+  void OnNotice(session& from, const known_notice& notice);
   void OnFollow(session& from, std::optional<std::uint64_t> revision);
   [[nodiscard]] session* Find(incarnation_id sender);
 
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -27,17 +27,21 @@
 // A daemon whose target answers each run as soon as it starts, or never.
 class remote_daemon {
  public:
-  remote_daemon(boost::asio::io_context& context, std::uint16_t port)
+  remote_daemon(boost::asio::io_context& context,
+                std::uint16_t port,
+                incarnation_id self = incarnation_id{9})
       : target_side(
             context,
             [this, &context](const target_run&,
                              const std::function<void(run_result)>& done) {
-              ++runs;
+              if (runs++ == 0) {
+                limit_at_first_run = target_side.notices().rate_limit();
+              }
               if (!answers) {
                 return std::function<void()>([] {});
               }
-              boost::asio::post(context, [done] {
-                run_result result{.end = run_end::kAnswered};
+              boost::asio::post(context, [this, done] {
+                run_result result{.end = run_end::kAnswered, .notice = notice};
                 result.response = {.status = 200};
                 done(std::move(result));
               });
@@ -45,15 +49,18 @@
             },
             log),
         server(context,
-               {.address = {.ip = kRemoteIp, .port = port},
-                .self = incarnation_id{9}},
+               {.address = {.ip = kRemoteIp, .port = port}, .self = self},
                target_side) {
     target_side.SetSlots(8);
+    target_side.OnNotice(
+        [this](const known_notice&) { server.PublishNotice(); });
   }
 
   call_log log{{}};
   int runs = 0;
   bool answers = true;
+  target_notice notice;  // Of each answer.
+  std::optional<double> limit_at_first_run;
   executor target_side;
   peer_server server;
 };
@@ -208,5 +215,35 @@
   EXPECT_GT(origin_.MaxRequestTime(monotonic_clock::now()), milliseconds(1500));
 }
 
+// A daemon that had restarted sent its target all that came until the first
+// answer, although daemons that had been told of the limit went on sending.
+TEST_F(origin_links_test, ARestartedDaemonKnowsTheLimitBeforeItsFirstCall) {
+  std::optional<remote_daemon> remote(std::in_place, context_, port_);
+  remote->notice = {.rate_limit = 10};
+  ASSERT_EQ(Request(), outcome_kind::kCompleted);
+  ASSERT_EQ(Request(), outcome_kind::kCompleted);
+  remote.reset();
+  remote.emplace(context_, port_, incarnation_id{10});
+  while (Request() != outcome_kind::kCompleted) {
+  }
+  EXPECT_EQ(remote->limit_at_first_run, 10);
+}
+
+// A daemon that had restarted passed requests to a target that had said that it
+// is leaving, since the list still called it ready.
+TEST_F(origin_links_test, ATargetThatIsLeavingStaysUnusedAfterARestart) {
+  std::optional<remote_daemon> remote(std::in_place, context_, port_);
+  remote->notice = {.leaving = true};
+  ASSERT_EQ(Request(), outcome_kind::kCompleted);
+  EXPECT_EQ(Request(), outcome_kind::kNotExecuted);
+  remote.reset();
+  remote.emplace(context_, port_, incarnation_id{10});
+  ASSERT_TRUE(RunUntil(context_, [&] {
+    return remote->target_side.notices().leaving_since().has_value();
+  }));
+  EXPECT_EQ(Request(), outcome_kind::kNotExecuted);
+  EXPECT_EQ(remote->runs, 0);
+}
+
 }  // namespace
 }  // namespace pistachioweir
