A target's queue under a rate limit shrinks in the eyes of callers' daemons

A daemon that had found the limit of a target used up went elsewhere, heard nothing newer of that target and kept off, while requests queued at the others. ALimitWithRoomIsUsedAgain failed before. Without a limit nothing changes. New besides: what two limits don't allow goes to the third target, none refused; without room elsewhere nine tenths of all limits are used (both also hold without this change).

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -149,6 +149,10 @@
   // The target's load was received apart from an answer.
   void UpdateLoad(target_ref target, const load_report& report, time_point now);
 
+  // How many requests a second the target takes, as it says itself; nothing for
+  // any number.
+  void SetRateLimit(target_ref target, std::optional<double> per_second);
+
   // Mean pressure reported by the usable targets, from 0 up; reports older than
   // kPressureLifetime count as 0.
   [[nodiscard]] double Pressure(time_point now) const;
@@ -188,9 +192,11 @@
     std::uint32_t in_flight = 0;
     // In flight and queued there for other callers, by its last load report.
     double other_load = 0;
-    double limit = 1;                // Until its load is known.
-    double latency = 0;              // Nanoseconds; recent average.
-    time_point latency_measured_at;  // Last sample.
+    time_point load_received_at;
+    std::optional<double> rate_limit;  // Requests a second.
+    double limit = 1;                  // Until its load is known.
+    double latency = 0;                // Nanoseconds; recent average.
+    time_point latency_measured_at;    // Last sample.
     time_point warm_from;
     std::uint32_t failures = 0;  // In a row.
     std::uint32_t ejections = 0;
@@ -249,7 +255,9 @@
                                     const placement_request& request,
                                     double tolerated_failures,
                                     time_point now) const;
-  [[nodiscard]] static double Utilization(const target& of);
+  // Requests of other callers there now.
+  [[nodiscard]] static double OtherLoad(const target& of, time_point now);
+  [[nodiscard]] static double Utilization(const target& of, time_point now);
   void RecordFailure(target& failed, time_point now);
   static void SetLoad(target& of, const load_report& report, time_point now);
   [[nodiscard]] bool MayEject(time_point now) const;
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -272,7 +272,8 @@
   void SetKept(std::vector<target_entry> kept);
   void OnReport(const std::string& ip, const neighbour_report& report);
   [[nodiscard]] known_notice NoticeOf(const std::string& ip) const;
-  // Takes targets out of use that have said that they are leaving.
+  // Applies the limits of targets, and takes those out of use that have said
+  // that they are leaving.
   void ApplyNotices();
   void ExpireNotices(time_point now);
   service_state& StateOf(const std::string& service);
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -1,6 +1,7 @@
 // The origin's links to the daemons of targets, and the events received there.
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -136,12 +137,16 @@
     if (found == notices_.end()) {
       continue;
     }
+    balancer& targets = StateOf(target.service).targets;
+    const auto ref = targets.RefOf(target.id);
+    if (!ref) {
+      continue;
+    }
     const known_notice& notice = found->second.notice;
-    if (notice.leaving && StartName(target) == notice.start) {
-      balancer& targets = StateOf(target.service).targets;
-      if (const auto ref = targets.RefOf(target.id)) {
-        targets.MarkLeaving(*ref);
-      }
+    const bool is_same = StartName(target) == notice.start;
+    targets.SetRateLimit(*ref, is_same ? notice.rate_limit : std::nullopt);
+    if (is_same && notice.leaving) {
+      targets.MarkLeaving(*ref);
     }
   }
 }
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -3,6 +3,7 @@
 #include "include/route/balancer.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <utility>
 
@@ -148,6 +149,23 @@
   }
 }
 
+void balancer::SetRateLimit(target_ref ref, std::optional<double> per_second) {
+  if (target* const found = Find(ref)) {
+    found->rate_limit = per_second;
+  }
+}
+
+// The queue of a target with a rate limit makes callers go elsewhere, and a
+// caller that does so gets no newer report from it. Without the decrease over
+// time the target would stay unused although its queue is empty.
+double balancer::OtherLoad(const target& of, time_point now) {
+  if (!of.rate_limit) {
+    return of.other_load;
+  }
+  const std::chrono::duration<double> age = now - of.load_received_at;
+  return std::max(0.0, of.other_load - age.count() * *of.rate_limit);
+}
+
 void balancer::UpdateLoad(target_ref ref,
                           const load_report& report,
                           time_point now) {
@@ -179,6 +197,7 @@
   of.pressure_received_at = now;
   const double there = report.in_flight + report.queued;
   of.other_load = std::max(0.0, there - of.in_flight);
+  of.load_received_at = now;
   of.limit = report.limit;
 }
 
@@ -258,7 +277,7 @@
                         std::chrono::duration<double>(kSlowStart);
     capacity *= std::max(kColdShare, 1.0 - left);
   }
-  return (of.in_flight + of.other_load + 1) / capacity;
+  return (of.in_flight + OtherLoad(of, now) + 1) / capacity;
 }
 
 balancer::candidate balancer::Best(const std::vector<std::uint32_t>& group,
--- a/src/route/expected_end.cc
+++ b/src/route/expected_end.cc
@@ -39,8 +39,8 @@
 }  // namespace
 
 // Utilization of the target with one more call.
-double balancer::Utilization(const target& of) {
-  return (of.in_flight + of.other_load + 1) / std::max(1.0, of.limit);
+double balancer::Utilization(const target& of, time_point now) {
+  return (of.in_flight + OtherLoad(of, now) + 1) / std::max(1.0, of.limit);
 }
 
 // In nanoseconds.
@@ -54,7 +54,7 @@
   if (now < of.warm_from) {
     run *= kColdFactor;
   }
-  const double full = Utilization(of);
+  const double full = Utilization(of, now);
   const double busy =
       std::clamp((full - kBusyThreshold) / (1 - kBusyThreshold), 0.0, 1.0);
   const double wait =
@@ -96,8 +96,8 @@
   for (std::size_t i = 0; i < options.size(); ++i) {
     const option& examined = options[(random + i) % options.size()];
     const bool less_utilized =
-        chosen == kNone ||
-        Utilization(targets_[examined.index]) < Utilization(targets_[chosen]);
+        chosen == kNone || Utilization(targets_[examined.index], now) <
+                               Utilization(targets_[chosen], now);
     if (examined.cost <= max_cost && less_utilized) {
       chosen = examined.index;
     }
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -10,9 +10,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "include/admit/admission_controller.h"
+#include "include/route/balancer.h"
 
 namespace pistachioweir {
 namespace {
@@ -282,6 +284,132 @@
   EXPECT_GE(limited.queued, target.controller().queued());
 }
 
+// A caller's daemon and three targets with 40 slots each.
+class three_targets {
+ public:
+  three_targets() {
+    std::vector<target_info> infos;
+    for (std::uint32_t i = 0; i < targets.size(); ++i) {
+      infos.push_back({.vm = "vm-" + std::to_string(i), .slots = 40});
+    }
+    placing_.SetTargets(infos, kStart);
+  }
+
+  void SetLimit(std::uint32_t index, double per_second) {
+    targets.at(index).SetLimit(per_second);
+    const auto ref = placing_.RefOf("vm-" + std::to_string(index));
+    placing_.SetRateLimit(*ref, per_second);
+  }
+
+  void Run(seconds time, double per_second) {
+    double offered = 0;
+    for (const time_point end = now() + time; now() < end;) {
+      for (limited_target& each : targets) {
+        each.Run(kStep, 0);
+      }
+      offered += per_second * std::chrono::duration<double>(kStep).count();
+      for (; offered >= 1; offered -= 1) {
+        refused += Place() ? 0 : 1;
+      }
+    }
+  }
+
+  [[nodiscard]] time_point now() const { return targets[0].now; }
+
+  static constexpr milliseconds kRunTime{160};
+  std::array<limited_target, 3> targets{limited_target(kRunTime),
+                                        limited_target(kRunTime),
+                                        limited_target(kRunTime)};
+  int refused = 0;
+
+ private:
+  static constexpr milliseconds kObjective{1500};
+
+  // Places one request; returns whether a target took it.
+  bool Place() {
+    placement_request request{.objective = kObjective};
+    while (placing_.MayTryElsewhere(request, now())) {
+      random_ = random_ * 6364136223846793005U + 1442695040888963407U;
+      const placement placed = placing_.Place(request, now(), random_);
+      if (!placed.placed) {
+        return false;
+      }
+      request.tried.refs.at(request.tried.count++) = placed.target;
+      limited_target& chosen = targets.at(placed.target.index);
+      const bool taken = chosen.Offer(priority::kNormal, kObjective).action !=
+                         admission_action::kRefused;
+      const load_report load = chosen.controller().Report(0, now());
+      placing_.Finish(placed.target, 0,
+                      taken ? call_result::kAnswered : call_result::kRefused,
+                      kRunTime, &load, now());
+      if (taken) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  balancer placing_{{.policy = placement_policy::kExpectedEnd, .max_tries = 4}};
+  std::uint64_t random_ = 1;
+};
+
+// Two of three targets of a service name limits; what these don't allow has to
+// go to the third one, which has room.
+TEST(RateLimitTest, TheRestGoesToATargetThatHasRoom) {
+  three_targets fleet;
+  fleet.Run(seconds(5), 53);
+  fleet.SetLimit(0, 10.4);
+  fleet.SetLimit(1, 9.6);
+  const time_point named = fleet.now();
+  fleet.Run(seconds(20), 53);
+  EXPECT_EQ(fleet.refused, 0);
+  EXPECT_LE(MaxExcess(fleet.targets[0], {{named, 10.4}}), 0);
+  EXPECT_LE(MaxExcess(fleet.targets[1], {{named, 9.6}}), 0);
+}
+
+// A caller that had found a target's limit used up went elsewhere, heard
+// nothing newer of it, and queued behind others where the limit had room.
+TEST(RateLimitTest, ALimitWithRoomIsUsedAgain) {
+  three_targets fleet;
+  fleet.Run(seconds(5), 10);
+  const std::array<double, 3> limits{10.4, 9.6, 31};
+  for (std::uint32_t i = 0; i < limits.size(); ++i) {
+    fleet.SetLimit(i, limits.at(i));
+  }
+  fleet.Run(seconds(3), 40);
+  const time_point begin = fleet.now();
+  fleet.Run(seconds(20), 40);
+  EXPECT_EQ(fleet.refused, 0);
+  for (std::uint32_t i = 0; i < limits.size(); ++i) {
+    EXPECT_GE(static_cast<double>(
+                  fleet.targets.at(i).StartsBetween(begin, fleet.now())),
+              0.6 * 20 * limits.at(i))
+        << i;
+  }
+}
+
+TEST(RateLimitTest, WithoutRoomElsewhereAllLimitsAreUsed) {
+  three_targets fleet;
+  fleet.Run(seconds(5), 53);
+  const std::array<double, 3> limits{10.4, 9.6, 2.5};
+  for (std::uint32_t i = 0; i < limits.size(); ++i) {
+    fleet.SetLimit(i, limits.at(i));
+  }
+  fleet.Run(seconds(3), 53);
+  const time_point begin = fleet.now();
+  fleet.Run(seconds(20), 53);
+  EXPECT_GT(fleet.refused, 0);
+  for (std::uint32_t i = 0; i < limits.size(); ++i) {
+    EXPECT_GE(static_cast<double>(
+                  fleet.targets.at(i).StartsBetween(begin, fleet.now())),
+              0.9 * 20 * limits.at(i))
+        << i;
+    EXPECT_LE(
+        MaxExcess(fleet.targets.at(i), {{begin - seconds(3), limits.at(i)}}),
+        0);
+  }
+}
+
 // The sum rule under random limits, demands and restarts of the daemon, after
 // which other daemons return the limit that they had been told.
 RC_GTEST_PROP(RateLimitTest, NoWindowExceedsTheLimits, ()) {
