A target's own Retry-After reaches the caller that it turned away

What callers saw: a request that the target had turned away unexecuted came back after this daemon's 200 ms, whatever the target had asked for. Same class as the limit: a word of the target in its answers that nothing read, found by going through what such answers may hold. Also: an answer with a limit that can't be read still reaches its caller.

--- a/include/forward/target_notice.h
+++ b/include/forward/target_notice.h
@@ -18,6 +18,9 @@
   bool rate_limit_unreadable = false;
   // The target is about to shut down.
   bool leaving = false;
+  // When the target takes a request again that it has not executed; zero if it
+  // doesn't say.
+  milliseconds retry_after{0};
   // The statements that can't be read, for the log.
   std::string unreadable;
 };
--- a/src/forward/run_outcome.cc
+++ b/src/forward/run_outcome.cc
@@ -48,6 +48,9 @@
   answer.kind = outcome.kind;
   answer.why = outcome.why;
   answer.reached_target = outcome.reached_target;
+  if (result.end == run_end::kNotExecuted) {
+    answer.retry_after = result.notice.retry_after;
+  }
   if (outcome.kind == outcome_kind::kCompleted) {
     answer.response = std::move(result.response);
   }
--- a/tests/named_limit_test.cc
+++ b/tests/named_limit_test.cc
@@ -101,5 +101,39 @@
   EXPECT_EQ(target.arrivals.size(), 1U);
 }
 
+// An answer whose limit can't be read was still the caller's answer.
+TEST(NamedLimitTest, AnAnswerWithAnUnreadableLimitReachesItsCaller) {
+  forward_path path;
+  path.Configure();
+  target_with_headers target(path);
+  caller from(path);
+  int number = 0;
+  for (const char* limit :
+       {"abc", "", "-1", "nan", "1e308", "1\r\nServer-Limit: 2"}) {
+    target.headers = "Server-Limit: " + std::string(limit) + "\r\n";
+    EXPECT_EQ(StatusOf(from, "r" + std::to_string(number++)), 200) << limit;
+  }
+  target.headers = "Server-Limit: " + std::string(10 << 10, '9') + "\r\n";
+  EXPECT_EQ(StatusOf(from, "long"), 200);
+  EXPECT_FALSE(path.target_side.notices().rate_limit());
+}
+
+// Callers of a request that the target had turned away came back when this
+// daemon guessed, not when the target had said.
+TEST(NamedLimitTest, TheTargetsOwnRetryAfterReachesTheCaller) {
+  forward_path path;
+  path.Configure();
+  path.target.on_request = [](const read_request& request,
+                              const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(
+        request, "", 503, "Not-Executed: 1\r\nRetry-After: 1.25\r\n"));
+  };
+  caller from(path);
+  from.Request("GET", "/look/1", "r1");
+  const read_response response = from.NextResponse();
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(FindHeader(response.headers, "Retry-After"), "1.250");
+}
+
 }  // namespace
 }  // namespace pistachioweir
