A limit far below the load no longer stops a target for half a minute

What callers saw: refusals of all that a limited target could have taken. Such requests count in no window later than three seconds, so the pause ends then. The new test of rate_limit_test failed before with 0 starts in 20 s where 9, 23 and 180 are expected at least.

--- a/include/admit/rate_limit.h
+++ b/include/admit/rate_limit.h
@@ -15,7 +15,8 @@
 // A token bucket. What started before the limit was known counts as well: a
 // target that names a limit is in need, and the requests of the last second are
 // part of the reason. So a new or lower limit begins with a pause if the last
-// second exceeded twice what it allows.
+// second exceeded twice what it allows, for as long as those requests can count
+// in a window over which targets judge their load.
 //
 // Pure logic; owned by the admission_controller.
 class rate_limit {
@@ -41,7 +42,9 @@
     if (is_new || is_lower) {
       const double unused = kFreeSeconds * *per_second_ + kFreeRequests -
                             static_cast<double>(recent_.Get(now));
-      tokens_ = std::min({unused, Capacity(), is_new ? unused : tokens_});
+      const double first =
+          std::max(unused, 1 - kMaxPause.count() * *per_second_);
+      tokens_ = std::min({first, Capacity(), is_new ? first : tokens_});
     }
   }
 
@@ -79,6 +82,8 @@
   // in kFreeSeconds, and kFreeRequests.
   static constexpr double kFreeSeconds = 2;
   static constexpr double kFreeRequests = 2;
+  // The window of four seconds, less the second that is counted.
+  static constexpr std::chrono::duration<double> kMaxPause{3};
   // Seconds; keeps the wait representable.
   static constexpr double kMaxWait = 3600;
 
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -222,6 +222,11 @@
 
   using call_ptr = std::shared_ptr<placed_call>;
 
+  struct heard_notice {
+    known_notice notice;
+    time_point learnt_at;  // By the daemon beside the target.
+  };
+
   [[nodiscard]] bool FindRoute(placed_call& call, reason* why) const;
   // Checks the caller's API key against the current view.
   [[nodiscard]] key_check_result CheckKeyOf(const placed_call& call) const;
@@ -303,11 +308,7 @@
   reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
   std::map<std::string, std::shared_ptr<peer_link>> links_;  // By IP.
-  struct heard_notice {
-    known_notice notice;
-    time_point learnt_at;  // By the daemon beside the target.
-  };
-  std::map<std::string, heard_notice> notices_;  // By IP.
+  std::map<std::string, heard_notice> notices_;              // By IP.
   std::string last_proof_peer_;  // IP; the round-robin position of AskProofs().
   const std::shared_ptr<std::uint64_t> last_number_ =
       std::make_shared<std::uint64_t>(0);  // Last call number, of all links.
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -212,6 +212,21 @@
   }
 }
 
+// A target that named a limit far below its load got nothing for half a minute.
+TEST(RateLimitTest, ALimitFarBelowTheLoadIsUsedAfterThreeSeconds) {
+  for (const double limit : {0.5, 1.3, 10.0}) {
+    limited_target target;
+    target.Run(seconds(5), 30 * limit + 20);
+    target.SetLimit(limit);
+    target.Run(kFrom + milliseconds(100), 30 * limit + 20);
+    const time_point begin = target.now;
+    target.Run(seconds(20), 30 * limit + 20);
+    EXPECT_GE(static_cast<double>(target.StartsBetween(begin, target.now)),
+              0.9 * limit * 20)
+        << limit;
+  }
+}
+
 // A limit that is named while the queue is full must bound what starts from it.
 TEST(RateLimitTest, QueuedRequestsStartWithinALimitThatIsNamedLater) {
   limited_target target(milliseconds(300));
--- a/tools/soaking/availability.py
+++ b/tools/soaking/availability.py
@@ -57,6 +57,18 @@
     return why
 
 
+def at_their_limits(logs):
+    """By request: the targets that had used up the limits that they name, and so
+    could not take it."""
+    full = collections.defaultdict(set)
+    for log in logs:
+        for line in log.read_text(errors="replace").splitlines():
+            if "event=rate_limited" in line:
+                fields = dict(FIELD.findall(line))
+                full[fields.get("request")].add(fields.get("target"))
+    return full
+
+
 def _is_well(pair, told):
     """Whether the target, its daemon and the way there were well for the request,
     and long enough before it."""
@@ -70,6 +82,7 @@
 def avoidable_refusals(world, why):
     """Requests refused for want of a view, a target or by a stop, with a target of
     their service well. `why` is that of refusals()."""
+    full = at_their_limits(one.log for one in world.daemons)
     pairs = list(zip(world.targets, world.daemons))
     found = []
     for told in world.ledger.told:
@@ -81,7 +94,8 @@
                 begun, told.ended_at):
             continue
         well = [each.id for each, daemon in pairs
-                if each.home == told.service and _is_well((each, daemon), told)]
+                if each.home == told.service and _is_well((each, daemon), told)
+                and each.id not in full[told.request]]
         if well:
             found.append(f"{told.request}: refused as {why[told.request]} by daemon "
                          f"{told.daemon}, with {', '.join(well)} well")
