--- a/src/forward/executor_reports.cc
+++ b/src/forward/executor_reports.cc
@@ -1,5 +1,5 @@
-// Reports of the executor to other daemons: its load, its view and the target
-// that it vouches for.
+// Reports of the executor to other daemons: its load, its view, the target that
+// it vouches for, and what that target says about itself.
 #include <algorithm>
 #include <chrono>
 #include <functional>
