Lineage of calls: which request a call of a target is made for

The daemon beside a target keeps the requests that run there and finds a call's parent among them, by ids that extend a running request's id or by equal deadlines. What is found travels with the call, to peers that read it. Off unless the setting call_lineage asks for it. Not measured yet.

--- a/include/base/enum_table.h
+++ b/include/base/enum_table.h
@@ -16,6 +16,8 @@
   explicit constexpr enum_table(std::array<std::string_view, N> names)
       : names_(names) {}
 
+  [[nodiscard]] static constexpr std::size_t size() { return N; }
+
   // The name of `value`; "invalid" for a number outside the enum.
   [[nodiscard]] constexpr std::string_view Name(Enum value) const {
     const auto index = static_cast<std::size_t>(value);
--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -13,6 +13,7 @@
 #include "include/base/time.h"
 #include "include/config/config_error.h"
 #include "include/config/settings.h"
+#include "include/lineage/call_lineage.h"
 
 namespace pistachioweir {
 
@@ -56,6 +57,9 @@
   // Fraction by which organisations may exceed their quotas for some seconds.
   double quota_overage = 0;
 
+  // How calls of targets are tied to the requests that they are made for.
+  lineage_policy call_lineage = lineage_policy::kOff;
+
   // Retry budget over all daemons: in each window, a fraction of the requests
   // of a service plus a reserve.
   double repeat_ratio = 0.2;
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -43,6 +43,18 @@
   return policy;
 }
 
+std::optional<lineage_policy> ParseLineage(const json_node& node) {
+  const auto text = node.ReadString();
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto policy = kLineagePolicyNames.Find(*text);
+  if (!policy) {
+    node.AddError(node.Describe(), "off, deadline or request_id");
+  }
+  return policy;
+}
+
 json_schema<forward_settings> Schema() {
   using s = forward_settings;
   using enum presence;
@@ -68,6 +80,7 @@
       {"key_withdrawal", kOptional, ReadDuration(&s::key_withdrawal)},
       {"quota_overage", kOptional,
        ReadFraction(&s::quota_overage, 0, kMaxRatio)},
+      {"call_lineage", kOptional, ReadWith(&s::call_lineage, ParseLineage)},
       {"repeat_ratio", kOptional, ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
        ReadFraction(&s::repeat_reserve, 0, kMaxReserve)},
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -388,11 +388,48 @@
                  .organisation = served.call.organisation,
                  .repeats = served.call.repeats,
                  .deadline = served.deadline};
+  AddRunning(id, served);
   served.cancel = run_(std::move(run), [this, id](run_result result) {
     OnRunEnd(id, std::move(result));
   });
 }
 
+void executor::AddRunning(std::uint64_t id, const served_call& served) {
+  if (!keeps_lineage()) {
+    return;
+  }
+  const call_frame& call = served.call;
+  running_.Insert(
+      id, {.id = call.request_id,
+           .deadline = served.deadline,
+           .rank = call.rank,
+           .has_precedence = call.ahead,
+           .ticket = call.ticket,
+           .is_idempotent = call.repeats == repeat_policy::kIdempotent,
+           .lineage = call.lineage.value_or(call_lineage{.root = call.route})});
+}
+
+parent_match executor::FindParent(std::string_view call_id,
+                                  time_point deadline,
+                                  bool made_by_targets) {
+  if (!keeps_lineage()) {
+    return {};
+  }
+  parent_match match;
+  if (lineage_policy_ == lineage_policy::kRequestId) {
+    match = running_.FindById(call_id);
+  }
+  if (!match.found() && made_by_targets) {
+    match = running_.FindByDeadline(deadline);
+  }
+  ++lineage_counts_[static_cast<std::size_t>(match.evidence)];
+  const auto parent = calls_.find(match.parent);
+  if (parent != calls_.end()) {
+    by_kind_[parent->second.kind].makes_calls = true;
+  }
+  return match;
+}
+
 void executor::UpdateTargetState(const run_result& result, time_point now) {
   if (result.end != run_end::kNotSent || !result.connection_refused) {
     return;
@@ -466,6 +503,9 @@
        {.name = "served_us",
         .value =
             std::to_string(ToMicroseconds(now - served.started).count())}});
+  // An at-most-once run may go on at the target, and needs its calls then.
+  const bool lost =
+      !answered && served.call.repeats == repeat_policy::kIdempotent;
   answer_frame answer = ToAnswerFrame(std::move(result));
   answer.queued = ToMicroseconds(served.started - served.arrived);
   answer.served = ToMicroseconds(now - served.started);
@@ -473,6 +513,9 @@
                         IsServerError(answer.response.status) &&
                         downstream_failures_.IsTooHigh(now);
   Answer(id, std::move(answer));
+  if (lost && on_run_lost_) {
+    on_run_lost_(id);
+  }
   ProcessAdmissionEvents();
 }
 
@@ -505,12 +548,16 @@
   const auto found = calls_.find(id);
   served_call served = std::move(found->second);
   calls_.erase(found);
+  running_.Erase(id);
   const time_point now = monotonic_clock::now();
   max_request_time_.Add(now - served.arrived, now);
   answer.number = served.call.number;
   answer.load = Load();
   answer.report = Report();
   answer.by_targets = by_kind_[served.kind].callers.IsMadeByTargets();
+  if (served.call.lineage) {
+    answer.lineage = {.makes_calls = by_kind_[served.kind].makes_calls};
+  }
   ++(answer.kind == outcome_kind::kCompleted     ? counters_.completed
      : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
                                                  : counters_.unknown);
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -25,6 +25,7 @@
 #include "include/forward/target_notice.h"
 #include "include/forward/target_vouching.h"
 #include "include/forward/view_state.h"
+#include "include/lineage/running_requests.h"
 #include "include/quarantine/crash_suspects.h"
 #include "include/retry/downstream_failure_rate.h"
 #include "include/route/caller_mix.h"
@@ -138,6 +139,29 @@
                                 double pressure,
                                 time_point now);
 
+  // Which evidence tells the requests that the target's calls are made for.
+  void SetLineagePolicy(lineage_policy policy) { lineage_policy_ = policy; }
+  [[nodiscard]] bool keeps_lineage() const {
+    return lineage_policy_ != lineage_policy::kOff;
+  }
+  // The running request that a call of a local caller is made for, if it is
+  // made by the target. `made_by_targets` tells whether calls on its route are
+  // known to be; deadlines are evidence only then.
+  [[nodiscard]] parent_match FindParent(std::string_view call_id,
+                                        time_point deadline,
+                                        bool made_by_targets);
+  // Receives the keys of idempotent runs, as in parent_match, that ended
+  // without an answer.
+  void OnRunLost(std::function<void(std::uint64_t)> listener) {
+    on_run_lost_ = std::move(listener);
+  }
+  // Calls searched for their parents, by the evidence found.
+  using lineage_counts =
+      std::array<std::uint64_t, kLineageEvidenceNames.size()>;
+  [[nodiscard]] const lineage_counts& lineages() const {
+    return lineage_counts_;
+  }
+
   // A call that the target made has ended.
   void OnTargetCallEnd(bool failed, time_point now) {
     downstream_failures_.Add(failed, now);
@@ -198,6 +222,7 @@
   struct kind_state {
     adaptive_throttle throttle;
     caller_mix callers;
+    bool makes_calls = false;  // Runs of the kind were parents of calls.
     // Of the last call of the kind.
     priority level = priority::kNormal;
     milliseconds objective{0};
@@ -221,6 +246,7 @@
   // started. Returns false if it has neither.
   bool Withdraw(std::uint64_t id);
   void Start(std::uint64_t id);
+  void AddRunning(std::uint64_t id, const served_call& served);
   void OnRunEnd(std::uint64_t id, run_result result);
   void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
   void PublishNotice();
@@ -277,6 +303,10 @@
   std::function<view_state()> view_state_;
   std::function<milliseconds()> view_age_;
   std::function<std::optional<milliseconds>()> store_answered_ago_;
+  lineage_policy lineage_policy_ = lineage_policy::kOff;
+  running_requests running_;  // Empty if the policy is off.
+  lineage_counts lineage_counts_{};
+  std::function<void(std::uint64_t)> on_run_lost_;
   suspects_listener on_suspects_;
   std::function<void(const known_notice&)> on_notice_;
   bool notice_pending_ = false;  // Published by the next Tick().
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -180,6 +180,9 @@
         [this](const suspects_frame& suspects, suspects_source source) {
           suspects_.Publish(suspects, source);
         });
+    executor_.SetLineagePolicy(settings_.call_lineage);
+    executor_.OnRunLost(
+        [this](std::uint64_t parent) { origin_.EndCallsOf(parent); });
     executor_.OnNotice([this](const known_notice& notice) {
       origin_.OnNotice(settings_.target.ip, notice);
       peers_.PublishNotice();
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -150,6 +150,25 @@
         load.answer_bytes);
 }
 
+void AddLineage(const executor::lineage_counts& counts,
+                std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_lineage_calls";
+  family.help =
+      "Requests of local callers and calls of the target, by the evidence of "
+      "the request that they are made for";
+  family.type = MetricType::Counter;
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    ClientMetric metric;
+    metric.label = {{.name = "evidence",
+                     .value = std::string(kLineageEvidenceNames.Name(
+                         static_cast<lineage_evidence>(i)))}};
+    metric.counter.value = static_cast<double>(counts[i]);
+    family.metric.push_back(std::move(metric));
+  }
+  families->push_back(std::move(family));
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -173,6 +192,10 @@
   counter("calls_ended_by_stop",
           "Callers' requests unfinished when the daemon stopped",
           calls.ended_by_stop);
+  counter("calls_ended_with_parent",
+          "Calls of the target cancelled because its run was lost",
+          calls.ended_with_parent);
+  AddLineage(sources.runs.lineages(), &families);
   const executor_counters& runs = sources.runs.counters();
   counter("calls_unauthenticated", "Refused without a valid API key",
           calls.unauthenticated);
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -142,12 +142,17 @@
   placed->deadline = placed->call.received + timeout;
   placed->placing = {
       .method = state.kinds.IndexOf(matched.name),
-      .level = PriorityOfRank(placed->rank),
       .ticket = static_cast<std::uint8_t>(RandomBits32()),
       .objective = matched.latency_objective > milliseconds(0)
                        ? matched.latency_objective
                        : timeout,
       .at_most_once = matched.repeats == repeat_policy::kAtMostOnce};
+  Inherit(placed.get());
+  placed->placing.level = PriorityOfRank(placed->rank);
+  if (placed->parent.parent != parent_match::kNoParent &&
+      matched.repeats == repeat_policy::kIdempotent) {
+    calls_by_parent_.emplace(placed->parent.parent, id);
+  }
   log_.Add(id, name, "routed",
            {{.name = "route", .value = matched.name},
             {.name = "service", .value = placed->service},
@@ -155,6 +160,11 @@
             {.name = "targets", .value = Text(view_->targets_version)},
             {.name = "organisation", .value = placed->organisation},
             {.name = "rank", .value = Text(placed->rank)},
+            {.name = "lineage",
+             .value = std::string(
+                 kLineageEvidenceNames.Name(placed->parent.evidence))},
+            {.name = "root", .value = placed->parent.lineage.root},
+            {.name = "depth", .value = Text(placed->parent.lineage.depth)},
             {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
   if (local_.IsQuarantined(matched.name, placed->call.request,
                            placed->call.received)) {
@@ -168,6 +178,48 @@
   return id;
 }
 
+void origin::Inherit(placed_call* call) {
+  const time_point expiry =
+      call->call.caller_timeout > milliseconds(0)
+          ? call->call.received + call->call.caller_timeout
+          : call->deadline;
+  const bool made_by_targets =
+      StateOf(call->service).made_by_targets.test(call->placing.method);
+  call->parent = local_.FindParent(call->call.id, expiry, made_by_targets);
+  if (call->parent.found()) {
+    call->rank = call->parent.rank;
+    call->ahead = call->parent.has_precedence;
+    call->placing.ticket = call->parent.ticket;
+  }
+}
+
+void origin::EndCallsOf(std::uint64_t parent) {
+  const auto [first, last] = calls_by_parent_.equal_range(parent);
+  std::vector<call_id> ended;
+  for (auto at = first; at != last; ++at) {
+    ended.push_back(at->second);
+  }
+  for (const call_id id : ended) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+      continue;
+    }
+    const call_ptr call = found->second;
+    ++counters_.ended_with_parent;
+    log_.Add(id, call->call.id, "parent_lost",
+             {{.name = "target", .value = call->target_id}});
+    if (call->sending) {
+      call->may_have_run |= !CancelSend(*call);
+      StateOf(call->service)
+          .targets.Finish(call->target, call->placing.method,
+                          call_result::kCancelled, duration(0), nullptr,
+                          monotonic_clock::now());
+    }
+    call->why = reason::kCancelled;
+    FinishWithoutAnswer(id);
+  }
+}
+
 bool origin::CannotMeetDeadline(const placed_call& call, time_point now) {
   return StateOf(call.service)
       .feasibility.IsInfeasible(call.placing.method,
@@ -236,6 +288,17 @@
   return within ? std::max(kMinimum, *within) : milliseconds(0);
 }
 
+std::optional<call_lineage> origin::LineageOf(const placed_call& call) const {
+  if (!local_.keeps_lineage()) {
+    return std::nullopt;
+  }
+  call_lineage lineage = call.parent.found()
+                             ? call.parent.lineage
+                             : call_lineage{.root = call.matched->name};
+  lineage.in_repeat |= call.targets_reached > 0;
+  return lineage;
+}
+
 call_frame origin::FrameOf(const placed_call& call,
                            const target_entry& target,
                            time_point now) const {
@@ -255,7 +318,8 @@
           .caller_service = options_.service,
           .organisation = call.organisation,
           .request_id = call.call.id,
-          .request = call.call.request};
+          .request = call.call.request,
+          .lineage = LineageOf(call)};
 }
 
 void origin::Send(call_id id, const target_entry& target) {
@@ -306,6 +370,10 @@
         .feasibility.OnCompleted(call.placing.method, answer.answer.served,
                                  now);
   }
+  if (answer.heard) {
+    StateOf(call.service)
+        .made_by_targets.set(call.placing.method, answer.answer.by_targets);
+  }
   if (answer.answer.by_targets) {
     call.from_own_target = true;
     local_.UpdateDownstreamPressure(
@@ -503,7 +571,17 @@
   }
   max_request_time_.Add(call->processing_time, now);
   log_.End(id, call->call.id, true);
-  calls_.erase(found);
+  Forget(id, *call);
+}
+
+void origin::Forget(call_id id, const placed_call& call) {
+  const auto [first, last] = calls_by_parent_.equal_range(call.parent.parent);
+  const auto child = std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; });
+  if (child != last) {
+    calls_by_parent_.erase(child);
+  }
+  calls_.erase(id);
 }
 
 void origin::FinishWithoutAnswer(call_id id) {
@@ -528,7 +606,7 @@
 void origin::Finish(call_id id, relayed_result result) {
   const auto found = calls_.find(id);
   const call_ptr call = found->second;
-  calls_.erase(found);
+  Forget(id, *call);
   call->deadline_timer.cancel();
   call->retry_timer.cancel();
   const time_point now = monotonic_clock::now();
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -3,6 +3,7 @@
 // and the deadline allow.
 #pragma once
 
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,7 @@
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
 #include "include/forward/target_notice.h"
+#include "include/lineage/running_requests.h"
 #include "include/organisation/key_check.h"
 #include "include/quota/quota_ledger.h"
 #include "include/retry/repeat_budget.h"
@@ -93,7 +95,8 @@
   std::uint64_t unknown = 0;
   std::uint64_t abandoned = 0;  // The caller disconnected.
   std::uint64_t sent_again = 0;
-  std::uint64_t ended_by_stop = 0;  // Open when the daemon stopped.
+  std::uint64_t ended_by_stop = 0;      // Open when the daemon stopped.
+  std::uint64_t ended_with_parent = 0;  // See origin::EndCallsOf().
   // Included in `not_executed`.
   std::uint64_t unauthenticated = 0;
   std::uint64_t keys_unconfirmed = 0;
@@ -120,6 +123,9 @@
   call_id Submit(relayed_call call, relayed_callback done);
   // Cancels a call whose caller disconnected.
   void Abandon(call_id id);
+  // Cancels the idempotent calls made for a run that is lost; `parent` as in
+  // parent_match.
+  void EndCallsOf(std::uint64_t parent);
 
   // Sends a frame of suspects to the linked daemons in `to`, and removes those
   // with healthy links from `to`.
@@ -180,6 +186,8 @@
     repeat_budget repeats;
     send_feasibility feasibility;
     kind_index kinds;
+    // Kinds that are made by targets, as far as their executors know.
+    std::bitset<kind_index::kMaxKinds> made_by_targets;
   };
 
   struct placed_call {
@@ -211,6 +219,7 @@
     std::uint32_t targets_reached = 0;  // Sends that reached a target.
     bool may_have_run = false;
     bool from_own_target = false;  // Downstream call of the local target.
+    parent_match parent;           // The request that it is made for.
     bool has_failure = false;      // `failure` holds a target's response.
     relayed_response failure;
     reason why = reason::kNone;  // Of the last send without an answer.
@@ -244,11 +253,17 @@
   // it.
   [[nodiscard]] milliseconds StartWithin(const placed_call& call,
                                          time_point now) const;
+  // Lets the call inherit from the request that it is made for, if any.
+  void Inherit(placed_call* call);
   void LogEndedByStop(call_id id, const placed_call& call, time_point now);
   // Authenticates again, then places and sends the call again.
   void Retry(call_id id);
   void PlaceAndSend(call_id id);
   void Send(call_id id, const target_entry& target);
+  // What the receiver's target passes on to its calls; nothing without a
+  // lineage policy.
+  [[nodiscard]] std::optional<call_lineage> LineageOf(
+      const placed_call& call) const;
   [[nodiscard]] call_frame FrameOf(const placed_call& call,
                                    const target_entry& target,
                                    time_point now) const;
@@ -263,6 +278,8 @@
   // Ends the call, or schedules another placement.
   void FinishOrRetryLater(call_id id);
   void RetryLater(call_id id, milliseconds delay);
+  // Removes a call that has ended.
+  void Forget(call_id id, const placed_call& call);
   void Finish(call_id id, relayed_result result);
   void FinishWithoutAnswer(call_id id);
   // Records the wait of an unanswered send as processing time if the link is
@@ -313,6 +330,8 @@
   const std::shared_ptr<std::uint64_t> last_number_ =
       std::make_shared<std::uint64_t>(0);  // Last call number, of all links.
   std::unordered_map<call_id, call_ptr> calls_;
+  // Idempotent calls by the request that they are made for.
+  std::unordered_multimap<std::uint64_t, call_id> calls_by_parent_;
   call_id next_id_ = 1;
   time_point answer_by_ = time_point::max();  // Finite while stopping.
   recent_maximum max_request_time_;
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -2,6 +2,7 @@
 #include "src/peer/peer_frame.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "include/call/msgpack_reader.h"
 #include "src/peer/frame_writer.h"
@@ -13,13 +14,24 @@
 constexpr std::uint32_t kWelcomeFields = 13;
 constexpr std::uint32_t kCallFields = 20;
 constexpr std::uint32_t kCallFieldsWithoutSendTime = 19;
+constexpr std::uint32_t kCallFieldsWithLineage = 24;
 constexpr std::uint32_t kAnswerFields = 22;
+constexpr std::uint32_t kAnswerFieldsWithLineage = 24;
 constexpr std::uint32_t kPongFields = 11;
 constexpr std::uint32_t kProofFields = 3;
 constexpr std::uint32_t kNoticeFields = 4;
 constexpr std::uint32_t kReturnedPingFields = 2;
 // Rates are transmitted in thousandths, plus one; zero for none.
 constexpr double kRateUnits = 1000;
+// Shares are transmitted in thousandths.
+constexpr double kShareUnits = 1000;
+// A root route with a longer name is a broken message, as is a deeper tree.
+constexpr std::size_t kMaxRootLength = 1024;
+constexpr std::uint64_t kMaxDepth = 1000;
+// What every build reads.
+constexpr peer_features kOwnFeatures = static_cast<peer_features>(
+    static_cast<std::uint32_t>(peer_features::kNotices) |
+    static_cast<std::uint32_t>(peer_features::kLineage));
 // More requests a second than any target can be sent.
 constexpr double kMaxRate = 1e9;
 // A deadline further away than this is a broken message.
@@ -60,6 +72,31 @@
   return report;
 }
 
+std::uint32_t ShareUnits(double share) {
+  return static_cast<std::uint32_t>(
+      std::lround(std::clamp(share, 0.0, 1.0) * kShareUnits));
+}
+
+double ReadShare(msgpack_reader& reader) {
+  return static_cast<double>(
+             reader.UnsignedUpTo(static_cast<std::uint64_t>(kShareUnits))) /
+         kShareUnits;
+}
+
+// Nothing if the fields contradict each other.
+std::optional<call_lineage> ReadLineage(msgpack_reader& reader) {
+  call_lineage lineage;
+  lineage.root = reader.String();
+  lineage.depth = static_cast<std::uint32_t>(reader.UnsignedUpTo(kMaxDepth));
+  lineage.in_repeat = reader.Bool();
+  lineage.admitted_share = ReadShare(reader);
+  if (lineage.root.empty() || lineage.root.size() > kMaxRootLength ||
+      lineage.admitted_share <= 0) {
+    return std::nullopt;
+  }
+  return lineage;
+}
+
 milliseconds ReadSendTime(msgpack_reader& reader) {
   return milliseconds(
       reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxSendTime.count())));
@@ -105,7 +142,10 @@
 
 std::string Encode(const call_frame& frame) {
   const bool timed = frame.sent > milliseconds(0);
-  frame_writer writer(timed ? kCallFields : kCallFieldsWithoutSendTime);
+  const bool with_lineage = timed && frame.lineage;
+  frame_writer writer(with_lineage ? kCallFieldsWithLineage
+                      : timed      ? kCallFields
+                                   : kCallFieldsWithoutSendTime);
   writer.Put(frame.number)
       .Put(frame.settled_below)
       .Put(frame.target_id)
@@ -128,12 +168,18 @@
   if (timed) {
     writer.Put(frame.sent);
   }
+  if (with_lineage) {
+    writer.Put(frame.lineage->root)
+        .Put(frame.lineage->depth)
+        .Put(frame.lineage->in_repeat)
+        .Put(std::max(1U, ShareUnits(frame.lineage->admitted_share)));
+  }
   return writer.Finish(frame_kind::kCall);
 }
 
 std::string Encode(const answer_frame& frame) {
-  return frame_writer(kAnswerFields)
-      .Put(frame.number)
+  frame_writer writer(frame.lineage ? kAnswerFieldsWithLineage : kAnswerFields);
+  writer.Put(frame.number)
       .Put(static_cast<std::uint32_t>(frame.kind))
       .Put(static_cast<std::uint32_t>(frame.why))
       .Put(frame.retry_after)
@@ -146,8 +192,12 @@
       .Put(frame.by_targets)
       .Put(frame.failed_below)
       .Put(frame.queued)
-      .Put(frame.served)
-      .Finish(frame_kind::kAnswer);
+      .Put(frame.served);
+  if (frame.lineage) {
+    writer.Put(ShareUnits(frame.lineage->entrance_share))
+        .Put(frame.lineage->makes_calls);
+  }
+  return writer.Finish(frame_kind::kAnswer);
 }
 
 std::string Encode(const pong_frame& frame, frame_kind kind) {
@@ -198,7 +248,7 @@
 std::string EncodeReturnedPing(milliseconds sent) {
   return frame_writer(kReturnedPingFields)
       .Put(sent)
-      .Put(static_cast<std::uint32_t>(peer_features::kNotices))
+      .Put(static_cast<std::uint32_t>(kOwnFeatures))
       .Finish(frame_kind::kPing);
 }
 
@@ -249,7 +299,7 @@
 }
 
 std::optional<call_frame> DecodeCallFrame(std::string_view payload) {
-  auto reader = msgpack_reader::UpTo(payload, kCallFields);
+  auto reader = msgpack_reader::UpTo(payload, kCallFieldsWithLineage);
   if (!reader.ok() || reader.size() < kCallFieldsWithoutSendTime) {
     return std::nullopt;
   }
@@ -274,9 +324,12 @@
   frame.request.target = reader.String();
   frame.request.header_block = reader.String();
   frame.request.body = reader.String();
-  if (reader.size() == kCallFields) {
+  if (reader.size() >= kCallFields) {
     frame.sent = ReadSendTime(reader);
   }
+  if (reader.size() == kCallFieldsWithLineage) {
+    frame.lineage = ReadLineage(reader);
+  }
   if (!reader.ok() || !repeats) {
     return std::nullopt;
   }
@@ -285,7 +338,10 @@
 }
 
 std::optional<answer_frame> DecodeAnswerFrame(std::string_view payload) {
-  msgpack_reader reader(payload, kAnswerFields);
+  auto reader = msgpack_reader::UpTo(payload, kAnswerFieldsWithLineage);
+  if (!reader.ok() || reader.size() < kAnswerFields) {
+    return std::nullopt;
+  }
   answer_frame frame;
   frame.number = reader.Unsigned();
   const auto kind =
@@ -302,6 +358,12 @@
   frame.failed_below = reader.Bool();
   frame.queued = ReadMicroseconds(reader);
   frame.served = ReadMicroseconds(reader);
+  if (reader.size() == kAnswerFieldsWithLineage) {
+    lineage_result lineage;
+    lineage.entrance_share = ReadShare(reader);
+    lineage.makes_calls = reader.Bool();
+    frame.lineage = lineage;
+  }
   if (!reader.ok() || !kind || !why) {
     return std::nullopt;
   }
@@ -385,10 +447,8 @@
     return peer_features::kNone;
   }
   reader.Skip();
-  const std::uint32_t features = reader.Unsigned32();
-  constexpr auto kNotices = static_cast<std::uint32_t>(peer_features::kNotices);
-  return reader.ok() && (features & kNotices) != 0 ? peer_features::kNotices
-                                                   : peer_features::kNone;
+  const auto features = static_cast<peer_features>(reader.Unsigned32());
+  return reader.ok() ? features : peer_features::kNone;
 }
 
 std::optional<known_notice> DecodeNotice(std::string_view payload) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -19,6 +19,7 @@
 #include "include/base/time.h"
 #include "include/forward/target_notice.h"
 #include "include/forward/view_freshness.h"
+#include "include/lineage/call_lineage.h"
 #include "include/quarantine/quarantine.h"
 #include "include/route/route_table.h"
 #include "src/net/relayed_message.h"
@@ -120,6 +121,8 @@
   std::string organisation;  // Whose key the caller gave; may be empty.
   std::string request_id;
   relayed_request request;
+  // Transmitted only to receivers that are known to read it.
+  std::optional<call_lineage> lineage;
 };
 
 // The sender's clock, for transit_time.
@@ -127,6 +130,15 @@
 // Subtracts `waited` from the times of a call.
 void Elapse(milliseconds waited, call_frame* call);
 
+// Additional result of a call with a lineage.
+struct lineage_result {
+  // Share of requests of the root's kind that the services from here on have
+  // capacity for; from 0 to 1.
+  double entrance_share = 1;
+  // Runs of this kind make calls, as far as the target's daemon knows.
+  bool makes_calls = false;
+};
+
 struct answer_frame {
   std::uint64_t number = 0;
   outcome_kind kind = outcome_kind::kUnknown;
@@ -143,8 +155,9 @@
   // The target failed, and calls that it makes fail often: another target would
   // fail alike.
   bool failed_below = false;
-  microseconds queued{0};  // Time in the queue.
-  microseconds served{0};  // Time at the target.
+  microseconds queued{0};                 // Time in the queue.
+  microseconds served{0};                 // Time at the target.
+  std::optional<lineage_result> lineage;  // Only if the call had a lineage.
 };
 
 struct pong_frame {
@@ -159,7 +172,16 @@
 };
 
 // Frames that a daemon reads besides those of kPeerProtocolVersion, as bits.
-enum class peer_features : std::uint32_t { kNone = 0, kNotices = 1 };
+enum class peer_features : std::uint32_t {
+  kNone = 0,
+  kNotices = 1,
+  kLineage = 2,  // call_frame::lineage.
+};
+
+[[nodiscard]] constexpr bool Has(peer_features features, peer_features wanted) {
+  return (static_cast<std::uint32_t>(features) &
+          static_cast<std::uint32_t>(wanted)) != 0;
+}
 
 struct suspects_frame {
   std::vector<quarantine_entry> entries;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -125,6 +125,9 @@
   Elapse(waited, &record.call);
   record.call.sent =
       reads_send_time_ ? SendTime(boot_clock::now()) : milliseconds(0);
+  if (!Has(features_, peer_features::kLineage)) {
+    record.call.lineage.reset();
+  }
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
   record.sent_at = now;
@@ -365,7 +368,8 @@
     case frame_kind::kPing:
       if (stream == current_) {
         reads_send_time_ = true;
-        if (DecodeReturnedPing(frame.payload) == peer_features::kNotices) {
+        features_ = DecodeReturnedPing(frame.payload);
+        if (Has(features_, peer_features::kNotices)) {
           SendNotice();
         }
         Resume();
@@ -462,6 +466,7 @@
   }
   current_ = std::exchange(candidate_, nullptr);
   reads_send_time_ = false;
+  features_ = peer_features::kNone;
   Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
   events_.on_leaving(welcome.leaving);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -205,7 +205,8 @@
   std::deque<std::uint64_t> unsent_cancels_;
   stream_ptr current_;            // Welcomed, or nullptr.
   bool reads_send_time_ = false;  // The peer of `current_` does.
-  stream_ptr candidate_;          // Connected, not welcomed yet.
+  peer_features features_ = peer_features::kNone;  // Likewise.
+  stream_ptr candidate_;  // Connected, not welcomed yet.
   socket_ptr connecting_;
   std::uint64_t connect_attempt_ = 0;
   incarnation_id welcomed_{};  // Of the last welcome.
