Running requests: runs with one id are ambiguous, deadlines side by side

Of several runs with one id the last was taken as the parent, so that a caller who reuses the id of an important request gave its rank to the calls of an unimportant one. Their calls now get the least important rank. The id of a run also stayed unknown once another run with it had ended.

A search by deadline visited one tree node and one hash bucket for each running request. The facts it needs are now side by side in order of deadlines. The table can't be copied, as a copy would point into the original.

The unused running_request::is_idempotent is gone.

--- a/include/lineage/running_requests.h
+++ b/include/lineage/running_requests.h
@@ -4,10 +4,10 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "include/base/time.h"
 #include "include/lineage/call_lineage.h"
@@ -20,7 +20,6 @@
   std::uint32_t rank = 0;
   bool has_precedence = false;
   std::uint8_t ticket = 0;
-  bool is_idempotent = false;
   call_lineage lineage;
 };
 
@@ -57,12 +56,22 @@
   static constexpr std::size_t kMaxIdLength = 256;
   static constexpr std::size_t kMaxSeparators = 16;
 
+  running_requests() = default;
+  // A copy would point into the original.
+  running_requests(const running_requests&) = delete;
+  running_requests& operator=(const running_requests&) = delete;
+  running_requests(running_requests&&) = default;
+  running_requests& operator=(running_requests&&) = default;
+  ~running_requests() = default;
+
   // `key` identifies the request until Erase(), and isn't kNoParent.
   void Insert(std::uint64_t key, running_request request);
   void Erase(std::uint64_t key);
 
   // The running request whose id, followed by a dot, begins `call_id`; the
-  // longest of several. Targets number their calls this way.
+  // longest of several ids. Targets number their calls this way. Several runs
+  // with one id, as of a request that was sent twice or whose caller reuses
+  // ids, are ambiguous.
   [[nodiscard]] parent_match FindById(std::string_view call_id) const;
   // By the deadline of a call that is known to be made by targets.
   [[nodiscard]] parent_match FindByDeadline(time_point deadline) const;
@@ -71,18 +80,37 @@
   [[nodiscard]] std::size_t size() const { return requests_.size(); }
 
  private:
-  using deadline_map = std::multimap<time_point, std::uint64_t>;
-
-  [[nodiscard]] parent_match MatchOf(std::uint64_t key,
-                                     lineage_evidence evidence) const;
-  // What all of the requests in [first, last) have.
-  [[nodiscard]] parent_match Common(deadline_map::const_iterator first,
-                                    deadline_map::const_iterator last) const;
-
-  std::unordered_map<std::uint64_t, running_request> requests_;
-  // The views point into `requests_`. Of several runs with one id, the last.
-  std::unordered_map<std::string_view, std::uint64_t> by_id_;
-  deadline_map by_deadline_;
+  using request_map = std::unordered_map<std::uint64_t, running_request>;
+  using entry = request_map::value_type;  // Its address is stable.
+
+  // What a search by deadline reads of each request, side by side: it may pass
+  // over all of them for each call.
+  struct deadline_entry {
+    time_point deadline;
+    const entry* request = nullptr;
+    std::uint32_t rank = 0;
+    bool has_precedence = false;
+    bool in_repeat = false;
+  };
+
+  // What all of several possible parents have.
+  struct common_facts {
+    const entry* least = nullptr;  // First of the least important ones.
+    bool has_precedence = true;
+    bool in_repeat = false;
+
+    void Add(const deadline_entry& other);
+    [[nodiscard]] parent_match Match() const;
+  };
+
+  [[nodiscard]] static deadline_entry EntryOf(const entry& request);
+  [[nodiscard]] static parent_match MatchOf(const entry& request,
+                                            lineage_evidence evidence);
+
+  request_map requests_;
+  // The views point into `requests_`, each to the id of its own request.
+  std::unordered_multimap<std::string_view, const entry*> by_id_;
+  std::vector<deadline_entry> by_deadline_;  // In order of the deadlines.
 };
 
 }  // namespace pistachioweir
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -405,7 +405,6 @@
            .rank = call.rank,
            .has_precedence = call.ahead,
            .ticket = call.ticket,
-           .is_idempotent = call.repeats == repeat_policy::kIdempotent,
            .lineage = call.lineage.value_or(call_lineage{.root = call.route})});
 }
 
--- a/src/lineage/running_requests.cc
+++ b/src/lineage/running_requests.cc
@@ -9,14 +9,13 @@
 
 void running_requests::Insert(std::uint64_t key, running_request request) {
   Erase(key);
-  const auto [at, inserted] = requests_.emplace(key, std::move(request));
-  const running_request& stored = at->second;
-  if (!stored.id.empty()) {
-    // The view of an earlier run with this id would outlive its string.
-    by_id_.erase(stored.id);
-    by_id_.emplace(stored.id, key);
+  const entry& stored = *requests_.emplace(key, std::move(request)).first;
+  if (!stored.second.id.empty()) {
+    by_id_.emplace(stored.second.id, &stored);
   }
-  by_deadline_.emplace(stored.deadline, key);
+  const auto at = std::ranges::upper_bound(by_deadline_, stored.second.deadline,
+                                           {}, &deadline_entry::deadline);
+  by_deadline_.insert(at, EntryOf(stored));
 }
 
 void running_requests::Erase(std::uint64_t key) {
@@ -24,13 +23,18 @@
   if (found == requests_.end()) {
     return;
   }
-  const auto named = by_id_.find(found->second.id);
-  if (named != by_id_.end() && named->second == key) {
+  const entry* const request = &*found;
+  const auto [first_named, last_named] = by_id_.equal_range(request->second.id);
+  const auto named =
+      std::find_if(first_named, last_named,
+                   [&](const auto& each) { return each.second == request; });
+  if (named != last_named) {
     by_id_.erase(named);
   }
-  const auto [first, last] = by_deadline_.equal_range(found->second.deadline);
-  by_deadline_.erase(std::find_if(
-      first, last, [&](const auto& entry) { return entry.second == key; }));
+  const auto same = std::ranges::equal_range(
+      by_deadline_, request->second.deadline, {}, &deadline_entry::deadline);
+  by_deadline_.erase(
+      std::ranges::find(same, request, &deadline_entry::request));
   requests_.erase(found);
 }
 
@@ -39,11 +43,20 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
-parent_match running_requests::MatchOf(std::uint64_t key,
-                                       lineage_evidence evidence) const {
-  const running_request& parent = requests_.at(key);
+running_requests::deadline_entry running_requests::EntryOf(
+    const entry& request) {
+  return {.deadline = request.second.deadline,
+          .request = &request,
+          .rank = request.second.rank,
+          .has_precedence = request.second.has_precedence,
+          .in_repeat = request.second.lineage.in_repeat};
+}
+
+parent_match running_requests::MatchOf(const entry& request,
+                                       lineage_evidence evidence) {
+  const running_request& parent = request.second;
   parent_match match{.evidence = evidence,
-                     .parent = key,
+                     .parent = request.first,
                      .rank = parent.rank,
                      .has_precedence = parent.has_precedence,
                      .ticket = parent.ticket,
@@ -52,57 +65,68 @@
   return match;
 }
 
+void running_requests::common_facts::Add(const deadline_entry& other) {
+  if (least == nullptr || other.rank > least->second.rank) {
+    least = other.request;
+  }
+  has_precedence &= other.has_precedence;
+  in_repeat |= other.in_repeat;
+}
+
+parent_match running_requests::common_facts::Match() const {
+  if (least == nullptr) {
+    return {};
+  }
+  parent_match match = MatchOf(*least, lineage_evidence::kAmbiguous);
+  match.parent = parent_match::kNoParent;
+  match.has_precedence = has_precedence;
+  match.lineage.in_repeat = in_repeat;
+  return match;
+}
+
 parent_match running_requests::FindById(std::string_view call_id) const {
   if (call_id.size() > kMaxIdLength ||
       static_cast<std::size_t>(std::ranges::count(call_id, '.')) >
           kMaxSeparators) {
     return {};
   }
-  for (std::size_t dot = call_id.rfind('.'); dot != std::string_view::npos;
+  for (std::size_t dot = call_id.rfind('.');
+       dot != std::string_view::npos && dot > 0;
        dot = call_id.rfind('.', dot - 1)) {
-    const auto found = by_id_.find(call_id.substr(0, dot));
-    if (found != by_id_.end()) {
-      return MatchOf(found->second, lineage_evidence::kRequestId);
+    const auto [first, last] = by_id_.equal_range(call_id.substr(0, dot));
+    if (first == last) {
+      continue;
+    }
+    if (std::next(first) == last) {
+      return MatchOf(*first->second, lineage_evidence::kRequestId);
     }
-    if (dot == 0) {
-      break;
+    common_facts common;
+    for (auto at = first; at != last; ++at) {
+      common.Add(EntryOf(*at->second));
     }
+    return common.Match();
   }
   return {};
 }
 
 parent_match running_requests::FindByDeadline(time_point deadline) const {
-  const auto first = by_deadline_.lower_bound(deadline - kDeadlineTolerance);
-  const auto last = by_deadline_.upper_bound(deadline + kDeadlineTolerance);
-  if (first == last) {
-    // The call's own timeout is shorter than what its parent has left.
-    return Common(last, by_deadline_.end());
+  const auto begin =
+      std::ranges::lower_bound(by_deadline_, deadline - kDeadlineTolerance, {},
+                               &deadline_entry::deadline);
+  auto end =
+      std::ranges::upper_bound(by_deadline_, deadline + kDeadlineTolerance, {},
+                               &deadline_entry::deadline);
+  if (end - begin == 1) {
+    return MatchOf(*begin->request, lineage_evidence::kDeadline);
   }
-  return std::next(first) == last
-             ? MatchOf(first->second, lineage_evidence::kDeadline)
-             : Common(first, last);
-}
-
-parent_match running_requests::Common(deadline_map::const_iterator first,
-                                      deadline_map::const_iterator last) const {
-  if (first == last) {
-    return {};
-  }
-  parent_match common = MatchOf(first->second, lineage_evidence::kAmbiguous);
-  common.parent = parent_match::kNoParent;
-  for (auto at = std::next(first); at != last; ++at) {
-    const running_request& other = requests_.at(at->second);
-    common.lineage.in_repeat |= other.lineage.in_repeat;
-    common.has_precedence &= other.has_precedence;
-    if (other.rank > common.rank) {
-      common.rank = other.rank;
-      common.ticket = other.ticket;
-      common.lineage.root = other.lineage.root;
-      common.lineage.depth = other.lineage.depth + 1;
-      common.lineage.admitted_share = other.lineage.admitted_share;
-    }
+  if (begin == end) {
+    // The call's own timeout is shorter than what its parent has left.
+    end = by_deadline_.end();
   }
-  return common;
+  common_facts common;
+  std::for_each(begin, end,
+                [&](const deadline_entry& each) { common.Add(each); });
+  return common.Match();
 }
 
 }  // namespace pistachioweir
