Frames: an unreadable lineage costs the lineage, not the connection

A lineage field out of range, of another type or missing made the whole frame unreadable, which ends the connection with all calls on it, or loses an answer. A tree deeper than 1000 did that without any broken sender, as each hop adds one to the depth. These fields are now read last; if they can't be read, or a root is on another route than its call, the frame is taken without them and says so.

--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -25,7 +25,7 @@
 constexpr double kRateUnits = 1000;
 // Shares are transmitted in thousandths.
 constexpr double kShareUnits = 1000;
-// A root route with a longer name is a broken message, as is a deeper tree.
+// A lineage with a longer name or a deeper tree is not read.
 constexpr std::size_t kMaxRootLength = 1024;
 constexpr std::uint64_t kMaxDepth = 1000;
 // What every build reads.
@@ -83,20 +83,31 @@
          kShareUnits;
 }
 
-// Nothing if the fields contradict each other.
-std::optional<call_lineage> ReadLineage(msgpack_reader& reader) {
+// Nothing if a field is missing, out of range or contradicts another one, as a
+// root on another route than its request's does.
+std::optional<call_lineage> ReadLineage(msgpack_reader& reader,
+                                        const std::string& route) {
   call_lineage lineage;
   lineage.root = reader.String();
   lineage.depth = static_cast<std::uint32_t>(reader.UnsignedUpTo(kMaxDepth));
   lineage.in_repeat = reader.Bool();
   lineage.admitted_share = ReadShare(reader);
-  if (lineage.root.empty() || lineage.root.size() > kMaxRootLength ||
-      lineage.admitted_share <= 0) {
+  if (!reader.ok() || lineage.root.empty() ||
+      lineage.root.size() > kMaxRootLength || lineage.admitted_share <= 0 ||
+      (lineage.depth == 0 && lineage.root != route)) {
     return std::nullopt;
   }
   return lineage;
 }
 
+// Nothing if a field is missing or out of range.
+std::optional<lineage_result> ReadLineageResult(msgpack_reader& reader) {
+  lineage_result result;
+  result.entrance_share = ReadShare(reader);
+  result.makes_calls = reader.Bool();
+  return reader.ok() ? std::optional(result) : std::nullopt;
+}
+
 milliseconds ReadSendTime(msgpack_reader& reader) {
   return milliseconds(
       reader.UnsignedUpTo(static_cast<std::uint64_t>(kMaxSendTime.count())));
@@ -327,13 +338,15 @@
   if (reader.size() >= kCallFields) {
     frame.sent = ReadSendTime(reader);
   }
-  if (reader.size() == kCallFieldsWithLineage) {
-    frame.lineage = ReadLineage(reader);
-  }
   if (!reader.ok() || !repeats) {
     return std::nullopt;
   }
   frame.repeats = *repeats;
+  // Read last: without it the call is served like that of an older build.
+  if (reader.size() > kCallFields) {
+    frame.lineage = ReadLineage(reader, frame.route);
+    frame.lineage_unreadable = !frame.lineage;
+  }
   return frame;
 }
 
@@ -358,15 +371,13 @@
   frame.failed_below = reader.Bool();
   frame.queued = ReadMicroseconds(reader);
   frame.served = ReadMicroseconds(reader);
-  if (reader.size() == kAnswerFieldsWithLineage) {
-    lineage_result lineage;
-    lineage.entrance_share = ReadShare(reader);
-    lineage.makes_calls = reader.Bool();
-    frame.lineage = lineage;
-  }
   if (!reader.ok() || !kind || !why) {
     return std::nullopt;
   }
+  if (reader.size() > kAnswerFields) {
+    frame.lineage = ReadLineageResult(reader);
+    frame.lineage_unreadable = !frame.lineage;
+  }
   frame.kind = *kind;
   frame.why = *why;
   return frame;
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -123,6 +123,7 @@
   relayed_request request;
   // Transmitted only to receivers that are known to read it.
   std::optional<call_lineage> lineage;
+  bool lineage_unreadable = false;  // Received, but ignored.
 };
 
 // The sender's clock, for transit_time.
@@ -158,6 +159,7 @@
   microseconds queued{0};                 // Time in the queue.
   microseconds served{0};                 // Time at the target.
   std::optional<lineage_result> lineage;  // Only if the call had a lineage.
+  bool lineage_unreadable = false;        // Received, but ignored.
 };
 
 struct pong_frame {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -593,6 +593,117 @@
   EXPECT_EQ(decoded->request_id, "a");
 }
 
+call_frame CallWithLineage(call_lineage lineage) {
+  call_frame call = CallNamed("a");
+  call.sent = milliseconds(12345);
+  call.lineage = std::move(lineage);
+  return call;
+}
+
+std::string PayloadOf(const std::string& frame) {
+  return frame.substr(kFrameHeadBytes);
+}
+
+// The payload with a shorter array, as if its last `fields` one-byte fields
+// hadn't been sent.
+std::string WithoutLast(std::string payload, std::size_t fields) {
+  payload[2] = static_cast<char>(payload[2] - fields);
+  payload.resize(payload.size() - fields);
+  return payload;
+}
+
+// Guards against lineages that change on their way, and against older builds'
+// calls without one being refused.
+TEST(CallFrameTest, CarriesALineageOnlyIfThereIsOne) {
+  const call_lineage lineage{
+      .root = "order", .depth = 3, .in_repeat = true, .admitted_share = 0.25};
+  call_frame call = CallWithLineage(lineage);
+  const auto decoded = DecodeCallFrame(PayloadOf(Encode(call)));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->lineage, lineage);
+  EXPECT_FALSE(decoded->lineage_unreadable);
+  call.lineage->admitted_share = 0.0001;
+  EXPECT_GT(DecodeCallFrame(PayloadOf(Encode(call)))->lineage->admitted_share,
+            0);
+  for (const bool timed : {true, false}) {
+    call = CallNamed("a");
+    call.sent = milliseconds(timed ? 12345 : 0);
+    const auto older = DecodeCallFrame(PayloadOf(Encode(call)));
+    ASSERT_TRUE(older);
+    EXPECT_FALSE(older->lineage);
+    EXPECT_FALSE(older->lineage_unreadable);
+  }
+}
+
+// A field that makes no sense must cost the call its lineage only. Guards
+// against the end of the connection, which all calls on it would share.
+TEST(CallFrameTest, AnUnreadableLineageIsIgnoredAndReported) {
+  const auto expect_ignored = [](const std::string& payload, int which) {
+    const auto decoded = DecodeCallFrame(payload);
+    ASSERT_TRUE(decoded) << which;
+    EXPECT_FALSE(decoded->lineage) << which;
+    EXPECT_TRUE(decoded->lineage_unreadable) << which;
+    EXPECT_EQ(decoded->request_id, "a") << which;
+  };
+  int which = 0;
+  for (const call_lineage& broken :
+       {call_lineage{.root = "", .depth = 1},
+        call_lineage{.root = std::string(2000, 'r'), .depth = 1},
+        call_lineage{.root = "order", .depth = 1001},
+        // The root itself is on its own route.
+        call_lineage{.root = "order", .depth = 0}}) {
+    expect_ignored(PayloadOf(Encode(CallWithLineage(broken))), ++which);
+  }
+  // The last byte is the share: 1, 0 and no number.
+  std::string payload = PayloadOf(Encode(
+      CallWithLineage({.root = "order", .depth = 1, .admitted_share = 0.001})));
+  EXPECT_TRUE(DecodeCallFrame(payload)->lineage);
+  expect_ignored(WithoutLast(payload, 1), ++which);
+  expect_ignored(WithoutLast(payload, 2), ++which);
+  for (const char last : {'\x00', '\xc0'}) {
+    payload.back() = last;
+    expect_ignored(payload, ++which);
+  }
+}
+
+// The same for answers: a result that is dropped would make the run unknown.
+TEST(AnswerFrameTest, AnUnreadableLineageIsIgnoredAndReported) {
+  answer_frame answer{.number = 5, .kind = outcome_kind::kCompleted};
+  const auto without = DecodeAnswerFrame(PayloadOf(Encode(answer)));
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(without->lineage);
+  EXPECT_FALSE(without->lineage_unreadable);
+  answer.lineage = {.entrance_share = 0.001, .makes_calls = true};
+  std::string payload = PayloadOf(Encode(answer));
+  const auto with = DecodeAnswerFrame(payload);
+  ASSERT_TRUE(with && with->lineage);
+  EXPECT_EQ(with->lineage->entrance_share, 0.001);
+  EXPECT_TRUE(with->lineage->makes_calls);
+  for (const bool cut : {true, false}) {
+    std::string broken = cut ? WithoutLast(payload, 1) : payload;
+    broken.back() = '\x07';
+    const auto decoded = DecodeAnswerFrame(broken);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->number, 5U);
+    EXPECT_FALSE(decoded->lineage);
+    EXPECT_TRUE(decoded->lineage_unreadable);
+  }
+}
+
+// Guards against lineages sent to builds that refuse them, and against notices
+// that are no longer sent since the bits are several.
+TEST(PingFrameTest, AReturnedPingTellsWhatTheBuildReads) {
+  const peer_features own =
+      DecodeReturnedPing(PayloadOf(EncodeReturnedPing(milliseconds(12345))));
+  EXPECT_TRUE(Has(own, peer_features::kNotices));
+  EXPECT_TRUE(Has(own, peer_features::kLineage));
+  // An older build's features are its last field.
+  std::string older = PayloadOf(EncodeReturnedPing(milliseconds(12345)));
+  older.back() = '\x01';
+  EXPECT_TRUE(Has(DecodeReturnedPing(older), peer_features::kNotices));
+  EXPECT_FALSE(Has(DecodeReturnedPing(older), peer_features::kLineage));
+}
+
 TEST(PingFrameTest, APingOfAnOlderBuildHasNoTime) {
   const std::string older = EncodeEmpty(frame_kind::kPing);
   EXPECT_FALSE(DecodePing(std::string_view(older).substr(kFrameHeadBytes)));
