Lineage: calls of a lost run end outside of the run's end

A lost run ended its calls at once, within executor::OnRunEnd. While a daemon stops, origin::EndOpenCalls ends calls from a list; ending a request whose run is cancelled at the own target then also ended its calls, which the list still named. The end is now posted.

Also: an ended call is no failure of the called service, and its wait is recorded, as for callers that disconnect; a refusal by a daemon that doesn't know the call no longer marks its route as made by outside callers; routed names the parent, and has the new fields only with a policy; without one Inherit() returns at once; ignored lineages are counted (lineages_unreadable).

--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -271,6 +271,7 @@
   served.kind = kinds_.IndexOf(served.call.route);
   served.objective = now + served.call.objective_left;
   served.fingerprint = FingerprintOf(served.call.route, served.call.request);
+  counters_.lineages_unreadable += served.call.lineage_unreadable ? 1 : 0;
   log_.Add(id, served.call.request_id, "executor_received",
            {{.name = "route", .value = served.call.route},
             {.name = "target", .value = served.call.target_id},
@@ -512,8 +513,10 @@
                         IsServerError(answer.response.status) &&
                         downstream_failures_.IsTooHigh(now);
   Answer(id, std::move(answer));
-  if (lost && on_run_lost_) {
-    on_run_lost_(id);
+  if (lost && on_run_lost_ && keeps_lineage()) {
+    // Posted: cancelling the run's calls may end other runs here, and this run
+    // may itself be ending because origin cancels its call.
+    boost::asio::post(wakeup_.get_executor(), [this, id] { on_run_lost_(id); });
   }
   ProcessAdmissionEvents();
 }
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -52,7 +52,8 @@
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  // Not executed, for any reason.
   std::uint64_t unknown = 0;
-  std::uint64_t ended_by_stop = 0;  // While the target was running them.
+  std::uint64_t ended_by_stop = 0;        // While the target was running them.
+  std::uint64_t lineages_unreadable = 0;  // See call_frame.
 };
 
 // Used on its context's thread only. Owns the admission state and every call
@@ -150,8 +151,12 @@
   [[nodiscard]] parent_match FindParent(std::string_view call_id,
                                         time_point deadline,
                                         bool made_by_targets);
+  // A request that FindParent() found; nullptr if it has ended.
+  [[nodiscard]] const running_request* FindRunning(std::uint64_t key) const {
+    return running_.Find(key);
+  }
   // Receives the keys of idempotent runs, as in parent_match, that ended
-  // without an answer.
+  // without an answer; later, not while the run ends.
   void OnRunLost(std::function<void(std::uint64_t)> listener) {
     on_run_lost_ = std::move(listener);
   }
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -197,6 +197,9 @@
           calls.ended_with_parent);
   AddLineage(sources.runs.lineages(), &families);
   const executor_counters& runs = sources.runs.counters();
+  counter("lineages_unreadable",
+          "Lineages from other daemons that were ignored",
+          calls.lineages_unreadable + runs.lineages_unreadable);
   counter("calls_unauthenticated", "Refused without a valid API key",
           calls.unauthenticated);
   counter("calls_keys_unconfirmed",
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -153,19 +153,7 @@
       matched.repeats == repeat_policy::kIdempotent) {
     calls_by_parent_.emplace(placed->parent.parent, id);
   }
-  log_.Add(id, name, "routed",
-           {{.name = "route", .value = matched.name},
-            {.name = "service", .value = placed->service},
-            {.name = "config", .value = Text(view_->config->version)},
-            {.name = "targets", .value = Text(view_->targets_version)},
-            {.name = "organisation", .value = placed->organisation},
-            {.name = "rank", .value = Text(placed->rank)},
-            {.name = "lineage",
-             .value = std::string(
-                 kLineageEvidenceNames.Name(placed->parent.evidence))},
-            {.name = "root", .value = placed->parent.lineage.root},
-            {.name = "depth", .value = Text(placed->parent.lineage.depth)},
-            {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
+  LogRouted(id, *placed);
   if (local_.IsQuarantined(matched.name, placed->call.request,
                            placed->call.received)) {
     Finish(id, {.kind = outcome_kind::kNotExecuted,
@@ -178,7 +166,40 @@
   return id;
 }
 
+void origin::LogRouted(call_id id, const placed_call& call) {
+  const milliseconds timeout =
+      ToMilliseconds(call.deadline - call.call.received);
+  const auto add = [&](auto... more) {
+    log_.Add(
+        id, call.call.id, "routed",
+        {{.name = "route", .value = call.matched->name},
+         {.name = "service", .value = call.service},
+         {.name = "config", .value = Text(view_->config->version)},
+         {.name = "targets", .value = Text(view_->targets_version)},
+         {.name = "organisation", .value = call.organisation},
+         {.name = "rank", .value = Text(call.rank)},
+         std::move(more)...,
+         {.name = "timeout_ms", .value = std::to_string(timeout.count())}});
+  };
+  if (!local_.keeps_lineage()) {
+    add();
+    return;
+  }
+  const parent_match& match = call.parent;
+  const running_request* const parent = local_.FindRunning(match.parent);
+  add(log_field{.name = "lineage",
+                .value =
+                    std::string(kLineageEvidenceNames.Name(match.evidence))},
+      log_field{.name = "parent",
+                .value = parent == nullptr ? std::string() : parent->id},
+      log_field{.name = "root", .value = match.lineage.root},
+      log_field{.name = "depth", .value = Text(match.lineage.depth)});
+}
+
 void origin::Inherit(placed_call* call) {
+  if (!local_.keeps_lineage()) {
+    return;
+  }
   const time_point expiry =
       call->call.caller_timeout > milliseconds(0)
           ? call->call.received + call->call.caller_timeout
@@ -195,11 +216,12 @@
 
 void origin::EndCallsOf(std::uint64_t parent) {
   const auto [first, last] = calls_by_parent_.equal_range(parent);
-  std::vector<call_id> ended;
+  std::vector<call_id> calls;
   for (auto at = first; at != last; ++at) {
-    ended.push_back(at->second);
+    calls.push_back(at->second);
   }
-  for (const call_id id : ended) {
+  for (const call_id id : calls) {
+    // The end of another one may have ended it.
     const auto found = calls_.find(id);
     if (found == calls_.end()) {
       continue;
@@ -208,13 +230,9 @@
     ++counters_.ended_with_parent;
     log_.Add(id, call->call.id, "parent_lost",
              {{.name = "target", .value = call->target_id}});
-    if (call->sending) {
-      call->may_have_run |= !CancelSend(*call);
-      StateOf(call->service)
-          .targets.Finish(call->target, call->placing.method,
-                          call_result::kCancelled, duration(0), nullptr,
-                          monotonic_clock::now());
-    }
+    StopSend(*call, monotonic_clock::now());
+    // Says nothing about the called service.
+    call->from_own_target = false;
     call->why = reason::kCancelled;
     FinishWithoutAnswer(id);
   }
@@ -370,10 +388,12 @@
         .feasibility.OnCompleted(call.placing.method, answer.answer.served,
                                  now);
   }
-  if (answer.heard) {
+  // Not by refusals: those of a daemon that doesn't know the call don't tell.
+  if (answer.answer.kind == outcome_kind::kCompleted) {
     StateOf(call.service)
         .made_by_targets.set(call.placing.method, answer.answer.by_targets);
   }
+  counters_.lineages_unreadable += answer.answer.lineage_unreadable ? 1 : 0;
   if (answer.answer.by_targets) {
     call.from_own_target = true;
     local_.UpdateDownstreamPressure(
@@ -552,6 +572,17 @@
   return false;
 }
 
+void origin::StopSend(placed_call& call, time_point now) {
+  if (!call.sending) {
+    return;
+  }
+  RecordWait(call, now);
+  call.may_have_run |= !CancelSend(call);
+  StateOf(call.service)
+      .targets.Finish(call.target, call.placing.method, call_result::kCancelled,
+                      duration(0), nullptr, now);
+}
+
 void origin::Abandon(call_id id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
@@ -562,13 +593,7 @@
   log_.Add(id, call->call.id, "caller_gone",
            {{.name = "target", .value = call->target_id}});
   const time_point now = monotonic_clock::now();
-  if (call->sending) {
-    RecordWait(*call, now);
-    CancelSend(*call);
-    StateOf(call->service)
-        .targets.Finish(call->target, call->placing.method,
-                        call_result::kCancelled, duration(0), nullptr, now);
-  }
+  StopSend(*call, now);
   max_request_time_.Add(call->processing_time, now);
   log_.End(id, call->call.id, true);
   Forget(id, *call);
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -95,8 +95,9 @@
   std::uint64_t unknown = 0;
   std::uint64_t abandoned = 0;  // The caller disconnected.
   std::uint64_t sent_again = 0;
-  std::uint64_t ended_by_stop = 0;      // Open when the daemon stopped.
-  std::uint64_t ended_with_parent = 0;  // See origin::EndCallsOf().
+  std::uint64_t ended_by_stop = 0;        // Open when the daemon stopped.
+  std::uint64_t ended_with_parent = 0;    // See origin::EndCallsOf().
+  std::uint64_t lineages_unreadable = 0;  // See answer_frame.
   // Included in `not_executed`.
   std::uint64_t unauthenticated = 0;
   std::uint64_t keys_unconfirmed = 0;
@@ -255,6 +256,7 @@
                                          time_point now) const;
   // Lets the call inherit from the request that it is made for, if any.
   void Inherit(placed_call* call);
+  void LogRouted(call_id id, const placed_call& call);
   void LogEndedByStop(call_id id, const placed_call& call, time_point now);
   // Authenticates again, then places and sends the call again.
   void Retry(call_id id);
@@ -287,6 +289,8 @@
   static void RecordWait(placed_call& call, time_point now);
   // Returns true if no part of the send had left this daemon.
   bool CancelSend(placed_call& call);
+  // Cancels the current send, if any, of a call whose answer nobody needs.
+  void StopSend(placed_call& call, time_point now);
   [[nodiscard]] relayed_result Failure(const placed_call& call) const;
 
   void UseTargets(time_point now);
--- a/tests/forward_settings_test.cc
+++ b/tests/forward_settings_test.cc
@@ -39,14 +39,31 @@
   EXPECT_DOUBLE_EQ(parsed.value.memory_mb, 160.5);
 }
 
+// Guards against a daemon that ties calls to requests without being told to.
+TEST(ForwardSettingsTest, CallsHaveNoParentsUnlessASettingSaysSo) {
+  const auto plain = ParseForwardSettings(With(""), "a.json");
+  ASSERT_TRUE(plain.ok());
+  EXPECT_EQ(plain.value.call_lineage, lineage_policy::kOff);
+  const auto with = [](const std::string& value) {
+    return ParseForwardSettings(With(R"(, "call_lineage": ")" + value + "\""),
+                                "a.json")
+        .value.call_lineage;
+  };
+  EXPECT_EQ(with("off"), lineage_policy::kOff);
+  EXPECT_EQ(with("deadline"), lineage_policy::kDeadline);
+  EXPECT_EQ(with("request_id"), lineage_policy::kRequestId);
+}
+
 // An operator misspells the value: the daemon must not start with a different
 // policy than intended.
 TEST(ForwardSettingsTest, AnUnknownPolicyIsAnErrorThatNamesItsPlace) {
-  for (const char* value : {"\"each\"", "7", "null"}) {
-    const auto parsed = ParseForwardSettings(
-        With(std::string(", \"store_readers\": ") + value), "a.json");
-    ASSERT_EQ(parsed.errors.size(), 1U) << value;
-    EXPECT_NE(parsed.errors[0].place.find("store_readers"), std::string::npos);
+  for (const std::string key : {"store_readers", "call_lineage"}) {
+    for (const char* value : {"\"each\"", "7", "null"}) {
+      const auto parsed =
+          ParseForwardSettings(With(", \"" + key + "\": " + value), "a.json");
+      ASSERT_EQ(parsed.errors.size(), 1U) << value;
+      EXPECT_NE(parsed.errors[0].place.find(key), std::string::npos);
+    }
   }
 }
 
--- a/tests/support/forward_path.h
+++ b/tests/support/forward_path.h
@@ -48,7 +48,10 @@
         caller_side(context, Options(adjust), target_side, origin_log),
         server(context,
                {.address = {.ip = "127.0.0.1", .port = 0}},
-               caller_side) {}
+               caller_side) {
+    target_side.OnRunLost(
+        [this](std::uint64_t parent) { caller_side.EndCallsOf(parent); });
+  }
 
   // With organisations, requests have to carry API keys.
   void Configure(milliseconds timeout = milliseconds(5000),
