Test: a stop with many calls of one request

With few calls the order of the hash map put the calls before their request, and the fault wasn't reached.

--- a/tests/call_lineage_test.cc
+++ b/tests/call_lineage_test.cc
@@ -291,20 +291,24 @@
 // against a call that is ended twice.
 TEST_F(call_lineage_test, AStopEndsARequestAndItsCallOnce) {
   Configure(lineage_policy::kRequestId);
-  // Which of several the stop ends first depends on their order in a map.
   StartParent("/order/1", "id-1");
   Call(target_, "/peek/1", "id-1.1");
+  // The stop's order is that of a hash map: with this many calls, some are
+  // behind their request.
+  constexpr std::size_t kMore = 20;
   std::vector<std::unique_ptr<caller>> others;
-  for (int i = 2; i < 6; ++i) {
+  while (others.size() < kMore) {
     others.push_back(std::make_unique<caller>(path_));
-    others.back()->Request("GET", "/peek/2", "id-1." + std::to_string(i));
+    others.back()->Request("GET", "/peek/2",
+                           "id-1.2." + std::to_string(others.size()));
   }
-  ASSERT_TRUE(RunUntil([&] { return path_.caller_side.in_progress() == 6; }));
+  ASSERT_TRUE(
+      RunUntil([&] { return path_.caller_side.in_progress() == kMore + 2; }));
   path_.caller_side.EndOpenCalls();
   EXPECT_NE(client_.NextResponse().status, 200);
   EXPECT_NE(target_.NextResponse().status, 200);
   ASSERT_TRUE(RunUntil([&] { return called_.cancelled == 1; }));
-  EXPECT_EQ(path_.caller_side.counters().ended_by_stop, 6U);
+  EXPECT_EQ(path_.caller_side.counters().ended_by_stop, kMore + 2);
   EXPECT_EQ(path_.caller_side.counters().ended_with_parent, 0U);
 }
 
