--- a/include/admit/adaptive_throttle.h
+++ b/include/admit/adaptive_throttle.h
@@ -71,6 +71,11 @@
   // the next. Requests with precedence are admitted as long as others can be
   // refused in exchange.
   [[nodiscard]] bool Admit(bool has_precedence = false);
+  // Admit() in two steps, for requests that have to pass another limit, too:
+  // counts the request and tells whether it may be admitted; if it is, Spend()
+  // is due. One that the other limit refuses uses up nothing here.
+  [[nodiscard]] bool MayAdmit(bool has_precedence);
+  void Spend();
   // A run has ended; it succeeded unless the target answered with a failure.
   void OnResult(bool succeeded, time_point now);
   // The pressure on the services that the target calls; nothing if none of them
@@ -80,6 +85,8 @@
   [[nodiscard]] double share() const { return share_; }
 
  private:
+  static constexpr double kMaxCredit = 2;
+
   void EndPeriod();
 
   double failure_threshold_ = kFailureThresholds.front();
@@ -90,8 +97,8 @@
   time_point pressure_period_end_;
   bool makes_calls_ = false;
   double share_ = 1;  // Between kMinShare and 1.
-  // Between -kMaxBorrowed and 2; each request adds the share, an admitted one
-  // takes 1.
+  // Between -kMaxBorrowed and kMaxCredit; each request adds the share, an
+  // admitted one takes 1.
   double credit_ = 1;
   double increase_ = kIncrease;  // After the next successful period.
   std::uint32_t ended_ = 0;
--- a/src/admit/adaptive_throttle.cc
+++ b/src/admit/adaptive_throttle.cc
@@ -12,15 +12,23 @@
 }
 
 bool adaptive_throttle::Admit(bool has_precedence) {
-  credit_ += share_;
-  const double min_credit = has_precedence ? 1 - kMaxBorrowed : 1;
-  if (credit_ < min_credit) {
+  if (!MayAdmit(has_precedence)) {
     return false;
   }
-  credit_ = std::min(credit_ - 1, 1.0);
+  Spend();
   return true;
 }
 
+bool adaptive_throttle::MayAdmit(bool has_precedence) {
+  // The bound matters only if requests that may be admitted are not.
+  credit_ = std::min(credit_ + share_, kMaxCredit);
+  return credit_ >= (has_precedence ? 1 - kMaxBorrowed : 1);
+}
+
+void adaptive_throttle::Spend() {
+  credit_ = std::min(credit_ - 1, 1.0);
+}
+
 void adaptive_throttle::OnResult(bool succeeded, time_point now) {
   ++ended_;
   failed_ += succeeded ? 0 : 1;
