Setting entrance = cost: root requests are admitted by the cost of their calls

The daemon beside a target measures the demand of each root kind and answers with the share that fits; each hop passes the smallest on, and the daemon beside the first target admits that share of root requests, besides what its throttle admits. Calls carry the share, so that the demand is measured as it was before any admission. A request that exceeds the share isn't tried at other targets, which would each admit their share of it.

With entrance = results, the default, the code before is used: the decisions of adaptive_throttle are compared draw by draw, and shares in answers stay 1.

--- a/include/admit/capacity_shares.h
+++ b/include/admit/capacity_shares.h
@@ -74,9 +74,9 @@
   static constexpr double kUnrefusedOverloadEnd = 1.1;
   static constexpr double kHardlyRefused = 0.005;
   // Calls per root are learnt only while at most this part of a kind's calls is
-  // refused: a call that no target accepts ends its root, whose later calls are
-  // then missing.
-  static constexpr double kRefusedWhileLearning = 0.05;
+  // refused or fails: a call without success ends its root, whose later calls
+  // are then missing.
+  static constexpr double kFailedWhileLearning = 0.05;
   // Bounds the weight of a call and thereby the noise; equal to
   // entrance_limiter::kMinShare.
   static constexpr double kMinShare = 0.02;
@@ -96,6 +96,10 @@
   // A call reported to OnArrival() was refused for lack of capacity without
   // running.
   void OnRefused(const capacity_call& call);
+  // A run of a call reported to OnArrival() has failed. Like a refused call, it
+  // may end its root; unlike that, it isn't sent to other targets for nothing.
+  // `rejected` means that the target has rejected it for lack of capacity.
+  void OnFailed(const capacity_call& call, bool rejected);
   // A run has succeeded within `served`. Not for failed ones: a target that
   // rejects calls at once would seem fast.
   void OnCompleted(std::uint32_t root, duration served);
@@ -121,6 +125,8 @@
     // In this period; weighted with 1 / admitted share.
     double arrived = 0;
     double refused = 0;
+    double failed = 0;
+    double rejected = 0;       // Included in `failed`.
     double arrived_roots = 0;  // Different root requests in `arrived`.
     // In this period, not weighted.
     double new_calls = 0;
@@ -133,8 +139,8 @@
     double rank = 0;   // Mean of the last calls.
     // Results of the last update.
     double calls_per_root = 1;
-    double demand = 0;  // In slots.
-    double refused_part = 0;
+    double demand = 0;        // In slots.
+    double refused_part = 0;  // Refused or rejected.
     double share = 1;
   };
 
--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -26,6 +26,15 @@
 inline constexpr enum_table<reader_policy, 2> kReaderPolicyNames({"few",
                                                                   "all"});
 
+// What limits the requests that are admitted at the entrance of call trees.
+enum class entrance_policy : std::uint8_t {
+  kResults,  // How many of them fail.
+  kCost,     // Also the slot time that they take at overloaded services below.
+};
+
+inline constexpr enum_table<entrance_policy, 2> kEntrancePolicyNames({"results",
+                                                                      "cost"});
+
 struct forward_settings {
   vm_id vm;
   std::string service;  // Of the target beside the daemon.
@@ -60,6 +69,9 @@
   // How calls of targets are tied to the requests that they are made for.
   lineage_policy call_lineage = lineage_policy::kOff;
 
+  // kCost needs `call_lineage`.
+  entrance_policy entrance = entrance_policy::kResults;
+
   // Retry budget over all daemons: in each window, a fraction of the requests
   // of a service plus a reserve.
   double repeat_ratio = 0.2;
--- a/src/admit/capacity_shares.cc
+++ b/src/admit/capacity_shares.cc
@@ -16,6 +16,7 @@
 // Roots after which the calls per root are known well enough to wait for the
 // end of an overload before learning more.
 constexpr double kKnownRoots = 20;
+// With more, the ids of calls don't tell their roots.
 constexpr double kMaxCallsPerRoot = 64;
 constexpr int kBisections = 16;
 // Demand in slots below which a kind counts as absent.
@@ -84,6 +85,12 @@
   kinds_[call.root].refused += WeightOf(call);
 }
 
+void capacity_shares::OnFailed(const capacity_call& call, bool rejected) {
+  const double weight = WeightOf(call);
+  kinds_[call.root].failed += weight;
+  kinds_[call.root].rejected += rejected ? weight : 0;
+}
+
 void capacity_shares::OnCompleted(std::uint32_t root, duration served) {
   for (kind* state : {&kinds_[root], &all_}) {
     state->run_seconds += Seconds(served);
@@ -108,35 +115,38 @@
   return sum;
 }
 
-// The calls that the roots of the period make here if nothing is refused. A
-// refused call is sent to other targets without being marked as a repeat, so
-// that more targets see its root; if none accepts it, its root makes no more
+// The calls that the roots of the period make here if all succeed. A refused
+// call is sent to other targets without being marked as a repeat, so that more
+// targets see its root; if it ends without success, its root makes no more
 // calls, so that fewer see it.
 double capacity_shares::PeriodCalls(const kind& state) const {
-  if (state.arrived <= 0 || state.roots <= 0) {
-    return 0;
+  if (state.arrived <= 0 || state.calls > kMaxCallsPerRoot * state.roots) {
+    return state.arrived;
   }
   const double refused = std::min(1.0, state.refused / state.arrived);
-  double tries = 0;  // Of each call.
-  double failed = 1;
+  double tries = 0;     // Of each call.
+  double unserved = 1;  // Part of the calls that no target accepts.
   for (std::uint32_t i = 0; i < std::min(targets_, max_sends_); ++i) {
-    tries += failed;
-    failed *= refused;
+    tries += unserved;
+    unserved *= refused;
   }
+  const double failed = std::min(1.0, state.failed / state.arrived);
+  const double lost = std::min(1.0, unserved + failed);
   const double calls = state.calls_per_root;
-  const double made =
-      failed > 0 ? (1 - std::pow(1 - failed, calls)) / failed : calls;
+  const double made = lost > 0 ? (1 - std::pow(1 - lost, calls)) / lost : calls;
   const double seen = 1 - std::pow(1 - tries / targets_, made);
   const double usually_seen = 1 - std::pow(1 - 1.0 / targets_, calls);
   return state.arrived_roots * state.calls / state.roots * usually_seen / seen;
 }
 
 void capacity_shares::LearnCallsPerRoot(kind* state, double keep) const {
-  const bool refused = state->refused > kRefusedWhileLearning * state->arrived;
-  if (state->new_roots > 0 && (!refused || state->roots < kKnownRoots)) {
+  const bool failing =
+      state->refused + state->failed > kFailedWhileLearning * state->arrived;
+  if (state->new_calls > 0 && (!failing || state->roots < kKnownRoots)) {
     state->calls = keep * state->calls + state->new_calls;
     state->roots = keep * state->roots + state->new_roots;
-    state->calls_per_root = CallsPerRoot(state->calls / state->roots, targets_);
+    state->calls_per_root =
+        CallsPerRoot(state->calls / std::max(1.0, state->roots), targets_);
   }
   state->new_calls = 0;
   state->new_roots = 0;
@@ -151,7 +161,8 @@
     const double slots = PeriodCalls(state) / seconds * MeanRunSeconds(state);
     state.demand = slots + keep_demand * (state.demand - slots);
     if (state.arrived > 0) {
-      const double refused = std::min(1.0, state.refused / state.arrived);
+      const double refused =
+          std::min(1.0, (state.refused + state.rejected) / state.arrived);
       state.refused_part =
           refused + keep_demand * (state.refused_part - refused);
     } else {
@@ -159,6 +170,8 @@
     }
     state.arrived = 0;
     state.refused = 0;
+    state.failed = 0;
+    state.rejected = 0;
     state.arrived_roots = 0;
     state.run_seconds *= keep_cost;
     state.runs *= keep_cost;
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -55,6 +55,18 @@
   return policy;
 }
 
+std::optional<entrance_policy> ParseEntrance(const json_node& node) {
+  const auto text = node.ReadString();
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto policy = kEntrancePolicyNames.Find(*text);
+  if (!policy) {
+    node.AddError(node.Describe(), "results or cost");
+  }
+  return policy;
+}
+
 json_schema<forward_settings> Schema() {
   using s = forward_settings;
   using enum presence;
@@ -81,6 +93,7 @@
       {"quota_overage", kOptional,
        ReadFraction(&s::quota_overage, 0, kMaxRatio)},
       {"call_lineage", kOptional, ReadWith(&s::call_lineage, ParseLineage)},
+      {"entrance", kOptional, ReadWith(&s::entrance, ParseEntrance)},
       {"repeat_ratio", kOptional, ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
        ReadFraction(&s::repeat_reserve, 0, kMaxReserve)},
@@ -101,6 +114,11 @@
   const json_node root(document.root, std::string(origin) + ": ",
                        &result.errors);
   Schema().Read(root, &result.value);
+  if (result.value.entrance == entrance_policy::kCost &&
+      result.value.call_lineage == lineage_policy::kOff) {
+    root.Member("entrance")
+        .AddError("cost without call_lineage", "call_lineage, or results");
+  }
   return result;
 }
 
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -88,6 +88,9 @@
   slots_known_ = true;
   const auto used = static_cast<std::uint32_t>(kUsableSlotFraction * slots);
   admission_.Reconfigure(std::max(1U, used), kind_index::kMaxKinds);
+  if (entrance_) {
+    entrance_->SetSlots(std::max(1U, used));
+  }
   ProcessAdmissionEvents();
 }
 
@@ -125,6 +128,10 @@
 void executor::Tick(time_point now) {
   suspects_.Expire(now);
   PublishNotice();
+  if (entrance_) {
+    entrance_->Tick(now);
+    LogOverload();
+  }
   if (view_state_) {
     const view_state view = view_state_();
     vouching_.Tick(view, now);
@@ -226,7 +233,7 @@
 }
 
 // Why the call is refused regardless of free slots; kNone if it isn't.
-reason executor::RefusalOf(const served_call& served, time_point now) {
+reason executor::RefusalOf(served_call& served, time_point now) {
   if (draining_) {
     return reason::kDraining;
   }
@@ -250,11 +257,32 @@
   kind.level = PriorityOfRank(served.call.rank);
   kind.objective = served.call.objective_left;
   kind.last_call = now;
-  if (!kind.callers.IsMadeByTargets() &&
-      !kind.throttle.Admit(served.call.ahead)) {
-    return reason::kWasted;
-  }
-  return reason::kNone;
+  return PassesEntrance(served, now) ? reason::kNone : reason::kWasted;
+}
+
+bool executor::PassesEntrance(served_call& served, time_point now) {
+  kind_state& kind = by_kind_[served.kind];
+  const bool made_by_targets = kind.callers.IsMadeByTargets();
+  const bool ahead = served.call.ahead;
+  if (!entrance_) {
+    return made_by_targets || kind.throttle.Admit(ahead);
+  }
+  entrance_control::arrival& arrival = served.counted.emplace(
+      entrance_->OnArrival(served.call, made_by_targets, now));
+  if (!arrival.is_entrance) {
+    return true;
+  }
+  const bool may_succeed = kind.throttle.MayAdmit(ahead);
+  const bool has_room = entrance_->MayAdmit(arrival, ahead, now);
+  // The lower limit alone decides, so it's the share that is admitted.
+  arrival.admitted_share =
+      std::min(kind.throttle.share(), entrance_->AppliedShare(arrival));
+  if (!may_succeed || !has_room) {
+    return false;
+  }
+  kind.throttle.Spend();
+  entrance_->Spend(arrival);
+  return true;
 }
 
 std::uint64_t executor::Serve(call_frame call, callback done) {
@@ -399,14 +427,19 @@
     return;
   }
   const call_frame& call = served.call;
-  running_.Insert(
-      id, {.id = call.request_id,
-           .deadline = served.deadline,
-           .rank = call.rank,
-           .has_precedence = call.ahead,
-           .ticket = call.ticket,
-           .is_idempotent = call.repeats == repeat_policy::kIdempotent,
-           .lineage = call.lineage.value_or(call_lineage{.root = call.route})});
+  call_lineage lineage =
+      call.lineage.value_or(call_lineage{.root = call.route});
+  if (served.counted) {
+    lineage.admitted_share = served.counted->admitted_share;
+  }
+  running_.Insert(id,
+                  {.id = call.request_id,
+                   .deadline = served.deadline,
+                   .rank = call.rank,
+                   .has_precedence = call.ahead,
+                   .ticket = call.ticket,
+                   .is_idempotent = call.repeats == repeat_policy::kIdempotent,
+                   .lineage = std::move(lineage)});
 }
 
 parent_match executor::FindParent(std::string_view call_id,
@@ -496,6 +529,7 @@
     by_kind_[served.kind].throttle.OnResult(
         !IsServerError(result.response.status), now);
   }
+  CountRunEnd(served, result, now);
   log_.Add(
       id, served.call.request_id, "run_ended",
       {{.name = "end", .value = std::string(kRunEndNames.Name(result.end))},
@@ -519,10 +553,27 @@
   ProcessAdmissionEvents();
 }
 
+void executor::CountRunEnd(const served_call& served,
+                           const run_result& result,
+                           time_point now) {
+  if (!served.counted) {
+    return;
+  }
+  if (result.end == run_end::kAnswered &&
+      !IsServerError(result.response.status)) {
+    entrance_->OnSucceeded(*served.counted, now - served.started);
+  } else if (result.end != run_end::kCancelled) {
+    entrance_->OnFailed(*served.counted, result.end == run_end::kNotExecuted);
+  }
+}
+
 void executor::Refuse(std::uint64_t id, reason why, milliseconds retry_after) {
   served_call& served = calls_.at(id);
   const time_point now = monotonic_clock::now();
   const duration waited = now - served.arrived;
+  if (served.counted) {
+    entrance_->OnRefused(*served.counted, why);
+  }
   if (why == reason::kRateLimited) {
     LogRateLimited(id, served, now);
   }
@@ -531,7 +582,9 @@
       {{.name = "why", .value = std::string(kReasonNames.Name(why))},
        {.name = "retry_after_ms", .value = std::to_string(retry_after.count())},
        {.name = "share",
-        .value = std::to_string(by_kind_[served.kind].throttle.share())},
+        .value = std::to_string(served.counted
+                                    ? served.counted->admitted_share
+                                    : by_kind_[served.kind].throttle.share())},
        {.name = "running", .value = std::to_string(admission_.running())},
        {.name = "queued", .value = std::to_string(admission_.queued())},
        {.name = "waited_ms",
@@ -556,7 +609,9 @@
   answer.report = Report();
   answer.by_targets = by_kind_[served.kind].callers.IsMadeByTargets();
   if (served.call.lineage) {
-    answer.lineage = {.makes_calls = by_kind_[served.kind].makes_calls};
+    answer.lineage = {
+        .entrance_share = entrance_ ? entrance_->ShareOf(served.call, now) : 1,
+        .makes_calls = by_kind_[served.kind].makes_calls};
   }
   ++(answer.kind == outcome_kind::kCompleted     ? counters_.completed
      : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -30,6 +30,7 @@
 #include "include/retry/downstream_failure_rate.h"
 #include "include/route/caller_mix.h"
 #include "include/route/kind_index.h"
+#include "src/forward/entrance_control.h"
 #include "src/forward/suspect_sharing.h"
 #include "src/forward/target_run.h"
 #include "src/peer/peer_frame.h"
@@ -73,6 +74,12 @@
 
   // Sets the number of slots that the target beside the daemon registered.
   void SetSlots(std::uint32_t slots);
+  // Sets the number of targets of the local target's service.
+  void SetTargets(std::uint32_t targets) {
+    if (entrance_) {
+      entrance_->SetTargets(targets);
+    }
+  }
   // Sets the instance of the target that is registered beside the daemon. A
   // change means that the previous instance has ended.
   void SetTargetStart(const std::string& start);
@@ -150,6 +157,23 @@
   [[nodiscard]] parent_match FindParent(std::string_view call_id,
                                         time_point deadline,
                                         bool made_by_targets);
+  // Root requests are admitted by the capacity of the local target and of the
+  // services below, too. Needs a lineage policy, and comes before SetSlots().
+  void AdmitByCost() { entrance_ = std::make_unique<entrance_control>(); }
+  // A service that the target called for a request of the kind `root` has room
+  // for this share of them.
+  void UpdateEntranceShare(const std::string& root,
+                           const std::string& service,
+                           double share,
+                           time_point now) {
+    if (entrance_) {
+      entrance_->UpdateBelow(root, service, share, now);
+    }
+  }
+  // Nullptr unless AdmitByCost() was called.
+  [[nodiscard]] const entrance_control* entrance() const {
+    return entrance_.get();
+  }
   // Receives the keys of idempotent runs, as in parent_match, that ended
   // without an answer.
   void OnRunLost(std::function<void(std::uint64_t)> listener) {
@@ -216,6 +240,8 @@
     admission_handle admitted;
     std::function<void()> cancel;  // Only while it runs.
     bool caller_disconnected = false;
+    // Nothing without entrance_, or if it was refused before that was asked.
+    std::optional<entrance_control::arrival> counted;
   };
 
   // State of one kind of call.
@@ -238,7 +264,14 @@
 
   [[nodiscard]] static time_point LatestStart(const served_call& served,
                                               time_point now);
-  [[nodiscard]] reason RefusalOf(const served_call& served, time_point now);
+  [[nodiscard]] reason RefusalOf(served_call& served, time_point now);
+  // Whether the limits of root requests admit the call. Calls made by targets
+  // always pass.
+  [[nodiscard]] bool PassesEntrance(served_call& served, time_point now);
+  void CountRunEnd(const served_call& served,
+                   const run_result& result,
+                   time_point now);
+  void LogOverload();
   // Starts the call once the input that is ready now has been handled.
   void ScheduleStart(std::uint64_t id);
   void StartScheduled();
@@ -307,6 +340,8 @@
   running_requests running_;  // Empty if the policy is off.
   lineage_counts lineage_counts_{};
   std::function<void(std::uint64_t)> on_run_lost_;
+  std::unique_ptr<entrance_control> entrance_;
+  bool overload_logged_ = false;
   suspects_listener on_suspects_;
   std::function<void(const known_notice&)> on_notice_;
   bool notice_pending_ = false;  // Published by the next Tick().
--- a/src/forward/executor_reports.cc
+++ b/src/forward/executor_reports.cc
@@ -108,6 +108,17 @@
   logged_vouched_ = std::move(vouched);
 }
 
+void executor::LogOverload() {
+  const capacity_shares& shares = entrance_->local();
+  if (shares.overloaded() == overload_logged_) {
+    return;
+  }
+  overload_logged_ = shares.overloaded();
+  LogEvent(overload_logged_ ? "target_overloaded" : "target_not_overloaded",
+           {{.name = "demand", .value = std::to_string(shares.demand())},
+            {.name = "slots", .value = std::to_string(admission_.limit())}});
+}
+
 void executor::ChangeNotices(const std::function<void()>& update,
                              std::string_view source) {
   const time_point now = monotonic_clock::now();
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -181,6 +181,9 @@
           suspects_.Publish(suspects, source);
         });
     executor_.SetLineagePolicy(settings_.call_lineage);
+    if (settings_.entrance == entrance_policy::kCost) {
+      executor_.AdmitByCost();
+    }
     executor_.OnRunLost(
         [this](std::uint64_t parent) { origin_.EndCallsOf(parent); });
     executor_.OnNotice([this](const known_notice& notice) {
@@ -366,7 +369,12 @@
       callers_.SetLimits(view->config->limits);
     }
     std::optional<std::string> own;  // Empty if the target is leaving.
+    std::uint32_t targets = 0;       // Of the local target's service.
     for (const target_entry& target : view->targets) {
+      if (target.service == settings_.service &&
+          target.state == target_state::kReady) {
+        ++targets;
+      }
       if (target.address == settings_.target) {
         executor_.SetSlots(target.slots);
         executor_.SetTargetStart(StartName(target));
@@ -375,6 +383,7 @@
       }
     }
     executor_.SetListedTarget(std::move(own));
+    executor_.SetTargets(targets);
     sharing_.OnView(*view);
     quotas_.OnView(*view);
     const bool usable = view->config != nullptr;
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -169,6 +169,23 @@
   families->push_back(std::move(family));
 }
 
+void AddEntranceShares(const entrance_control& entrance,
+                       std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_entrance_share";
+  family.help =
+      "Share of the requests of a route that the services below the local "
+      "target have room for";
+  family.type = MetricType::Gauge;
+  for (const auto& [route, share] : entrance.Applied()) {
+    ClientMetric metric;
+    metric.label = {{.name = "route", .value = route}};
+    metric.gauge.value = share;
+    family.metric.push_back(std::move(metric));
+  }
+  families->push_back(std::move(family));
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -196,6 +213,9 @@
           "Calls of the target cancelled because its run was lost",
           calls.ended_with_parent);
   AddLineage(sources.runs.lineages(), &families);
+  if (sources.runs.entrance() != nullptr) {
+    AddEntranceShares(*sources.runs.entrance(), &families);
+  }
   const executor_counters& runs = sources.runs.counters();
   counter("calls_unauthenticated", "Refused without a valid API key",
           calls.unauthenticated);
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -374,6 +374,10 @@
     StateOf(call.service)
         .made_by_targets.set(call.placing.method, answer.answer.by_targets);
   }
+  if (answer.heard && answer.answer.lineage && call.parent.found()) {
+    local_.UpdateEntranceShare(call.parent.lineage.root, call.service,
+                               answer.answer.lineage->entrance_share, now);
+  }
   if (answer.answer.by_targets) {
     call.from_own_target = true;
     local_.UpdateDownstreamPressure(
@@ -493,6 +497,12 @@
                       const answer_frame& answer,
                       time_point now) {
   const bool completed = answer.kind == outcome_kind::kCompleted;
+  // The share is that of all requests of the kind, whichever target gets them.
+  const bool exceeds_share = answer.why == reason::kWasted && answer.lineage &&
+                             answer.lineage->entrance_share < 1;
+  if (exceeds_share) {
+    return false;
+  }
   if (completed &&
       (!IsServerError(answer.response.status) || answer.failed_below ||
        call.matched->repeats == repeat_policy::kAtMostOnce)) {
--- a/tests/adaptive_throttle_test.cc
+++ b/tests/adaptive_throttle_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <random>
@@ -46,6 +47,25 @@
   EXPECT_LT(others, 400);
 }
 
+// Guards against other decisions than before Admit() had two steps.
+TEST(AdaptiveThrottleTest, AdmitDecidesAsInOneStep) {
+  adaptive_throttle throttle(2);
+  std::mt19937 random(11);
+  double credit = 1;
+  time_point now = kStart;
+  for (int i = 0; i < 20000; ++i, now += milliseconds(1)) {
+    throttle.OnResult(random() % 1000 > (i / 5000) * 300U, now);
+    const bool has_precedence = random() % 10 == 0;
+    credit += throttle.share();
+    const bool admits =
+        credit >= (has_precedence ? 1 - adaptive_throttle::kMaxBorrowed : 1);
+    if (admits) {
+      credit = std::min(credit - 1, 1.0);
+    }
+    ASSERT_EQ(throttle.Admit(has_precedence), admits) << i;
+  }
+}
+
 // Simulates requests that each make four calls to a service which can serve
 // only a part of the calls and refuses the others at random. Returns the
 // percentage of all requests, admitted or not, that succeed in the second half
--- a/tests/forward_settings_test.cc
+++ b/tests/forward_settings_test.cc
@@ -50,5 +50,20 @@
   }
 }
 
+// Without lineage, no call is tied to a root and nothing would be limited,
+// silently.
+TEST(ForwardSettingsTest, AdmissionByCostNeedsLineage) {
+  EXPECT_EQ(ParseForwardSettings(With(""), "a.json").value.entrance,
+            entrance_policy::kResults);
+  const auto alone =
+      ParseForwardSettings(With(R"(, "entrance": "cost")"), "a.json");
+  ASSERT_EQ(alone.errors.size(), 1U);
+  EXPECT_NE(alone.errors[0].place.find("entrance"), std::string::npos);
+  const auto both = ParseForwardSettings(
+      With(R"(, "entrance": "cost", "call_lineage": "deadline")"), "a.json");
+  ASSERT_TRUE(both.ok());
+  EXPECT_EQ(both.value.entrance, entrance_policy::kCost);
+}
+
 }  // namespace
 }  // namespace pistachioweir
