--- a/include/admit/capacity_shares.h
+++ b/include/admit/capacity_shares.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "include/admit/entrance_limiter.h"
 #include "include/base/time.h"
 #include "include/route/kind_index.h"
 
@@ -77,9 +78,8 @@
   // refused or fails: a call without success ends its root, whose later calls
   // are then missing.
   static constexpr double kFailedWhileLearning = 0.05;
-  // Bounds the weight of a call and thereby the noise; equal to
-  // entrance_limiter::kMinShare.
-  static constexpr double kMinShare = 0.02;
+  // Bounds the weight of a call and thereby the noise.
+  static constexpr double kMinShare = entrance_limiter::kMinShare;
 
   capacity_shares();
 
--- a/src/forward/entrance_control.h
+++ b/src/forward/entrance_control.h
@@ -86,7 +86,7 @@
   [[nodiscard]] double LowestShare(std::uint32_t root, time_point now);
   void SetCapacity() { local_.SetCapacity(slots_, targets_, kMaxSends); }
 
-  // As many as balancer_options::max_tries.
+  // Of one call by its origin; see origin::StateOf().
   static constexpr std::uint32_t kMaxSends = 4;
 
   double slots_ = 1;
--- a/tests/capacity_shares_test.cc
+++ b/tests/capacity_shares_test.cc
@@ -42,12 +42,13 @@
   int hops;  // Daemons between the entrance and the service.
 };
 constexpr std::array<kind_spec, 3> kKinds{
-    kind_spec{2, 1, 1025, 8, 0.05, 2},  // rate-quote
-    kind_spec{0, 3, 110, 4, 0.05, 1},   // fx-sale
-    kind_spec{2, 1, 96, 1, 0.14, 0}};   // remit-send
-constexpr std::size_t kRateQuote = 0;
-constexpr std::size_t kFxSale = 1;
-constexpr std::size_t kRemitSend = 2;
+    kind_spec{2, 1, 1025, 8, 0.05, 2},   // rate-quote
+    kind_spec{0, 3, 110, 4, 0.05, 1},    // fx-sale
+    kind_spec{2, 1, 96, 1, 0.14, 0}};    // remit-send
+constexpr double kQuiet = 632.0 / 1231;  // Load of a busy day.
+constexpr std::uint32_t kRateQuote = 0;
+constexpr std::uint32_t kFxSale = 1;
+constexpr std::uint32_t kRemitSend = 2;
 
 struct kind_result {
   double offered = 0;
@@ -66,10 +67,10 @@
 class chain_model {
  public:
   explicit chain_model(bool limits) : limits_(limits) {
-    for (std::size_t i = 0; i < kTargets; ++i) {
-      targets_[i].shares.SetCapacity(kUsable, kTargets, kTargets);
+    for (target& each : targets_) {
+      each.shares.SetCapacity(kUsable, kTargets, kTargets);
     }
-    for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    for (std::uint32_t i = 0; i < kKinds.size(); ++i) {
       Arrive(i);
     }
   }
@@ -89,7 +90,7 @@
     return results_;
   }
 
-  [[nodiscard]] double EntranceShare(std::size_t kind) const {
+  [[nodiscard]] double EntranceShare(std::uint32_t kind) const {
     return entrances_[0].below[kind].Get(now_);
   }
 
@@ -107,7 +108,7 @@
     std::array<entrance_limiter, kKinds.size()> limits;
   };
   struct request {
-    std::size_t kind;
+    std::uint32_t kind;
     std::uint64_t id;
     int left;  // Calls to make.
     double share;
@@ -128,35 +129,29 @@
                              std::chrono::duration<double>(time)),
                   next_order_++, std::move(action)});
   }
-  double Random(double rate) {
-    return std::exponential_distribution<double>(rate)(random_);
-  }
-
-  void Arrive(std::size_t kind) {
+  void Arrive(std::uint32_t kind) {
     const kind_spec& spec = kKinds[kind];
-    const double rate =
-        load_ * spec.burst_slots / (spec.calls * spec.call_seconds);
-    After(Random(rate), [this, kind] {
+    std::exponential_distribution<double> interval(
+        load_ * spec.burst_slots / (spec.calls * spec.call_seconds));
+    After(interval(random_), [this, kind] {
       Arrive(kind);
       Enter(kind);
     });
   }
 
-  void Enter(std::size_t kind) {
-    kind_result& result = results_[kind];
-    ++result.offered;
+  void Enter(std::uint32_t kind) {
+    ++results_[kind].offered;
     const auto call = std::make_shared<request>(
         request{.kind = kind,
                 .id = random_(),
                 .left = kKinds[kind].calls,
                 .share = 1,
                 .entrance = random_() % entrances_.size(),
-                .middle = random_() % middles_.size()});
-    if (kKinds[kind].hops > 0) {
-      daemon& entrance = entrances_[call->entrance];
-      if (!Admit(entrance, call, entrance.below[kind].Get(now_))) {
-        return;
-      }
+                .middle = random_() % middles_[0].size()});
+    daemon& entrance = entrances_[call->entrance];
+    if (kKinds[kind].hops > 0 &&
+        !Admit(entrance, call, entrance.below[kind].Get(now_))) {
+      return;
     }
     After(Seconds(kHop) * (1 + kKinds[kind].hops),
           [this, call] { Send(call); });
@@ -201,13 +196,12 @@
     target& to = targets_[at];
     const kind_spec& spec = kKinds[call->kind];
     const bool is_root = spec.hops == 0;
-    const capacity_call arrived{.root = Index(call->kind),
+    const capacity_call arrived{.root = call->kind,
                                 .rank = spec.rank,
                                 .admitted_share = is_root ? 1 : call->share,
                                 .request = call->id};
     to.shares.OnArrival(arrived, now_);
-    if (is_root &&
-        !Admit(to.entrance, call, to.shares.share(Index(call->kind)))) {
+    if (is_root && !Admit(to.entrance, call, to.shares.share(call->kind))) {
       return;
     }
     if (to.running < kUsable) {
@@ -226,7 +220,7 @@
     }
     to.shares.OnRefused(arrived);
     call->tried |= 1U << at;
-    Report(call, to.shares.share(Index(call->kind)));
+    Report(call, to.shares.share(call->kind));
     After(Seconds(kHop), [this, call] { Send(call); });
   }
 
@@ -238,10 +232,10 @@
     After(time, [this, at, call, time] {
       target& from = targets_[at];
       --from.running;
-      from.shares.OnCompleted(Index(call->kind),
+      from.shares.OnCompleted(call->kind,
                               std::chrono::duration_cast<duration>(
                                   std::chrono::duration<double>(time)));
-      Report(call, from.shares.share(Index(call->kind)));
+      Report(call, from.shares.share(call->kind));
       for (auto& [rank, queue] : from.queues) {
         if (!queue.empty()) {
           Start(at, std::exchange(queue.front(), nullptr));
@@ -256,18 +250,12 @@
   // The share travels up with the answers.
   void Report(const request_ptr& call, double share) {
     const kind_spec& spec = kKinds[call->kind];
-    if (spec.hops == 0) {
-      entrances_[0].below[call->kind].Add(share, now_);
-      return;
-    }
-    recent_share& lowest = middles_[call->middle].below[call->kind];
-    lowest.Add(share, now_);
-    recent_share& higher = uppers_[call->middle].below[call->kind];
-    if (spec.hops > 1) {
-      higher.Add(lowest.Get(now_), now_);
+    for (int hop = 0; hop < spec.hops; ++hop) {
+      recent_share& mean = middles_[hop][call->middle].below[call->kind];
+      mean.Add(share, now_);
+      share = mean.Get(now_);
     }
-    entrances_[call->entrance].below[call->kind].Add(
-        (spec.hops > 1 ? higher : lowest).Get(now_), now_);
+    entrances_[call->entrance].below[call->kind].Add(share, now_);
   }
 
   void OnCallEnd(const request_ptr& call) {
@@ -279,10 +267,6 @@
     After(Seconds(kHop) * 2, [this, call] { Send(call); });
   }
 
-  static std::uint32_t Index(std::size_t kind) {
-    return static_cast<std::uint32_t>(kind) + 1;
-  }
-
   const bool limits_;
   double load_ = 0.5;
   time_point now_ = kStart;
@@ -290,8 +274,7 @@
   std::priority_queue<event> events_;
   std::uint64_t next_order_ = 0;
   std::array<daemon, 3> entrances_;
-  std::array<daemon, 4> uppers_;
-  std::array<daemon, 4> middles_;
+  std::array<std::array<daemon, 4>, 2> middles_;
   std::array<target, kTargets> targets_;
   results results_;
 };
@@ -318,37 +301,37 @@
   return worth;
 }
 
+// 2.5 s into a burst that follows a busy day.
 class CapacitySharesTest : public testing::Test {
  protected:
-  static constexpr double kQuiet = 632.0 / 1231;
-  static constexpr milliseconds kSettling{2500};
   static constexpr milliseconds kBurst{8000};
 
+  CapacitySharesTest() {
+    for (chain_model* model : {&model_, &unlimited_}) {
+      model->Run(kQuiet, milliseconds(10000));
+      model->Run(1, milliseconds(2500));
+    }
+  }
+
   chain_model model_{true};
+  chain_model unlimited_{false};
 };
 
 // Guards against work for requests that fail at the last hop.
 TEST_F(CapacitySharesTest, ABurstIsServedByRankAndCost) {
-  model_.Run(kQuiet, milliseconds(10000));
-  model_.Run(1, kSettling);
   const results ended = model_.Run(1, kBurst);
   EXPECT_GE(Worth(ended) / Seconds(kBurst), 0.9 * OptimalWorth());
+  EXPECT_GE(Worth(ended), 1.15 * Worth(unlimited_.Run(1, kBurst)));
   EXPECT_GE(ended[kFxSale].served(), 0.95);
   EXPECT_GE(ended[kRemitSend].served(), 0.95);
   EXPECT_LE(ended[kRemitSend].served() - ended[kFxSale].served(), 0.05);
   EXPECT_LE(ended[kRateQuote].served() - ended[kFxSale].served(), 0.05);
   EXPECT_GE(ended[kRateQuote].served(), capacity_shares::kFloor / 1.7);
-
-  chain_model unlimited(false);
-  unlimited.Run(kQuiet, milliseconds(10000));
-  unlimited.Run(1, kSettling);
-  EXPECT_GE(Worth(ended), 1.15 * Worth(unlimited.Run(1, kBurst)));
 }
 
-// Guards against shares that swing between too much and too little.
-TEST_F(CapacitySharesTest, SharesDontOscillateInABurst) {
-  model_.Run(kQuiet, milliseconds(10000));
-  model_.Run(1, kSettling);
+// Guards against shares that swing between too much and too little, or stay
+// below 1 after the overload.
+TEST_F(CapacitySharesTest, SharesAreSteadyInABurstAndReturnWithinTwoSeconds) {
   std::vector<double> shares;
   for (milliseconds time{0}; time < kBurst; time += milliseconds(100)) {
     model_.Run(1, milliseconds(100));
@@ -356,22 +339,17 @@
   }
   const auto [low, high] = std::ranges::minmax(shares);
   EXPECT_LE(high - low, 0.1);
-}
-
-TEST_F(CapacitySharesTest, SharesReturnWithinTwoSeconds) {
-  model_.Run(kQuiet, milliseconds(10000));
-  model_.Run(1, milliseconds(10000));
   model_.Run(kQuiet, milliseconds(2000));
-  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+  for (std::uint32_t i = 0; i < kKinds.size(); ++i) {
     EXPECT_GE(model_.EntranceShare(i), 0.99) << i;
   }
 }
 
 // Guards against refusals on a busy day, when the measured demand exceeds the
 // slots now and then by chance.
-TEST_F(CapacitySharesTest, NothingIsRefusedWithoutOverload) {
-  const results ended = model_.Run(kQuiet, milliseconds(30000));
-  for (const kind_result& kind : ended) {
+TEST(CapacitySharesQuietTest, NothingIsRefusedWithoutOverload) {
+  chain_model model(true);
+  for (const kind_result& kind : model.Run(kQuiet, milliseconds(30000))) {
     EXPECT_EQ(kind.refused, 0);
   }
 }
--- a/tests/entrance_control_test.cc
+++ b/tests/entrance_control_test.cc
@@ -64,7 +64,7 @@
 // An executor whose runs end when the test says so.
 class EntranceExecutorTest : public testing::Test {
  protected:
-  EntranceExecutorTest()
+  explicit EntranceExecutorTest(bool by_cost = true)
       : executor_(
             context_,
             [this](target_run, std::function<void(run_result)> done) {
@@ -73,7 +73,9 @@
             },
             log_) {
     executor_.SetLineagePolicy(lineage_policy::kRequestId);
-    executor_.AdmitByCost();
+    if (by_cost) {
+      executor_.AdmitByCost();
+    }
     executor_.SetSlots(1000);
   }
 
@@ -123,6 +125,21 @@
   EXPECT_EQ(runs_.size(), 50U);
 }
 
+// With entrance = results, daemons above learn nothing that would change what
+// they admit, and the limits are not asked.
+class EntranceResultsTest : public EntranceExecutorTest {
+ protected:
+  EntranceResultsTest() : EntranceExecutorTest(false) {}
+};
+
+TEST_F(EntranceResultsTest, SharesStayOne) {
+  executor_.UpdateEntranceShare("quote", "below", 0.1, monotonic_clock::now());
+  ASSERT_EQ(Offer(50), 50U);
+  runs_[0]({.end = run_end::kAnswered, .response = {.status = 200}});
+  ASSERT_TRUE(answer_);
+  EXPECT_EQ(answer_->lineage->entrance_share, 1);
+}
+
 // An older build upstream neither sends lineage nor reads it in answers.
 TEST_F(EntranceExecutorTest, CallsWithoutLineageAreAnsweredWithout) {
   call_frame call = RootCall("old");
--- a/tests/origin_links_test.cc
+++ b/tests/origin_links_test.cc
@@ -23,13 +23,15 @@
 namespace {
 
 const std::string kRemoteIp = "127.0.0.9";
+const std::string kOtherIp = "127.0.0.10";
 
 // A daemon whose target answers each run as soon as it starts, or never.
 class remote_daemon {
  public:
   remote_daemon(boost::asio::io_context& context,
                 std::uint16_t port,
-                incarnation_id self = incarnation_id{9})
+                incarnation_id self = incarnation_id{9},
+                const std::string& ip = kRemoteIp)
       : target_side(
             context,
             [this, &context](const target_run&,
@@ -49,7 +51,7 @@
             },
             log),
         server(context,
-               {.address = {.ip = kRemoteIp, .port = port}, .self = self},
+               {.address = {.ip = ip, .port = port}, .self = self},
                target_side) {
     target_side.SetSlots(8);
     target_side.OnNotice(
@@ -90,13 +92,16 @@
                                           .timeout = milliseconds(2000),
                                           .parts = {{.service = "registry"}}}},
                                         &problem);
-    auto view = std::make_shared<service_view>();
-    view->config = config;
-    view->targets = {{.id = "target-1",
-                      .service = "registry",
-                      .address = {.ip = kRemoteIp, .port = 1},
-                      .slots = 8}};
-    origin_.SetView(view);
+    view_.config = config;
+    AddTarget("target-1", kRemoteIp);
+  }
+
+  void AddTarget(const std::string& id, const std::string& ip) {
+    view_.targets.push_back({.id = id,
+                             .service = "registry",
+                             .address = {.ip = ip, .port = 1},
+                             .slots = 8});
+    origin_.SetView(std::make_shared<service_view>(view_));
   }
 
   static std::uint16_t FreePort(boost::asio::io_context& context) {
@@ -140,6 +145,7 @@
   call_log log_{{}};
   executor local_;
   origin origin_;
+  service_view view_;
 };
 
 // Guards against a target that stays unused after a long partition of its VM.
@@ -245,5 +251,28 @@
   EXPECT_EQ(remote->runs, 0);
 }
 
+// Guards against a share that is applied at each target in turn: of two, they
+// would admit .64 of the requests with a share of .4.
+TEST_F(origin_links_test, ARequestBeyondTheShareIsNotTriedAtOtherTargets) {
+  AddTarget("target-2", kOtherIp);
+  remote_daemon first(context_, port_);
+  remote_daemon second(context_, port_, incarnation_id{10}, kOtherIp);
+  local_.SetLineagePolicy(lineage_policy::kRequestId);
+  for (remote_daemon* remote : {&first, &second}) {
+    remote->target_side.SetLineagePolicy(lineage_policy::kRequestId);
+    remote->target_side.AdmitByCost();
+    remote->target_side.UpdateEntranceShare("look", "below", 0.4,
+                                            monotonic_clock::now());
+  }
+  std::uint64_t refused = 0;
+  for (int i = 0; i < 40; ++i) {
+    refused += Request() == outcome_kind::kNotExecuted ? 1 : 0;
+  }
+  EXPECT_GE(refused, 20U);
+  EXPECT_EQ(first.target_side.counters().refused +
+                second.target_side.counters().refused,
+            refused);
+}
+
 }  // namespace
 }  // namespace pistachioweir
