--- a/tests/capacity_shares_test.cc
+++ b/tests/capacity_shares_test.cc
@@ -8,11 +8,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <utility>
 #include <vector>
@@ -62,6 +61,11 @@
   return std::chrono::duration<double>(time).count();
 }
 
+duration FromSeconds(double time) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(time));
+}
+
 // A discrete-event model. Requests arrive at three entrances, make their calls
 // one after the other and fail with the first call that no target accepts.
 class chain_model {
@@ -80,11 +84,10 @@
     load_ = load;
     results_ = {};
     const time_point end = now_ + time;
-    while (events_.top().at < end) {
-      const event next = events_.top();
-      events_.pop();
-      now_ = next.at;
-      next.action();
+    while (events_.begin()->first < end) {
+      const auto next = events_.extract(events_.begin());
+      now_ = next.key();
+      next.mapped()();
     }
     now_ = end;
     return results_;
@@ -95,14 +98,6 @@
   }
 
  private:
-  struct event {
-    time_point at;
-    std::uint64_t order;
-    std::function<void()> action;
-    bool operator<(const event& other) const {
-      return std::pair(at, order) > std::pair(other.at, other.order);
-    }
-  };
   struct daemon {
     std::array<recent_share, kKinds.size()> below;
     std::array<entrance_limiter, kKinds.size()> limits;
@@ -121,14 +116,13 @@
     capacity_shares shares;
     daemon entrance;
     std::uint32_t running = 0;
-    std::map<std::uint32_t, std::deque<request_ptr>> queues;  // By rank.
+    std::multimap<std::uint32_t, request_ptr> queue;  // By rank.
   };
 
   void After(double time, std::function<void()> action) {
-    events_.push({now_ + std::chrono::duration_cast<duration>(
-                             std::chrono::duration<double>(time)),
-                  next_order_++, std::move(action)});
+    events_.emplace(now_ + FromSeconds(time), std::move(action));
   }
+
   void Arrive(std::uint32_t kind) {
     const kind_spec& spec = kKinds[kind];
     std::exponential_distribution<double> interval(
@@ -169,7 +163,7 @@
     return true;
   }
 
-  // To the less loaded of two targets, as far as these have not refused it.
+  // To the least loaded of some targets that have not refused it.
   void Send(const request_ptr& call) {
     std::size_t best = kTargets;
     for (int i = 0; i < 6; ++i) {
@@ -184,12 +178,8 @@
     }
   }
 
-  [[nodiscard]] double Load(std::size_t at) const {
-    std::size_t load = targets_[at].running;
-    for (const auto& [rank, queue] : targets_[at].queues) {
-      load += queue.size();
-    }
-    return static_cast<double>(load);
+  [[nodiscard]] std::size_t Load(std::size_t at) const {
+    return targets_[at].running + targets_[at].queue.size();
   }
 
   void Offer(std::size_t at, const request_ptr& call) {
@@ -208,14 +198,12 @@
       Start(at, call);
       return;
     }
-    std::size_t ahead = 0;
-    for (const auto& [rank, queue] : to.queues) {
-      ahead += rank <= spec.rank ? queue.size() : 0;
-    }
+    const auto ahead =
+        std::distance(to.queue.begin(), to.queue.upper_bound(spec.rank));
     const double wait = static_cast<double>(ahead) * kKinds[0].call_seconds /
                         kSpeeds[at] / kUsable;
     if (wait < kMaxWaitSeconds) {
-      to.queues[spec.rank].push_back(call);
+      to.queue.emplace(spec.rank, call);
       return;
     }
     to.shares.OnRefused(arrived);
@@ -232,16 +220,10 @@
     After(time, [this, at, call, time] {
       target& from = targets_[at];
       --from.running;
-      from.shares.OnCompleted(call->kind,
-                              std::chrono::duration_cast<duration>(
-                                  std::chrono::duration<double>(time)));
+      from.shares.OnCompleted(call->kind, FromSeconds(time));
       Report(call, from.shares.share(call->kind));
-      for (auto& [rank, queue] : from.queues) {
-        if (!queue.empty()) {
-          Start(at, std::exchange(queue.front(), nullptr));
-          queue.pop_front();
-          break;
-        }
+      if (!from.queue.empty()) {
+        Start(at, from.queue.extract(from.queue.begin()).mapped());
       }
       OnCallEnd(call);
     });
@@ -271,8 +253,7 @@
   double load_ = 0.5;
   time_point now_ = kStart;
   std::mt19937_64 random_{20261204};
-  std::priority_queue<event> events_;
-  std::uint64_t next_order_ = 0;
+  std::multimap<time_point, std::function<void()>> events_;
   std::array<daemon, 3> entrances_;
   std::array<std::array<daemon, 4>, 2> middles_;
   std::array<target, kTargets> targets_;
