Ranked repeat budget: who gets the repeats that the operator allows

A service that rejects 55 of 100 calls makes all callers repeat. The budget went to them in the order of arrival, so that the few important calls, which it could serve, got no more of it than the many others.

The new budget keeps what more important ranks need in the window, and a twentieth for each rank with demand. It lends tokens to other daemons and counts them until none can be spent any more.

--- /dev/null
+++ b/src/retry/ranked_repeat_budget.cc
@@ -0,0 +1,246 @@
+// Division of one daemon's repeats by rank.
+#include "include/retry/ranked_repeat_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachioweir {
+namespace {
+
+// Attempts are counted over these times. Over one second, the rate of 70 a
+// second varied so much that less important ranks took a fifth of the budget in
+// its dips.
+constexpr milliseconds kRecent{2000};
+constexpr milliseconds kLatest{500};
+// Attempts within kRecent that are expected within kDemandHorizon.
+constexpr double kDemandPerAttempt =
+    static_cast<double>(ranked_repeat_budget::kDemandHorizon.count()) /
+    static_cast<double>(kRecent.count());
+
+constexpr std::size_t kWithoutCalls = 0;
+constexpr std::size_t kWithCalls = 1;
+
+double Total(const slot_counts<2>& attempts) {
+  return static_cast<double>(attempts.sum(kWithoutCalls) +
+                             attempts.sum(kWithCalls));
+}
+
+double Seconds(duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+// Attempts a second, less `uncertain` of those that were counted.
+double Rate(const slot_counts<2>& attempts, double uncertain, time_point now) {
+  const auto oldest = attempts.oldest();
+  if (!oldest) {
+    return 0;
+  }
+  const duration span =
+      std::max<duration>(slot_counts<2>::kSlotWidth, now - *oldest);
+  return (Total(attempts) - uncertain) / Seconds(span);
+}
+
+std::size_t IndexOf(priority level) {
+  return static_cast<std::size_t>(level);
+}
+
+std::uint32_t WholeTokens(double tokens) {
+  return tokens < 1 ? 0 : static_cast<std::uint32_t>(tokens);
+}
+
+}  // namespace
+
+ranked_repeat_budget::ranked_repeat_budget(const ranked_repeat_options& options)
+    : options_(options),
+      requests_(options.window, slot_expiry::kOldest),
+      used_(options.window, slot_expiry::kNewest),
+      lent_(options.window + kLentExtra, slot_expiry::kNewest),
+      attempts_{NoAttempts(), NoAttempts(), NoAttempts(), NoAttempts()} {}
+
+ranked_repeat_budget::attempt_counts ranked_repeat_budget::NoAttempts() {
+  return {.recent = {kRecent, slot_expiry::kOldest},
+          .latest = {kLatest, slot_expiry::kOldest}};
+}
+
+void ranked_repeat_budget::Expire(time_point now) {
+  requests_.Expire(now);
+  used_.Expire(now);
+  lent_.Expire(now);
+  for (auto& attempts : attempts_) {
+    attempts.recent.Expire(now);
+    attempts.latest.Expire(now);
+  }
+  borrowed_.Expire(now);
+}
+
+double ranked_repeat_budget::Allowed(double ratio) const {
+  return options_.reserve + ratio * static_cast<double>(requests_.sum(0));
+}
+
+double ranked_repeat_budget::OwnRemaining() const {
+  return Allowed(options_.ratio) - static_cast<double>(used_.sum(kOwn)) -
+         static_cast<double>(lent_.sum(0));
+}
+
+double ranked_repeat_budget::Minimum() const {
+  return std::floor(kMinimumFraction * Allowed(options_.ratio));
+}
+
+double ranked_repeat_budget::UnusedMinimum(std::size_t rank) const {
+  return std::max(0.0, Minimum() - static_cast<double>(used_.sum(rank)));
+}
+
+double ranked_repeat_budget::DemandOf(std::size_t rank) const {
+  return kDemandPerAttempt * Total(attempts_[rank].recent);
+}
+
+// With only kDemandHorizon kept, less important ranks used up the budget in the
+// first second of an overload, and it came back only after the window. One
+// attempt, or the variation of a few, doesn't show a rate: a single lost answer
+// must not hold back the repeats of all other ranks.
+double ranked_repeat_budget::NeedOf(std::size_t rank, time_point now) const {
+  const attempt_counts& attempts = attempts_[rank];
+  const double rate =
+      std::max(Rate(attempts.recent, 1, now),
+               Rate(attempts.latest, std::sqrt(Total(attempts.latest)), now));
+  return std::max(DemandOf(rank), rate * Seconds(options_.window) -
+                                      static_cast<double>(used_.sum(rank)));
+}
+
+double ranked_repeat_budget::KeptFor(std::size_t rank, time_point now) const {
+  double kept = 0;
+  for (std::size_t other = 0; other < kPriorityCount; ++other) {
+    if (other == rank || DemandOf(other) == 0) {
+      continue;
+    }
+    const double minimum = UnusedMinimum(other);
+    kept += other < rank ? std::max(minimum, NeedOf(other, now)) : minimum;
+  }
+  return kept;
+}
+
+bool ranked_repeat_budget::MaySpend(std::size_t rank,
+                                    bool makes_calls,
+                                    time_point now) const {
+  const double own = OwnRemaining();
+  const double available = own + borrowed_.size();
+  if (available < 1) {
+    return false;
+  }
+  // Borrowed tokens are for kinds without calls: those with calls are bounded
+  // by the lender, too.
+  if (makes_calls &&
+      (own < 1 || static_cast<double>(used_.sum(kOwnCalling) + 1) >
+                      Allowed(options_.calling_ratio))) {
+    return false;
+  }
+  return UnusedMinimum(rank) >= 1 || available - 1 >= KeptFor(rank, now);
+}
+
+void ranked_repeat_budget::OnRequest(time_point now) {
+  requests_.Expire(now);
+  requests_.Add(0, 1, now);
+}
+
+bool ranked_repeat_budget::TrySpend(priority level,
+                                    bool makes_calls,
+                                    time_point now) {
+  Expire(now);
+  const std::size_t rank = IndexOf(level);
+  const std::size_t kind = makes_calls ? kWithCalls : kWithoutCalls;
+  attempts_[rank].recent.Add(kind, 1, now);
+  attempts_[rank].latest.Add(kind, 1, now);
+  if (!MaySpend(rank, makes_calls, now)) {
+    ++counters_.refused[rank];
+    return false;
+  }
+  ++counters_.spent[rank];
+  used_.Add(rank, 1, now);
+  // Borrowed tokens first: they expire sooner.
+  if (!makes_calls && borrowed_.size() > 0) {
+    borrowed_.TakeOne();
+    return true;
+  }
+  used_.Add(kOwn, 1, now);
+  if (makes_calls) {
+    used_.Add(kOwnCalling, 1, now);
+  }
+  return true;
+}
+
+void ranked_repeat_budget::ChargeInherited(time_point now) {
+  Expire(now);
+  used_.Add(kOwn, 1, now);
+  ++counters_.inherited;
+}
+
+std::uint32_t ranked_repeat_budget::SpareFor(std::size_t rank,
+                                             time_point now) const {
+  const double own = OwnRemaining();
+  double kept = KeptFor(rank, now);
+  if (DemandOf(rank) > 0) {
+    kept += std::max(UnusedMinimum(rank), NeedOf(rank, now));
+  }
+  return WholeTokens(std::min(own, own + borrowed_.size() - kept));
+}
+
+rank_counts ranked_repeat_budget::Spare(time_point now) {
+  Expire(now);
+  rank_counts spare{};
+  for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+    spare[rank] = SpareFor(rank, now);
+  }
+  return spare;
+}
+
+std::uint32_t ranked_repeat_budget::Lend(priority level,
+                                         std::uint32_t count,
+                                         time_point now) {
+  Expire(now);
+  const std::uint32_t lent = std::min(count, SpareFor(IndexOf(level), now));
+  if (lent > 0) {
+    lent_.Add(0, lent, now);
+    counters_.lent += lent;
+  }
+  return lent;
+}
+
+void ranked_repeat_budget::Borrow(const repeat_tokens& tokens, time_point now) {
+  borrowed_.Add(tokens);
+  borrowed_.Expire(now);
+  counters_.borrowed += tokens.count;
+}
+
+// While inherited repeats have used more than there is, tokens would only
+// replace those, and none are asked for.
+rank_counts ranked_repeat_budget::Unmet(time_point now) {
+  Expire(now);
+  rank_counts unmet{};
+  double available = OwnRemaining() + borrowed_.size();
+  if (available < 0) {
+    return unmet;
+  }
+  for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+    const double demand = DemandOf(rank);
+    const double covered = std::min(available, demand);
+    const double leaf =
+        kDemandPerAttempt *
+        static_cast<double>(attempts_[rank].recent.sum(kWithoutCalls));
+    unmet[rank] =
+        static_cast<std::uint32_t>(std::ceil(std::min(leaf, demand - covered)));
+    available -= covered;
+  }
+  return unmet;
+}
+
+double ranked_repeat_budget::remaining(time_point now) {
+  Expire(now);
+  return OwnRemaining() + borrowed_.size();
+}
+
+double ranked_repeat_budget::KeptFor(priority level, time_point now) {
+  Expire(now);
+  return KeptFor(IndexOf(level), now);
+}
+
+}  // namespace pistachioweir
