Exchange of repeats between daemons, over the tree of the quotas

Daemons with few requests and many failures refuse repeats while the part of others goes unused. Tokens now pass up the usage tree and down to those that want them, the most important ranks first; each daemon lends its proportion of what the fleet wants, once all have told what they could lend.

What quota_sharing knew of its parent, of the report under way and of late answers moves to report_parent, which both use.

Borrowed tokens are no longer kept for the need of the whole window: they expire before.

--- a/include/retry/ranked_repeat_budget.h
+++ b/include/retry/ranked_repeat_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "include/base/enum_table.h"
 #include "include/base/priority.h"
 #include "include/base/time.h"
 #include "include/retry/slot_counts.h"
@@ -13,6 +14,15 @@
 
 namespace pistachioweir {
 
+// How daemons keep the operator's bound on repeats.
+enum class repeat_sharing_policy : std::uint8_t {
+  kLocal,   // Each spends its own part, whatever the rank; see repeat_budget.
+  kShared,  // By rank; they lend each other what they don't need.
+};
+
+inline constexpr enum_table<repeat_sharing_policy, 2> kRepeatSharingPolicyNames(
+    {"local", "shared"});
+
 struct ranked_repeat_options {
   // Any time window of this length is bounded.
   milliseconds window{10000};
@@ -124,6 +134,8 @@
   [[nodiscard]] double NeedOf(std::size_t rank, time_point now) const;
   // What ranks more important than `rank` need, and the minimums of others.
   [[nodiscard]] double KeptFor(std::size_t rank, time_point now) const;
+  // What the rank may spend besides its minimum.
+  [[nodiscard]] double Usable(std::size_t rank, time_point now) const;
   [[nodiscard]] bool MaySpend(std::size_t rank,
                               bool makes_calls,
                               time_point now) const;
--- a/src/forward/quota_sharing.cc
+++ b/src/forward/quota_sharing.cc
@@ -10,10 +10,6 @@
 namespace pistachioweir {
 namespace {
 
-// Delay that each level of the tree may add until a surge is known at the root.
-constexpr milliseconds kReportInterval{250};
-// A response that has not arrived after this time counts as lost.
-constexpr milliseconds kResponseTimeout{600};
 // Fraction of the allowed overage that network partitions use together; the
 // rest covers reports in transit.
 constexpr double kPartitionOverageFraction = 0.5;
@@ -32,7 +28,7 @@
     : timer_(context),
       send_(std::move(send)),
       ledger_({.overage = options.overage * kPartitionOverageFraction}),
-      tree_({.self = options.self}) {}
+      parent_({.self = options.self}) {}
 
 void quota_sharing::Stop() {
   timer_.cancel();
@@ -47,8 +43,8 @@
   for (const target_entry& target : view.targets) {
     ips.push_back(target.address.ip);
   }
-  tree_.SetDaemons(std::move(ips));
-  ledger_.SetDaemons(tree_.daemons());
+  parent_.SetDaemons(std::move(ips));
+  ledger_.SetDaemons(parent_.daemons());
   ledger_.Configure(*view.config->organisations, monotonic_clock::now());
   if (!ledger_.empty() && !std::exchange(reporting_, true)) {
     Report();
@@ -61,33 +57,27 @@
 
 void quota_sharing::Report() {
   const time_point now = monotonic_clock::now();
-  std::optional<std::string> parent = tree_.Parent(now);
-  if (parent != parent_) {
+  if (const auto before = parent_.Choose(now)) {
     LogEvent("quota_reports",
-             {{.name = "to", .value = parent.value_or("nobody")},
-              {.name = "before", .value = parent_.value_or("nobody")},
+             {{.name = "to", .value = parent_.ip().value_or("nobody")},
+              {.name = "before", .value = before->value_or("nobody")},
               {.name = "in_touch",
                .value = std::to_string(ledger_.ReachableDaemons(now))},
-              {.name = "daemons", .value = std::to_string(tree_.daemons())}});
-    parent_ = std::move(parent);
-    report_sent_at_.reset();
+              {.name = "daemons", .value = std::to_string(parent_.daemons())}});
   }
-  ledger_.SetRoot(!parent_);
+  ledger_.SetRoot(!parent_.ip());
   ledger_.Tick(now);
   // Unacknowledged counts are sent again, so a further report before the
   // response would count them twice.
-  const bool awaiting_response =
-      report_sent_at_ && now - *report_sent_at_ < kResponseTimeout;
-  if (parent_ && !awaiting_response) {
-    report_sent_at_ = now;
-    send_(*parent_,
-          {.number = ++last_number_, .report = ledger_.TakeReport(now)});
+  if (const auto number = parent_.Begin(now)) {
+    send_(*parent_.ip(),
+          {.number = *number, .report = ledger_.TakeReport(now)});
   }
   Arm();
 }
 
 void quota_sharing::Arm() {
-  timer_.expires_after(kReportInterval);
+  timer_.expires_after(report_parent::kReportInterval);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
       Report();
@@ -103,13 +93,11 @@
 }
 
 void quota_sharing::OnQuota(const std::string& ip, const quota_frame& quota) {
-  if (ip != parent_ || quota.number != last_number_) {
-    return;  // Not the last report, which included all earlier counts.
-  }
-  report_sent_at_.reset();
   const time_point now = monotonic_clock::now();
-  tree_.OnResponse(ip, now);
-  ledger_.OnQuota(quota.report, now);
+  // Only the last report, which included all earlier counts.
+  if (parent_.OnResponse(ip, quota.number, now)) {
+    ledger_.OnQuota(quota.report, now);
+  }
 }
 
 }  // namespace pistachioweir
--- a/src/forward/quota_sharing.h
+++ b/src/forward/quota_sharing.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -15,7 +14,7 @@
 #include "include/base/ids.h"
 #include "include/forward/service_view.h"
 #include "include/quota/quota_ledger.h"
-#include "include/quota/usage_tree.h"
+#include "include/quota/report_parent.h"
 #include "src/peer/quota_frame.h"
 
 namespace pistachioweir {
@@ -57,10 +56,7 @@
   boost::asio::steady_timer timer_;
   const sender send_;
   ledger ledger_;
-  usage_tree tree_;
-  std::optional<std::string> parent_;
-  std::uint64_t last_number_ = 0;
-  std::optional<time_point> report_sent_at_;  // Unset once answered.
+  report_parent parent_;
   bool reporting_ = false;
 };
 
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -31,7 +31,8 @@
 // What every build reads.
 constexpr peer_features kOwnFeatures = static_cast<peer_features>(
     static_cast<std::uint32_t>(peer_features::kNotices) |
-    static_cast<std::uint32_t>(peer_features::kLineage));
+    static_cast<std::uint32_t>(peer_features::kLineage) |
+    static_cast<std::uint32_t>(peer_features::kRepeatSharing));
 // More requests a second than any target can be sent.
 constexpr double kMaxRate = 1e9;
 // A deadline further away than this is a broken message.
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -54,13 +54,16 @@
             // whenever that changes; and back, since that daemon loses it by
             // a restart. The first one, which may be empty, tells that its
             // sender reads them and reason::kRateLimited.
+  kRepeatReport,  // Repeats that the sender lends, could lend and wants.
+  kRepeatGrant,   // The answer: repeats lent to it, and what the fleet wants.
 };
 
-inline constexpr enum_table<frame_kind, 20> kFrameKindNames(
-    {"hello",       "welcome", "call",   "answer",    "cancel",
-     "ask",         "ping",    "pong",   "leaving",   "suspects",
-     "ask_changes", "changes", "follow", "unfollow",  "ask_proof",
-     "proof",       "usage",   "quota",  "heartbeat", "notice"});
+inline constexpr enum_table<frame_kind, 22> kFrameKindNames(
+    {"hello",         "welcome",     "call",   "answer",    "cancel",
+     "ask",           "ping",        "pong",   "leaving",   "suspects",
+     "ask_changes",   "changes",     "follow", "unfollow",  "ask_proof",
+     "proof",         "usage",       "quota",  "heartbeat", "notice",
+     "repeat_report", "repeat_grant"});
 
 // Frames of another version are refused: the connection ends.
 inline constexpr std::uint32_t kPeerProtocolVersion = 7;
@@ -176,6 +179,7 @@
   kNone = 0,
   kNotices = 1,
   kLineage = 2,  // call_frame::lineage.
+  kRepeatSharing = 4,
 };
 
 [[nodiscard]] constexpr bool Has(peer_features features, peer_features wanted) {
@@ -206,7 +210,8 @@
 // kCancel and kAsk carry the number of the attempt, kAskChanges and kFollow the
 // revision of the asker's view, kAskProof the number of the question, kPing its
 // SendTime() (see EncodePing), kLeaving and kUnfollow nothing. For kChanges see
-// changes_frame.h, for kUsage and kQuota quota_frame.h.
+// changes_frame.h, for kUsage and kQuota quota_frame.h,
+// for kRepeatReport and kRepeatGrant repeat_frame.h.
 [[nodiscard]] std::string EncodeNumbered(frame_kind kind, std::uint64_t number);
 [[nodiscard]] std::string EncodePing(milliseconds sent);
 // A ping that is returned to its sender, with what this build reads.
--- a/src/retry/ranked_repeat_budget.cc
+++ b/src/retry/ranked_repeat_budget.cc
@@ -119,6 +119,18 @@
   return kept;
 }
 
+// Borrowed tokens expire before most of the window is over: kept for all of it,
+// half of them were lost.
+double ranked_repeat_budget::Usable(std::size_t rank, time_point now) const {
+  double borrowed = borrowed_.size();
+  for (std::size_t other = 0; other < rank; ++other) {
+    borrowed -= DemandOf(other);
+  }
+  const double available = OwnRemaining() + borrowed_.size();
+  return std::min(available,
+                  std::max(borrowed, available - KeptFor(rank, now)));
+}
+
 bool ranked_repeat_budget::MaySpend(std::size_t rank,
                                     bool makes_calls,
                                     time_point now) const {
@@ -134,7 +146,7 @@
                       Allowed(options_.calling_ratio))) {
     return false;
   }
-  return UnusedMinimum(rank) >= 1 || available - 1 >= KeptFor(rank, now);
+  return UnusedMinimum(rank) >= 1 || Usable(rank, now) >= 1;
 }
 
 void ranked_repeat_budget::OnRequest(time_point now) {
@@ -216,19 +228,17 @@
 rank_counts ranked_repeat_budget::Unmet(time_point now) {
   Expire(now);
   rank_counts unmet{};
-  double available = OwnRemaining() + borrowed_.size();
-  if (available < 0) {
+  if (OwnRemaining() + borrowed_.size() < 0) {
     return unmet;
   }
   for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
     const double demand = DemandOf(rank);
-    const double covered = std::min(available, demand);
+    const double covered = std::clamp(Usable(rank, now), 0.0, demand);
     const double leaf =
         kDemandPerAttempt *
         static_cast<double>(attempts_[rank].recent.sum(kWithoutCalls));
     unmet[rank] =
         static_cast<std::uint32_t>(std::ceil(std::min(leaf, demand - covered)));
-    available -= covered;
   }
   return unmet;
 }
