Setting repeat_budget: repeats by rank, lent, and again to rejecting targets

With few targets a call could be sent twice or three times, and the budget for more stayed unused while a service rejected 55 of 100 calls. With repeat_budget shared, a target that rejected a request and gave no Retry-After may get it again: the number of different targets is as before, the sends are 8 at most, and each after the first that reached a target is charged.

First sends below a repeated run are charged. Kinds whose runs make no calls, by their last answer, may use 0.85 of the ratio, others 0.4; without lineage all may use 0.4.

--- a/include/forward/forward_settings.h
+++ b/include/forward/forward_settings.h
@@ -14,6 +14,7 @@
 #include "include/config/config_error.h"
 #include "include/config/settings.h"
 #include "include/lineage/call_lineage.h"
+#include "include/retry/ranked_repeat_budget.h"
 
 namespace pistachioweir {
 
@@ -65,6 +66,7 @@
   double repeat_ratio = 0.2;
   double repeat_reserve = 10;
   milliseconds repeat_window{10000};
+  repeat_sharing_policy repeat_sharing = repeat_sharing_policy::kLocal;
 };
 
 // Reads settings from JSON with comments. Unknown keys, wrong types, values out
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -89,6 +89,8 @@
   // Made by a target while it serves another call: see IsRefusedBy().
   bool is_nested = false;
   tried_targets tried;
+  // Only the targets in `tried` are eligible, instead of all others.
+  bool among_tried = false;
   // Latency objective of the call; weighs completion time against other costs.
   milliseconds objective{1000};
   // Must not be sent again after a failure.
@@ -222,8 +224,8 @@
   [[nodiscard]] bool Usable(const target& candidate,
                             target_tier tier,
                             time_point now) const;
-  [[nodiscard]] bool WasTried(const placement_request& request,
-                              std::uint32_t index) const;
+  [[nodiscard]] bool IsExcluded(const placement_request& request,
+                                std::uint32_t index) const;
   [[nodiscard]] admission_rank LevelOf(const target& candidate,
                                        std::uint32_t method,
                                        time_point now) const;
--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -55,6 +55,18 @@
   return policy;
 }
 
+std::optional<repeat_sharing_policy> ParseSharing(const json_node& node) {
+  const auto text = node.ReadString();
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto policy = kRepeatSharingPolicyNames.Find(*text);
+  if (!policy) {
+    node.AddError(node.Describe(), "local or shared");
+  }
+  return policy;
+}
+
 json_schema<forward_settings> Schema() {
   using s = forward_settings;
   using enum presence;
@@ -81,6 +93,7 @@
       {"quota_overage", kOptional,
        ReadFraction(&s::quota_overage, 0, kMaxRatio)},
       {"call_lineage", kOptional, ReadWith(&s::call_lineage, ParseLineage)},
+      {"repeat_budget", kOptional, ReadWith(&s::repeat_sharing, ParseSharing)},
       {"repeat_ratio", kOptional, ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
        ReadFraction(&s::repeat_reserve, 0, kMaxReserve)},
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -37,6 +37,7 @@
 #include "src/forward/origin.h"
 #include "src/forward/process_load.h"
 #include "src/forward/quota_sharing.h"
+#include "src/forward/repeat_sharing.h"
 #include "src/forward/stop_plan.h"
 #include "src/forward/suspect_sharing.h"
 #include "src/forward/target_pool.h"
@@ -123,6 +124,12 @@
                     [this](incarnation_id sender, const usage_report& report) {
                       return quotas_.OnUsage(sender, report);
                     },
+                .on_repeat_report =
+                    [this](incarnation_id sender,
+                           const std::optional<repeat_frame>& report,
+                           milliseconds transit) {
+                      return repeats_.OnReport(sender, report, transit);
+                    },
                 .proof = [this] { return sharing_.Proof(); },
                 .on_changes =
                     [this](const view_changes& changes) {
@@ -152,6 +159,16 @@
                 [this](const std::string& ip, const usage_frame& usage) {
                   origin_.SendUsage(ip, usage);
                 }),
+        repeats_(
+            context_,
+            {.self = settings.target.ip,
+             .enabled =
+                 settings.repeat_sharing == repeat_sharing_policy::kShared},
+            {.send =
+                 [this](const std::string& ip, const repeat_frame& report) {
+                   return origin_.SendRepeatReport(ip, report);
+                 },
+             .budgets = [this] { return origin_.RepeatBudgets(); }}),
         suspects_(
             context_,
             [this](const suspects_frame& suspects, std::size_t max_count) {
@@ -225,6 +242,11 @@
         .repeat_ratio = settings.repeat_ratio * kRatioShare,
         .repeat_reserve = settings.repeat_reserve,
         .repeat_window = settings.repeat_window,
+        .repeat_sharing = settings.repeat_sharing,
+        .leaf_repeat_ratio =
+            settings.repeat_ratio *
+            (settings.call_lineage == lineage_policy::kOff ? kRatioShare
+                                                           : kLeafRatioShare),
         .on_suspects =
             [this](const suspects_frame& suspects) {
               return executor_.ImportSuspects(suspects);
@@ -253,6 +275,11 @@
         .on_quota =
             [this](const std::string& ip, const quota_frame& quota) {
               quotas_.OnQuota(ip, quota);
+            },
+        .on_repeat_grant =
+            [this](const std::string& ip,
+                   const std::optional<repeat_frame>& grant) {
+              repeats_.OnGrant(ip, grant);
             }};
   }
 
@@ -303,6 +330,9 @@
   // it, each level adds its own share. Covers two levels, and a reserve for
   // daemons that lose their counts at a restart.
   static constexpr double kRatioShare = 0.4;
+  // Share with repeat_sharing_policy::kShared and a lineage: repeats that calls
+  // inherit are charged one by one. The rest covers restarts.
+  static constexpr double kLeafRatioShare = 0.85;
 
   http_server_options ReadyOptions() {
     return {.address = settings_.ready,
@@ -326,6 +356,7 @@
                    .target_connections_reused = targets_.counters().reused,
                    .view = PageView(),
                    .quotas = PageQuotas(),
+                   .repeats = repeats_.counters(),
                    .load = LoadNow(lag_),
                    .ready = ready_ && !stop_plan_.stopping()}));
             }};
@@ -377,6 +408,7 @@
     executor_.SetListedTarget(std::move(own));
     sharing_.OnView(*view);
     quotas_.OnView(*view);
+    repeats_.OnView(*view);
     const bool usable = view->config != nullptr;
     origin_.SetView(std::move(view));
     if (usable && !std::exchange(ready_, true)) {
@@ -492,6 +524,7 @@
     views_.Stop();
     sharing_.Stop();
     quotas_.Stop();
+    repeats_.Stop();
     suspects_.Stop();
     // The kernel sends the answers already handed to it; this delay lets the
     // last ones reach it.
@@ -574,6 +607,7 @@
   typename Platform::views views_;
   view_sharing sharing_;
   quota_sharing quotas_;
+  repeat_sharing repeats_;
   suspect_sharing suspects_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -169,6 +169,45 @@
   families->push_back(std::move(family));
 }
 
+// By rank where requests have one; tokens have none.
+void AddRepeats(const ranked_repeat_counters& repeats,
+                const repeat_sharing_counters& sharing,
+                std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_repeats";
+  family.help = "Repeats of requests by rank, with repeat_budget shared";
+  family.type = MetricType::Counter;
+  for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+    for (const bool refused : {false, true}) {
+      ClientMetric metric;
+      metric.label = {
+          {.name = "rank", .value = std::to_string(rank)},
+          {.name = "verdict", .value = refused ? "refused" : "spent"}};
+      metric.counter.value = static_cast<double>(refused ? repeats.refused[rank]
+                                                         : repeats.spent[rank]);
+      family.metric.push_back(std::move(metric));
+    }
+  }
+  families->push_back(std::move(family));
+  const auto counter = [&](std::string_view name, std::string_view help,
+                           std::uint64_t value) {
+    Add(name, help, MetricType::Counter, static_cast<double>(value), families);
+  };
+  counter("repeats_inherited", "First sends that repeat a run above",
+          repeats.inherited);
+  counter("repeats_lent", "Repeats lent to other daemons", repeats.lent);
+  counter("repeats_borrowed", "Repeats borrowed from other daemons",
+          repeats.borrowed);
+  counter("repeat_reports_sent", "Reports of repeats to the parent",
+          sharing.reports);
+  counter("repeat_grants_taken", "Grants of repeats from the parent",
+          sharing.grants);
+  counter("repeat_grants_late", "Grants dropped because they were too late",
+          sharing.late_grants);
+  counter("repeat_frames_unreadable", "Malformed reports and grants of repeats",
+          sharing.unreadable);
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -196,6 +235,7 @@
           "Calls of the target cancelled because its run was lost",
           calls.ended_with_parent);
   AddLineage(sources.runs.lineages(), &families);
+  AddRepeats(sources.calls.RepeatCounters(), sources.repeats, &families);
   const executor_counters& runs = sources.runs.counters();
   counter("calls_unauthenticated", "Refused without a valid API key",
           calls.unauthenticated);
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -11,6 +11,7 @@
 #include "include/base/time.h"
 #include "include/forward/view_changes.h"
 #include "src/forward/process_load.h"
+#include "src/forward/repeat_sharing.h"
 #include "src/forward/view_sharing.h"
 #include "src/net/http_message.h"
 #include "src/peer/peer_server.h"
@@ -56,6 +57,7 @@
   std::uint64_t target_connections_reused = 0;
   view_page view;
   quota_page quotas;
+  repeat_sharing_counters repeats;
   process_load load;
   bool ready = false;
 };
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -136,7 +136,11 @@
       splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
   placed->service = std::string(split->second.Next(matched.parts));
   service_state& state = StateOf(placed->service);
-  state.repeats.OnRequest(placed->call.received);
+  if (SharesRepeats()) {
+    state.ranked_repeats.OnRequest(placed->call.received);
+  } else {
+    state.repeats.OnRequest(placed->call.received);
+  }
 
   const milliseconds timeout = TimeoutOf(*placed);
   placed->deadline = placed->call.received + timeout;
@@ -247,8 +251,9 @@
     FinishWithoutAnswer(id);
     return;
   }
-  const placement placed =
-      state.targets.Place(call->placing, now, RandomBits64());
+  const placement placed = state.targets.Place(
+      call->sends_again ? AgainRequest(*call) : call->placing, now,
+      RandomBits64());
   if (!placed.placed) {
     call->why = placed.why;
     call->retry_after = placed.retry_after;
@@ -261,7 +266,9 @@
   }
   call->target = placed.target;
   call->target_id = std::string(state.targets.VmOf(placed.target));
-  call->placing.tried.refs[call->placing.tried.count++] = placed.target;
+  if (!call->sends_again) {
+    call->placing.tried.refs[call->placing.tried.count++] = placed.target;
+  }
   const target_entry* const target = FindTarget(call->target_id);
   if (target == nullptr) {
     // Not expected: the balancer's targets are those of the view.
@@ -326,6 +333,9 @@
   const call_ptr call = calls_.at(id);
   const time_point now = monotonic_clock::now();
   const std::uint32_t generation = ++call->generation;
+  if (generation == 1) {
+    ChargeFirstSend(*call, now);
+  }
   call->sent_at = now;
   call->sending = true;
   log_.Add(id, call->call.id, generation == 1 ? "sent" : "sent_again",
@@ -374,6 +384,11 @@
     StateOf(call.service)
         .made_by_targets.set(call.placing.method, answer.answer.by_targets);
   }
+  if (answer.answer.lineage) {
+    StateOf(call.service)
+        .without_calls.set(call.placing.method,
+                           !answer.answer.lineage->makes_calls);
+  }
   if (answer.answer.by_targets) {
     call.from_own_target = true;
     local_.UpdateDownstreamPressure(
@@ -398,7 +413,9 @@
   if (answer.answer.reached_target ||
       answer.answer.kind == outcome_kind::kUnknown) {
     ++call.targets_reached;
+    call.reached_again += call.sends_again ? 1U : 0U;
   }
+  NoteRejection(call, answer.answer);
   if (answer.answer.kind == outcome_kind::kUnknown) {
     call.may_have_run = true;
   }
@@ -434,7 +451,7 @@
                 .count())},
        {.name = "queued_us", .value = std::to_string(frame.queued.count())},
        {.name = "served_us", .value = std::to_string(frame.served.count())}});
-  if (MayRetry(*call, frame, now)) {
+  if (MayRetry(id, *call, frame, now)) {
     if (frame.kind == outcome_kind::kCompleted) {
       call->may_have_run = true;
       call->has_failure = true;
@@ -486,33 +503,6 @@
   });
 }
 
-// A request is retried on another target if it has not run, or if it failed and
-// may run again. Retries after a send that reached a target are charged to the
-// retry budget, since they add load beyond the callers' own.
-bool origin::MayRetry(placed_call& call,
-                      const answer_frame& answer,
-                      time_point now) {
-  const bool completed = answer.kind == outcome_kind::kCompleted;
-  if (completed &&
-      (!IsServerError(answer.response.status) || answer.failed_below ||
-       call.matched->repeats == repeat_policy::kAtMostOnce)) {
-    return false;
-  }
-  const bool may_run =
-      !call.may_have_run || call.matched->repeats == repeat_policy::kIdempotent;
-  service_state& state = StateOf(call.service);
-  if (!may_run || now >= call.deadline || CannotMeetDeadline(call, now) ||
-      answer.why == reason::kCancelled ||
-      !state.targets.MayTryElsewhere(call.placing, now)) {
-    return false;
-  }
-  if (call.targets_reached == 0) {
-    return true;
-  }
-  return call.targets_reached < call.matched->max_targets &&
-         state.repeats.TrySpend(now);
-}
-
 void origin::OnTimeout(call_id id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -28,6 +28,7 @@
 #include "include/lineage/running_requests.h"
 #include "include/organisation/key_check.h"
 #include "include/quota/quota_ledger.h"
+#include "include/retry/ranked_repeat_budget.h"
 #include "include/retry/repeat_budget.h"
 #include "include/retry/reserve_share.h"
 #include "include/retry/send_feasibility.h"
@@ -57,6 +58,10 @@
   double repeat_ratio = 0.1;
   double repeat_reserve = 10;
   milliseconds repeat_window{10000};
+  repeat_sharing_policy repeat_sharing = repeat_sharing_policy::kLocal;
+  // With kShared: the ratio that inherited repeats and those of kinds whose
+  // runs make no calls may use; the others may use `repeat_ratio`.
+  double leaf_repeat_ratio = 0.1;
   std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // The daemon at `ip` reported the state of its view.
   std::function<void(const std::string& ip, const neighbour_report& report)>
@@ -87,6 +92,10 @@
   std::function<void(organisation_id)> refund_quota;
   // The daemon at `ip` answered a usage report.
   std::function<void(const std::string& ip, const quota_frame&)> on_quota;
+  // The daemon at `ip` answered a report of repeats; nothing if the answer
+  // can't be read.
+  std::function<void(const std::string& ip, const std::optional<repeat_frame>&)>
+      on_repeat_grant;
 };
 
 struct origin_counters {
@@ -143,6 +152,12 @@
   void AskChanges(const std::string& ip);
   // Reports quota usage to the daemon at `ip`.
   void SendUsage(const std::string& ip, const usage_frame& usage);
+  // Reports repeats to the daemon at `ip`. False if that can't read it now.
+  bool SendRepeatReport(const std::string& ip, const repeat_frame& report);
+  // The budgets of all called services.
+  [[nodiscard]] std::vector<own_repeat_budget> RepeatBudgets();
+  // Over all called services.
+  [[nodiscard]] ranked_repeat_counters RepeatCounters() const;
   // Requests freshness proofs from the daemons at these IP addresses and from
   // up to `additional` linked daemons, chosen round-robin.
   void AskProofs(const std::vector<std::string>& ips, std::size_t additional);
@@ -179,15 +194,20 @@
   // State of one called service.
   struct service_state {
     service_state(const balancer_options& placing,
-                  const repeat_budget_options& repeating)
-        : targets(placing), repeats(repeating) {}
+                  const repeat_budget_options& repeating,
+                  const ranked_repeat_options& by_rank)
+        : targets(placing), repeats(repeating), ranked_repeats(by_rank) {}
 
     balancer targets;
+    // The one in use depends on the policy.
     repeat_budget repeats;
+    ranked_repeat_budget ranked_repeats;
     send_feasibility feasibility;
     kind_index kinds;
     // Kinds that are made by targets, as far as their executors know.
     std::bitset<kind_index::kMaxKinds> made_by_targets;
+    // Kinds whose runs make no calls, by the last answer that told.
+    std::bitset<kind_index::kMaxKinds> without_calls;
   };
 
   struct placed_call {
@@ -217,6 +237,12 @@
     // Time in queues and at targets, from received answers.
     duration processing_time{0};
     std::uint32_t targets_reached = 0;  // Sends that reached a target.
+    // Sends that reached one of `rejecting` again; included above.
+    std::uint32_t reached_again = 0;
+    // Targets that rejected the request without running it, and gave no time to
+    // wait; the last one at the end.
+    tried_targets rejecting;
+    bool sends_again = false;  // The current send is to one of these.
     bool may_have_run = false;
     bool from_own_target = false;  // Downstream call of the local target.
     parent_match parent;           // The request that it is made for.
@@ -271,9 +297,24 @@
   void RecordAnswer(placed_call& call,
                     const peer_answer& answer,
                     time_point now);
-  [[nodiscard]] bool MayRetry(placed_call& call,
+  [[nodiscard]] bool MayRetry(call_id id,
+                              placed_call& call,
                               const answer_frame& answer,
                               time_point now);
+  // Whether the request may be sent again to a target that rejected it.
+  [[nodiscard]] bool MayTryAgain(const placed_call& call,
+                                 const answer_frame& answer,
+                                 time_point now);
+  void NoteRejection(placed_call& call, const answer_frame& answer);
+  [[nodiscard]] placement_request AgainRequest(const placed_call& call) const;
+  [[nodiscard]] bool SharesRepeats() const {
+    return options_.repeat_sharing == repeat_sharing_policy::kShared;
+  }
+  // The first send of a call may be a repeat of a run above.
+  void ChargeFirstSend(const placed_call& call, time_point now);
+  [[nodiscard]] bool SpendRepeat(call_id id,
+                                 const placed_call& call,
+                                 time_point now);
   void OnTimeout(call_id id);
   // Ends the call, or schedules another placement.
   void FinishOrRetryLater(call_id id);
@@ -300,6 +341,7 @@
   void ExpireNotices(time_point now);
   service_state& StateOf(const std::string& service);
   [[nodiscard]] repeat_budget_options RepeatOptions(time_point now);
+  [[nodiscard]] ranked_repeat_options RankedRepeatOptions(time_point now);
   void ShareReserve(time_point now);
   [[nodiscard]] const target_entry* FindTarget(std::string_view id) const;
   [[nodiscard]] std::shared_ptr<peer_link> LinkTo(const std::string& ip);
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -93,6 +93,12 @@
             if (options_.on_quota) {
               options_.on_quota(ip, quota);
             }
+          },
+      .on_repeat_grant =
+          [this, ip](const std::optional<repeat_frame>& grant) {
+            if (options_.on_repeat_grant) {
+              options_.on_repeat_grant(ip, grant);
+            }
           }};
 }
 
@@ -235,6 +241,11 @@
   LinkTo(ip)->SendUsage(usage);
 }
 
+bool origin::SendRepeatReport(const std::string& ip,
+                              const repeat_frame& report) {
+  return LinkTo(ip)->SendRepeatReport(report);
+}
+
 void origin::AskProofs(const std::vector<std::string>& ips,
                        std::size_t additional) {
   for (const std::string& ip : ips) {
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -80,7 +80,8 @@
                                     .policy = placement_policy::kExpectedEnd,
                                     .methods = kind_index::kMaxKinds,
                                     .max_tries = kMaxSends},
-                   RepeatOptions(monotonic_clock::now()))
+                   RepeatOptions(monotonic_clock::now()),
+                   RankedRepeatOptions(monotonic_clock::now()))
       .first->second;
 }
 
@@ -90,12 +91,21 @@
           .reserve = options_.repeat_reserve * reserve_share_.Fraction(now)};
 }
 
+ranked_repeat_options origin::RankedRepeatOptions(time_point now) {
+  return {.window = options_.repeat_window,
+          .ratio = options_.leaf_repeat_ratio,
+          .calling_ratio = options_.repeat_ratio,
+          .reserve = options_.repeat_reserve * reserve_share_.Fraction(now)};
+}
+
 // The share changes with the list of daemons, and over time after such a
 // change.
 void origin::ShareReserve(time_point now) {
   const repeat_budget_options repeating = RepeatOptions(now);
+  const ranked_repeat_options by_rank = RankedRepeatOptions(now);
   for (auto& [service, state] : services_) {
     state.repeats.Configure(repeating);
+    state.ranked_repeats.Configure(by_rank);
   }
 }
 
--- /dev/null
+++ b/src/forward/repeat_sharing.cc
@@ -0,0 +1,109 @@
+// Reports of repeats and the grants that answer them.
+#include "src/forward/repeat_sharing.h"
+
+#include <utility>
+
+#include "include/base/log.h"
+#include "include/base/random_bits.h"
+
+namespace pistachioweir {
+namespace {
+
+// Returns a value in [0, 1).
+double RandomFraction() {
+  constexpr double kRange = 4294967296.0;
+  return static_cast<double>(RandomBits32()) / kRange;
+}
+
+}  // namespace
+
+repeat_sharing::repeat_sharing(boost::asio::io_context& context,
+                               repeat_sharing_options options,
+                               repeat_sharing_callbacks callbacks)
+    : options_(std::move(options)),
+      callbacks_(std::move(callbacks)),
+      timer_(context),
+      parent_({.self = options_.self}) {
+  exchange_.SetRoot(true);
+}
+
+void repeat_sharing::Stop() {
+  timer_.cancel();
+}
+
+void repeat_sharing::OnView(const service_view& view) {
+  if (!options_.enabled) {
+    return;
+  }
+  std::vector<std::string> ips;
+  ips.reserve(view.targets.size());
+  for (const target_entry& target : view.targets) {
+    ips.push_back(target.address.ip);
+  }
+  parent_.SetDaemons(std::move(ips));
+  if (!std::exchange(reporting_, true)) {
+    Report();
+  }
+}
+
+void repeat_sharing::Report() {
+  const time_point now = monotonic_clock::now();
+  if (const auto before = parent_.Choose(now)) {
+    LogEvent("repeat_reports",
+             {{.name = "to", .value = parent_.ip().value_or("nobody")},
+              {.name = "before", .value = before->value_or("nobody")},
+              {.name = "daemons", .value = std::to_string(parent_.daemons())}});
+  }
+  exchange_.SetRoot(!parent_.ip());
+  exchange_.Tick(callbacks_.budgets(), RandomFraction(), now);
+  if (const auto number = parent_.Begin(now)) {
+    const bool sent =
+        callbacks_.send(*parent_.ip(), {.number = *number,
+                                        .sent = SendTime(boot_clock::now()),
+                                        .entries = exchange_.TakeReport(now)});
+    counters_.reports += sent ? 1U : 0U;
+  }
+  Arm();
+}
+
+void repeat_sharing::Arm() {
+  timer_.expires_after(report_parent::kReportInterval);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Report();
+    }
+  });
+}
+
+std::optional<repeat_entries> repeat_sharing::OnReport(
+    incarnation_id sender,
+    const std::optional<repeat_frame>& report,
+    milliseconds transit) {
+  if (!options_.enabled) {
+    return std::nullopt;
+  }
+  if (!report) {
+    ++counters_.unreadable;
+    return std::nullopt;
+  }
+  return exchange_.OnReport(static_cast<std::uint64_t>(sender), report->entries,
+                            transit, monotonic_clock::now());
+}
+
+void repeat_sharing::OnGrant(const std::string& ip,
+                             const std::optional<repeat_frame>& grant) {
+  if (!grant) {
+    ++counters_.unreadable;
+    return;
+  }
+  const time_point now = monotonic_clock::now();
+  const auto reported_at = parent_.OnResponse(ip, grant->number, now);
+  if (!reported_at || now - *reported_at > report_parent::kResponseTimeout) {
+    ++counters_.late_grants;
+    return;
+  }
+  ++counters_.grants;
+  exchange_.OnGrant(grant->entries, callbacks_.budgets(), *reported_at, now);
+}
+
+}  // namespace pistachioweir
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -191,6 +191,19 @@
   }
 }
 
+bool peer_link::SendRepeatReport(const repeat_frame& report) {
+  last_used_ = monotonic_clock::now();
+  if (current_ == nullptr) {
+    Probe();
+    return false;
+  }
+  if (!Has(features_, peer_features::kRepeatSharing)) {
+    return false;
+  }
+  current_->Send(Encode(report, frame_kind::kRepeatReport));
+  return true;
+}
+
 void peer_link::Probe() {
   if (!closed_ && state() == link_state::kDown) {
     Connect();
@@ -414,6 +427,11 @@
         return;
       }
       break;
+    case frame_kind::kRepeatGrant:
+      if (events_.on_repeat_grant) {
+        events_.on_repeat_grant(DecodeRepeat(frame.payload));
+      }
+      return;
     case frame_kind::kProof:
       if (const auto proof = DecodeProof(frame.payload)) {
         OnProof(*proof);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -25,6 +25,7 @@
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
+#include "src/peer/repeat_frame.h"
 #include "src/peer/stream_load.h"
 
 namespace pistachioweir {
@@ -82,6 +83,8 @@
   std::function<void(const freshness_proof&, boot_time asked)> on_proof;
   // The peer answered a report of use.
   std::function<void(const quota_frame&)> on_quota;
+  // The peer answered a report of repeats; nothing if it can't be read.
+  std::function<void(const std::optional<repeat_frame>&)> on_repeat_grant;
 };
 
 // A call that was sent. `heard` tells whether the answer came from the peer;
@@ -117,6 +120,9 @@
   void SendMissedSuspects();
   // Tells what was used of quotas; connects if need be, for the next time.
   void SendUsage(const usage_frame& usage);
+  // As SendUsage(), but not to a peer that doesn't read such reports. False if
+  // it wasn't sent.
+  bool SendRepeatReport(const repeat_frame& report);
   // Tries to reach the peer although there is nothing to send.
   void Probe();
   // Has the peer tell what changes in the store, from now on and over each
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -214,6 +214,9 @@
         }
         return usage.has_value();
       }
+      case frame_kind::kRepeatReport:
+        OnRepeatReport(DecodeRepeat(frame.payload));
+        return true;
       case frame_kind::kAskProof: {
         const auto number = DecodeNumber(frame.payload);
         if (number) {
@@ -242,6 +245,21 @@
     }
   }
 
+  void OnRepeatReport(const std::optional<repeat_frame>& report) {
+    if (!server_.options_.on_repeat_report) {
+      return;
+    }
+    const milliseconds transit =
+        report ? server_.Transit(sender_, report->sent) : milliseconds(0);
+    auto grant = server_.options_.on_repeat_report(sender_, report, transit);
+    if (report && grant) {
+      Send(Encode(repeat_frame{.number = report->number,
+                               .sent = SendTime(boot_clock::now()),
+                               .entries = *std::move(grant)},
+                  frame_kind::kRepeatGrant));
+    }
+  }
+
   peer_server& server_;
   const std::string ip_;  // The sender's.
   std::shared_ptr<frame_stream> stream_;
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -23,6 +23,7 @@
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
+#include "src/peer/repeat_frame.h"
 #include "src/peer/stream_load.h"
 #include "src/peer/transit_time.h"
 
@@ -44,6 +45,13 @@
   // A daemon told what it used of quotas. Returns what is left of them.
   std::function<quota_report(incarnation_id sender, const usage_report&)>
       on_usage;
+  // A daemon reported repeats in a frame that waited for `transit`; nothing if
+  // it can't be read. Returns the grant, if there is an answer.
+  std::function<std::optional<repeat_entries>(
+      incarnation_id sender,
+      const std::optional<repeat_frame>& report,
+      milliseconds transit)>
+      on_repeat_report;
   // How new the view is proven to be; nothing if it isn't.
   std::function<std::optional<freshness_proof>()> proof;
   // Another daemon told what has changed, since AskForChanges() asked it.
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -227,11 +227,12 @@
       targets_, [&](const target& t) { return Reachable(t, now); }));
 }
 
-bool balancer::WasTried(const placement_request& request,
-                        std::uint32_t index) const {
+bool balancer::IsExcluded(const placement_request& request,
+                          std::uint32_t index) const {
   const target_ref ref{index, targets_[index].generation};
   const auto end = request.tried.refs.begin() + request.tried.count;
-  return std::find(request.tried.refs.begin(), end, ref) != end;
+  const bool was_tried = std::find(request.tried.refs.begin(), end, ref) != end;
+  return was_tried != request.among_tried;
 }
 
 admission_rank balancer::LevelOf(const target& candidate,
@@ -302,7 +303,7 @@
   for (std::uint32_t i = 0; i < candidates && found < wanted; ++i) {
     const std::uint32_t index = group[(start + i * second) % size];
     const target& examined = targets_[index];
-    if (!Usable(examined, tier, now) || WasTried(request, index) ||
+    if (!Usable(examined, tier, now) || IsExcluded(request, index) ||
         Refuses(examined, request, now)) {
       continue;
     }
@@ -347,7 +348,7 @@
                                     bool* any) {
   for (std::uint32_t i = 0; i < targets_.size(); ++i) {
     target& candidate = targets_[i];
-    if (!Reachable(candidate, now) || WasTried(request, i)) {
+    if (!Reachable(candidate, now) || IsExcluded(request, i)) {
       continue;
     }
     *any = true;
@@ -388,7 +389,7 @@
     return false;
   }
   for (std::uint32_t i = 0; i < targets_.size(); ++i) {
-    if (Reachable(targets_[i], now) && !WasTried(request, i) &&
+    if (Reachable(targets_[i], now) && !IsExcluded(request, i) &&
         !Refuses(targets_[i], request, now)) {
       return true;
     }
--- a/src/route/expected_end.cc
+++ b/src/route/expected_end.cc
@@ -77,7 +77,7 @@
   std::vector<option> options;
   double lowest_failure_rate = 1;
   for (const std::uint32_t index : all_) {
-    if (Usable(targets_[index], tier, now) && !WasTried(request, index) &&
+    if (Usable(targets_[index], tier, now) && !IsExcluded(request, index) &&
         !Refuses(targets_[index], request, now)) {
       options.push_back({.index = index});
       lowest_failure_rate =
--- a/tests/forward_settings_test.cc
+++ b/tests/forward_settings_test.cc
@@ -50,5 +50,17 @@
   }
 }
 
+// Guards against daemons that share repeats without having been told to.
+TEST(ForwardSettingsTest, RepeatsAreSharedOnlyOnRequest) {
+  const auto plain = ParseForwardSettings(With(""), "a.json");
+  EXPECT_EQ(plain.value.repeat_sharing, repeat_sharing_policy::kLocal);
+  const auto shared =
+      ParseForwardSettings(With(R"(, "repeat_budget": "shared")"), "a.json");
+  ASSERT_TRUE(shared.ok());
+  EXPECT_EQ(shared.value.repeat_sharing, repeat_sharing_policy::kShared);
+  EXPECT_FALSE(
+      ParseForwardSettings(With(R"(, "repeat_budget": "all")"), "a.json").ok());
+}
+
 }  // namespace
 }  // namespace pistachioweir
--- /dev/null
+++ b/tests/origin_repeats_test.cc
@@ -0,0 +1,118 @@
+// Sends of a request again to a target that rejected it.
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "include/base/call_log.h"
+#include "include/forward/service_view.h"
+#include "src/forward/executor.h"
+#include "src/forward/origin.h"
+
+namespace pistachioweir {
+namespace {
+
+// A daemon beside a target that rejects requests, and that calls its service.
+class origin_repeats_test : public testing::Test {
+ protected:
+  // The target rejects `rejections` requests, then answers.
+  outcome_kind Request(repeat_sharing_policy policy,
+                       int rejections,
+                       milliseconds retry_after = milliseconds(0)) {
+    boost::asio::io_context context;
+    call_log log{{}};
+    executor local(
+        context,
+        [&](const target_run&, const std::function<void(run_result)>& done) {
+          run_result result{.end = runs_++ < rejections ? run_end::kNotExecuted
+                                                        : run_end::kAnswered};
+          result.response = {.status = 200};
+          result.notice.retry_after = retry_after;
+          boost::asio::post(context, [done, result] { done(result); });
+          return std::function<void()>([] {});
+        },
+        log);
+    local.SetSlots(8);
+    origin calls(context,
+                 {.vm = "vm-1",
+                  .service = "quotes",
+                  .own_target = kTarget,
+                  .self = incarnation_id{7},
+                  .repeat_ratio = 20,
+                  .repeat_reserve = 0,
+                  .repeat_sharing = policy,
+                  .leaf_repeat_ratio = 20},
+                 local, log);
+    calls.SetView(View());
+    std::optional<relayed_result> outcome;
+    calls.Submit({.id = "id",
+                  .host = "a.example",
+                  .request = {.verb = "POST", .target = "/quote"},
+                  .received = monotonic_clock::now()},
+                 [&](relayed_result result) { outcome = std::move(result); });
+    while (!outcome && context.run_one() > 0) {
+    }
+    return outcome.value_or(relayed_result()).kind;
+  }
+
+  int runs_ = 0;
+
+ private:
+  static std::shared_ptr<const service_view> View() {
+    auto config = std::make_shared<service_config>();
+    std::string problem;
+    config->routes = *route_table::Make({{.name = "quote",
+                                          .host = "a.example",
+                                          .prefix = "/",
+                                          .timeout = milliseconds(20000),
+                                          .max_targets = 3,
+                                          .parts = {{.service = "quotes"}}}},
+                                        &problem);
+    auto view = std::make_shared<service_view>();
+    view->config = config;
+    view->targets = {{.id = "target-1",
+                      .service = "quotes",
+                      .address = kTarget,
+                      .slots = 8}};
+    return view;
+  }
+
+  static inline const endpoint kTarget{.ip = "127.0.0.1", .port = 9};
+};
+
+// Guards against requests that fail although the budget would allow the repeats
+// that they need: a service with one target rejected them at their first send.
+TEST_F(origin_repeats_test, ATargetThatRejectedARequestMayGetItAgain) {
+  EXPECT_EQ(Request(repeat_sharing_policy::kShared, 5),
+            outcome_kind::kCompleted);
+  EXPECT_EQ(runs_, 6);
+}
+
+// Guards against repeats without end.
+TEST_F(origin_repeats_test, ARequestIsSentAtMostEightTimes) {
+  EXPECT_EQ(Request(repeat_sharing_policy::kShared, 100),
+            outcome_kind::kNotExecuted);
+  EXPECT_EQ(runs_, 8);
+}
+
+// Guards against a target that says when to come back, and isn't heard.
+TEST_F(origin_repeats_test, ATargetThatGivesARetryAfterDoesNotGetItAgain) {
+  EXPECT_EQ(Request(repeat_sharing_policy::kShared, 5, milliseconds(500)),
+            outcome_kind::kNotExecuted);
+  EXPECT_EQ(runs_, 1);
+}
+
+TEST_F(origin_repeats_test, WithoutSharingEachTargetGetsARequestOnce) {
+  EXPECT_EQ(Request(repeat_sharing_policy::kLocal, 5),
+            outcome_kind::kNotExecuted);
+  EXPECT_EQ(runs_, 1);
+}
+
+}  // namespace
+}  // namespace pistachioweir
