--- a/src/config/forward_settings.cc
+++ b/src/config/forward_settings.cc
@@ -31,40 +31,23 @@
   });
 }
 
-std::optional<reader_policy> ParseReaders(const json_node& node) {
-  const auto text = node.ReadString();
-  if (!text) {
-    return std::nullopt;
-  }
-  const auto policy = kReaderPolicyNames.Find(*text);
-  if (!policy) {
-    node.AddError(node.Describe(), "few or all");
-  }
-  return policy;
-}
-
-std::optional<lineage_policy> ParseLineage(const json_node& node) {
-  const auto text = node.ReadString();
-  if (!text) {
-    return std::nullopt;
-  }
-  const auto policy = kLineagePolicyNames.Find(*text);
-  if (!policy) {
-    node.AddError(node.Describe(), "off, deadline or request_id");
-  }
-  return policy;
-}
-
-std::optional<entrance_policy> ParseEntrance(const json_node& node) {
-  const auto text = node.ReadString();
-  if (!text) {
-    return std::nullopt;
-  }
-  const auto policy = kEntrancePolicyNames.Find(*text);
-  if (!policy) {
-    node.AddError(node.Describe(), "results or cost");
-  }
-  return policy;
+// One of the names of `names`; `choices` lists them for the error.
+template <typename Enum, std::size_t kCount>
+auto ReadName(Enum forward_settings::*member,
+              const enum_table<Enum, kCount>& names,
+              std::string_view choices) {
+  return ReadWith(
+      member, [&names, choices](const json_node& node) -> std::optional<Enum> {
+        const auto text = node.ReadString();
+        if (!text) {
+          return std::nullopt;
+        }
+        const auto value = names.Find(*text);
+        if (!value) {
+          node.AddError(node.Describe(), std::string(choices));
+        }
+        return value;
+      });
 }
 
 json_schema<forward_settings> Schema() {
@@ -88,12 +71,19 @@
       {"stop_timeout", kOptional, ReadDuration(&s::stop_timeout)},
       {"store_calls_per_second", kOptional,
        ReadFraction(&s::store_calls_per_second, 0, kMaxStoreCalls)},
-      {"store_readers", kOptional, ReadWith(&s::store_readers, ParseReaders)},
+      {"store_readers", kOptional,
+       ReadName(&s::store_readers, kReaderPolicyNames, "few or all")},
       {"key_withdrawal", kOptional, ReadDuration(&s::key_withdrawal)},
       {"quota_overage", kOptional,
        ReadFraction(&s::quota_overage, 0, kMaxRatio)},
-      {"call_lineage", kOptional, ReadWith(&s::call_lineage, ParseLineage)},
-      {"entrance", kOptional, ReadWith(&s::entrance, ParseEntrance)},
+      {"call_lineage", kOptional,
+       ReadName(&s::call_lineage, kLineagePolicyNames,
+                "off, deadline or request_id")},
+      {"entrance", kOptional,
+       ReadName(&s::entrance, kEntrancePolicyNames, "results or cost")},
+      {"repeat_budget", kOptional,
+       ReadName(&s::repeat_sharing, kRepeatSharingPolicyNames,
+                "local or shared")},
       {"repeat_ratio", kOptional, ReadFraction(&s::repeat_ratio, 0, kMaxRatio)},
       {"repeat_reserve", kOptional,
        ReadFraction(&s::repeat_reserve, 0, kMaxReserve)},
