Starts at a limited target keep to every window that it judges

Cause: a new limit begins with a pause for the requests of the second before, and the pause was bounded to 3 s. A window of 4 s that ends then still contains up to a second of the load before the limit; with more than six times the limit it is full already, and the starts after the pause come on top. Besides, what was left of a pause was paid off at the rate of whatever limit came later: a lower one stopped the target for longer than 20 s, a higher one ended the pause early.

Change: start_window holds the starts of the last 4 s and what the limits allow in that time, in slots of 50 ms. rate_limit starts nothing that does not fit into each window that ends 2.75 s or more after the limit was learnt (1.4 times what the limits allow, and 2 requests; the bound is 1.5 times and 5). The pause thus ends between 3 and 4 s, when the load before the limit has left the window far enough. The bucket's own pause stays at 3 s, now also for a limit that gets lower during it.

--- a/include/admit/rate_limit.h
+++ b/include/admit/rate_limit.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 
+#include "include/admit/start_window.h"
 #include "include/base/recent_count.h"
 #include "include/base/time.h"
 
@@ -15,8 +16,8 @@
 // A token bucket. What started before the limit was known counts as well: a
 // target that names a limit is in need, and the requests of the last second are
 // part of the reason. So a new or lower limit begins with a pause if the last
-// second exceeded twice what it allows, for as long as those requests can count
-// in a window over which targets judge their load.
+// second exceeded twice what it allows. Whatever the bucket holds, nothing
+// starts while a window over which targets judge their load is full.
 //
 // Pure logic; owned by the admission_controller.
 class rate_limit {
@@ -39,18 +40,24 @@
     const bool is_lower =
         per_second && per_second_ && *per_second < *per_second_;
     per_second_ = per_second;
+    if (is_new) {
+      window_.Begin(*per_second_, now);
+    } else {
+      window_.SetLimit(per_second_.value_or(0), now);
+    }
     if (is_new || is_lower) {
       const double unused = kFreeSeconds * *per_second_ + kFreeRequests -
                             static_cast<double>(recent_.Get(now));
       const double first =
-          std::max(unused, 1 - kMaxPause.count() * *per_second_);
-      tokens_ = std::min({first, Capacity(), is_new ? first : tokens_});
+          std::min({unused, Capacity(), is_new ? unused : tokens_});
+      tokens_ = std::max(first, 1 - kMaxPause.count() * *per_second_);
     }
   }
 
   // A request starts.
   void OnStart(time_point now) {
     recent_.Add(now);
+    window_.Add(now);
     if (per_second_) {
       Refill(now);
       tokens_ -= 1;
@@ -63,9 +70,12 @@
     if (!per_second_) {
       return duration(0);
     }
-    const double missing = static_cast<double>(ahead) + 1 - Tokens(now);
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-        std::min(kMaxWait, std::max(0.0, missing) / *per_second_)));
+    const double starts = static_cast<double>(ahead) + 1;
+    const double missing = std::max(0.0, starts - Tokens(now));
+    const std::chrono::duration<double> refill(
+        std::min(kMaxWait, missing / *per_second_));
+    return std::max(std::chrono::duration_cast<duration>(refill),
+                    window_.Wait(starts, now));
   }
   [[nodiscard]] bool MayStart(time_point now) const {
     return Wait(0, now) == duration(0);
@@ -82,7 +92,7 @@
   // in kFreeSeconds, and kFreeRequests.
   static constexpr double kFreeSeconds = 2;
   static constexpr double kFreeRequests = 2;
-  // The window of four seconds, less the second that is counted.
+  // The longest pause by the bucket; a full window may extend it by a second.
   static constexpr std::chrono::duration<double> kMaxPause{3};
   // Seconds; keeps the wait representable.
   static constexpr double kMaxWait = 3600;
@@ -102,6 +112,7 @@
   }
 
   recent_count recent_;
+  start_window window_;
   std::optional<double> per_second_;  // At least kMinPerSecond.
   double tokens_ = 0;  // Valid with a limit; negative during a pause.
   time_point refilled_at_;
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -469,5 +469,141 @@
   RC_ASSERT(MaxExcess(target, limits) <= 0);
 }
 
+// Starts at a rate_limit alone, as fast as it allows.
+class limited_starts {
+ public:
+  void Set(double per_second) {
+    limit_.Set(per_second, now);
+    limits.push_back({now, per_second});
+  }
+
+  // Advances the clock, with `per_second` starts offered evenly.
+  void Run(duration time, double per_second) {
+    for (const time_point end = now + time; now < end;) {
+      now += kStep;
+      offered_ += per_second * std::chrono::duration<double>(kStep).count();
+      for (; offered_ >= 1; offered_ -= 1) {
+        Start();
+      }
+    }
+  }
+  void Burst(double count) {
+    for (int i = 0; i < count; ++i) {
+      Start();
+    }
+  }
+
+  [[nodiscard]] double StartsBetween(time_point begin, time_point end) const {
+    return static_cast<double>(std::ranges::count_if(
+        starts_, [&](time_point each) { return each > begin && each <= end; }));
+  }
+
+  // The largest excess over the bound at the time of a start, in a window that
+  // counts.
+  [[nodiscard]] double MaxExcess() const {
+    double max = -1e9;
+    for (const time_point end : starts_) {
+      if (end > limits.front().since + kFrom) {
+        const time_point begin = end - kWindow;
+        max = std::max(max, StartsBetween(begin, end) -
+                                kTolerance * Allowance(limits, begin, end) -
+                                kMoreRequests);
+      }
+    }
+    return max;
+  }
+
+  time_point now = kStart;
+  std::vector<named_limit> limits;
+
+ private:
+  void Start() {
+    if (limit_.MayStart(now)) {
+      limit_.OnStart(now);
+      starts_.push_back(now);
+    }
+  }
+
+  rate_limit limit_;
+  std::vector<time_point> starts_;
+  double offered_ = 0;
+};
+
+// A pause that ended three seconds after the announcement left the second
+// before it in the windows that targets judge (soak 49001).
+TEST(RateLimitTest, NoWindowThatEndsAfterThreeSecondsHoldsTooMany) {
+  for (int limit = 1; limit <= 50; ++limit) {
+    for (const double load : {0.0, 1.0, 3.0, 6.0, 8.0, 12.0, 30.0}) {
+      for (const double burst : {0.0, 2.0, 8.0}) {
+        limited_starts target;
+        target.Run(seconds(5), load * limit);
+        target.Burst(burst * limit);
+        target.Set(limit);
+        const time_point named = target.now;
+        target.Run(seconds(10), 10 * limit);
+        EXPECT_LE(target.MaxExcess(), 0)
+            << limit << " " << load << " " << burst;
+        // All that was there before has left the window by then.
+        EXPECT_GE(target.StartsBetween(named + milliseconds(4200), target.now),
+                  0.9 * limit * 5.8 - 1)
+            << limit << " " << load << " " << burst;
+      }
+    }
+  }
+}
+
+// The pause must end when the requests before it no longer fill the window.
+TEST(RateLimitTest, APauseIsNoLongerThanTheWindowNeeds) {
+  for (const int limit : {2, 5, 10, 20, 50}) {
+    for (const double load : {6.0, 8.0, 12.0, 30.0}) {
+      limited_starts target;
+      target.Run(seconds(5), load * limit);
+      target.Set(limit);
+      const time_point named = target.now;
+      // As many as the window may hold, of `load` for each second of it.
+      const std::chrono::duration<double> kept((1.25 * limit * 4 + 1) /
+                                               (load * limit));
+      const duration pause =
+          seconds(4) -
+          std::min(ToMilliseconds(std::chrono::duration_cast<duration>(kept)),
+                   milliseconds(1000));
+      target.Run(pause + milliseconds(250), 10 * limit);
+      EXPECT_GE(target.StartsBetween(named, target.now), 1)
+          << limit << " " << load;
+    }
+  }
+}
+
+// A limit that got lower during a pause multiplied what was left of it.
+TEST(RateLimitTest, ALimitThatGetsLowerDuringAPauseIsUsedFourSecondsLater) {
+  for (const double lower : {0.5, 1.0, 3.0}) {
+    limited_starts target;
+    target.Run(seconds(5), 200);
+    target.Set(20);
+    target.Run(milliseconds(500), 200);
+    target.Set(lower);
+    target.Run(milliseconds(4100), 200);
+    const time_point begin = target.now;
+    target.Run(seconds(20), 200);
+    EXPECT_GE(target.StartsBetween(begin, target.now), 0.9 * lower * 20);
+    EXPECT_LE(target.MaxExcess(), 0);
+  }
+}
+
+// Limits that moved during a pause shortened it, and a full bucket of a limit
+// far above the next one filled that one's window.
+RC_GTEST_PROP(RateLimitTest, NoStartExceedsTheWindowWhateverTheLimitsDo, ()) {
+  limited_starts target;
+  target.Run(seconds(3), *rc::gen::inRange(0, 1000));
+  for (int i = *rc::gen::inRange(1, 8); i > 0; --i) {
+    target.Set(*rc::gen::inRange(2, 600) / 10.0);
+    target.Run(milliseconds(*rc::gen::inRange(5, 4000)),
+               *rc::gen::element(0.0, 5.0, 1000.0));
+    target.Burst(*rc::gen::inRange(0, 30));
+  }
+  target.Run(seconds(5), 1000);
+  RC_ASSERT(target.MaxExcess() <= 0);
+}
+
 }  // namespace
 }  // namespace pistachioweir
