Soak: a target at its limit is not called well after it starts again

A target that had said it was leaving and had started again had another id by then.

Change: a history keeps the id of each start, and the check uses the one that ran at the time of the request. What counts as well is unchanged otherwise.

--- a/tools/soaking/availability.py
+++ b/tools/soaking/availability.py
@@ -23,11 +23,12 @@
 @dataclass
 class History:
     """Of a daemon or a target: from when to when it ran, and what disturbed it."""
-    spans: list = field(default_factory=list)  # [began, ended or None]
+    spans: list = field(default_factory=list)  # [began, ended or None, id]
     disturbances: list = field(default_factory=list)
 
-    def begin(self, now):
-        self.spans.append([now, None])
+    def begin(self, now, start_id=""):
+        """`start_id`: of this start; a target has another one after each."""
+        self.spans.append([now, None, start_id])
 
     def end(self, now):
         if self.spans and self.spans[-1][1] is None:
@@ -36,9 +37,13 @@
     def disturb(self, now):
         self.disturbances.append(now)
 
+    def id_of(self, since, until):
+        """The id of the start that ran all this time, or None."""
+        return next((start_id for began, ended, start_id in self.spans
+                     if began <= since and (ended is None or ended >= until)), None)
+
     def ran(self, since, until):
-        return any(began <= since and (ended is None or ended >= until)
-                   for began, ended in self.spans)
+        return self.id_of(since, until) is not None
 
     def calm(self, since, until):
         return not any(since <= at <= until for at in self.disturbances)
@@ -69,14 +74,15 @@
     return full
 
 
-def _is_well(pair, told):
-    """Whether the target, its daemon and the way there were well for the request,
-    and long enough before it."""
+def _well_id(pair, told):
+    """The id that the target had for the request, if the target, its daemon and the way
+    there were well for it and long enough before it; else None. By the time of the check
+    the target may have started again under another id."""
     each, daemon = pair
     since, until = told.sent_at - CONTACT, told.ended_at
-    return (each.history.ran(since, until) and
-            daemon.history.ran(since, until + ENDS) and
-            daemon.history.calm(since, until))
+    way_is_well = (daemon.history.ran(since, until + ENDS) and
+                   daemon.history.calm(since, until))
+    return each.history.id_of(since, until) if way_is_well else None
 
 
 def avoidable_refusals(world, why):
@@ -93,9 +99,8 @@
         if not at.history.ran(begun, told.ended_at) or not at.paused.calm(
                 begun, told.ended_at):
             continue
-        well = [each.id for each, daemon in pairs
-                if each.home == told.service and _is_well((each, daemon), told)
-                and each.id not in full[told.request]]
+        ids = [_well_id(pair, told) for pair in pairs if pair[0].home == told.service]
+        well = [each for each in ids if each is not None and each not in full[told.request]]
         if well:
             found.append(f"{told.request}: refused as {why[told.request]} by daemon "
                          f"{told.daemon}, with {', '.join(well)} well")
