A queued request that gives way at a limited target is refused for the limit

Cause: a request that a target's limit delays beyond its deadline first evicts all queued ones of lower priority, and these were refused as overload. Their callers' daemons and the log (no line rate_limited) then did not show that the target was at its limit.

Change: they are refused for the same reason as the request that evicts them if that is the limit. Without a limit the reason stays overload.

Measured: the new test failed before; rate_limit_test 20 of 20, named_limit_test 4 of 4, admission_controller_test 5 of 5 pass.

--- a/src/admit/admission_controller.cc
+++ b/src/admit/admission_controller.cc
@@ -349,11 +349,14 @@
 }
 
 // A request is refused for lack of capacity only after all queued ones of lower
-// priority have been.
+// priority have been, for the same lack.
 void admission_controller::EvictLowerThan(std::size_t queue) {
+  const reason why = InfeasibleReason() == reason::kRateLimited
+                         ? reason::kRateLimited
+                         : reason::kOverload;
   for (std::size_t lowest = kPriorityCount; lowest-- > queue + 1;) {
     while (queues_[lowest].first != kNone) {
-      Evict(queues_[lowest].first, reason::kOverload);
+      Evict(queues_[lowest].first, why);
     }
   }
 }
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -265,6 +265,21 @@
   }
 }
 
+// It was refused as overload, so that neither the log nor its caller's daemon
+// showed that the target was at its limit (soak 49001).
+TEST(RateLimitTest, AQueuedRequestThatGivesWayIsRefusedForTheLimit) {
+  limited_target target;
+  target.SetLimit(1);
+  target.Offer(priority::kNormal, seconds(3));
+  ASSERT_EQ(target.Offer(priority::kLow, seconds(3)).action,
+            admission_action::kQueued);
+  target.Offer(priority::kCritical, milliseconds(500));
+  ASSERT_EQ(target.refusals.size(), 2U);
+  for (const admission_decision& refused : target.refusals) {
+    EXPECT_EQ(refused.why, reason::kRateLimited);
+  }
+}
+
 // A limit that moves a little with each answer filled the bucket each time.
 TEST(RateLimitTest, ALimitThatFluctuatesIsNotExceeded) {
   limited_target target;
