Soak: targets that make calls of their own, and what that does to repeats and ranks

Targets of the soak made no calls, so that neither the lineage of calls nor the repeats that repeated runs cause below were run against real daemons.

--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -9,6 +9,7 @@
 from . import target
 
 TIMEOUT = 3.0  # Of all routes, in seconds.
+ROOT_PART = 0.3  # Of the requests, where there are any: runs that make calls.
 
 
 @dataclass
@@ -41,12 +42,13 @@
 
 class Callers:
     def __init__(self, daemon, ledger: Ledger, dice: random.Random, hosts, services,
-                 alike=0.0, organisations=None):
+                 alike=0.0, organisations=None, roots=()):
         self.daemon, self.ledger, self.dice = daemon, ledger, dice
         self.hosts = hosts  # To choose from.
         self.services = services  # By host.
         self.alike = alike  # The part of requests that are the same as others.
         self.organisations = organisations
+        self.roots = roots  # Kinds whose runs make calls, at the first host.
         self.ended = False
 
     async def run(self, workers):
@@ -72,12 +74,14 @@
                 writer.transport.abort()
 
     async def ask(self, reader, writer, kind=None, host=None, leaves=True, path=None,
-                  key=None):
+                  key=None, request=None, seconds=4.0):
         """One request, and what this caller was told of it."""
+        if kind is None and self.roots and self.dice.random() < ROOT_PART:
+            kind, host = self.dice.choice(self.roots), self.hosts[0]
         kind = kind or ("sign" if self.dice.random() < 0.4 else "look")
         host = host or self.dice.choice(self.hosts)
         number = next(self.ledger.numbers)
-        request = f"r{self.daemon.index}-{number}"
+        request = request or f"r{self.daemon.index}-{number}"
         told = Told(request, kind, self.daemon.index, time.monotonic(),
                     service=self.services[host],
                     during_stop=self.daemon.planned_stop)
@@ -93,9 +97,9 @@
             path, body = f"/{kind}/same", b""
         writer.write(
             f"POST {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
-            f"Request-Id: {request}\r\nDeadline-Ms: 4000\r\n{shown}"
+            f"Request-Id: {request}\r\nDeadline-Ms: {int(seconds * 1000)}\r\n{shown}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        patience = 0.05 if leaves and self.dice.random() < 0.03 else 5.0
+        patience = 0.05 if leaves and self.dice.random() < 0.03 else seconds + 1.0
         try:
             told.reusable = await asyncio.wait_for(
                 self._answer(told, reader), patience)
--- a/tools/soaking/daemon.py
+++ b/tools/soaking/daemon.py
@@ -23,7 +23,7 @@
 
 class Daemon:
     def __init__(self, binary, folder, index, network, service, zone, ports, timed,
-                 proxied=True):
+                 proxied=True, more=None):
         self.binary, self.index, self.zone = binary, index, zone
         self.longest_stop = STOP_TIMEOUT + 1 if timed else HANG
         self.ip = f"127.{network}.0.{index}"
@@ -35,7 +35,7 @@
         self.peer = (self.ip if proxied else f"127.{network}.1.{index}", ports["peer"])
         self.log = folder / f"daemon-{index}.log"
         self.settings = folder / f"daemon-{index}.json"
-        self.settings.write_text(json.dumps({
+        self.values = {
             "vm": f"vm-{index}", "service": service, "data_centre": zone,
             "caller": f"{self.ip}:{ports['caller']}",
             "peer": f"{self.peer[0]}:{self.peer[1]}",
@@ -46,7 +46,8 @@
             "memory_mb": 260, "max_descriptors": 4100,
             "stop_timeout": f"{int(STOP_TIMEOUT * 1000)}ms",
             "key_withdrawal": "5000ms", "quota_overage": 0.25,
-            "repeat_ratio": 0.2, "repeat_reserve": 47}))
+            "repeat_ratio": 0.2, "repeat_reserve": 47} | (more or {})
+        self.settings.write_text(json.dumps(self.values))
         self.process = None
         self.disturbed_at = time.monotonic()  # Last fault of this process.
         self.stopping = False
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -1,6 +1,8 @@
 """What goes wrong: a plan drawn from the seed, faults in series and overlapping."""
 import asyncio
+import collections
 import random
+import re
 import signal
 import time
 
@@ -17,6 +19,11 @@
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
                "store_for_some", "store_for_none", "leave", "leave_at_return",
                "lapse", "limit", "limits", "say_leaving")
+# Where targets make calls.
+NESTED_KINDS = ("reject_all", "kill_parent")
+# Lines that name whom a daemon reports to.
+REPORTS = re.compile(r"event=(?:quota|repeat)_reports .*\bto=\S+\.(\d+)\b")
+REJECTED = 0.55  # Part of the requests, by all targets of a service.
 
 
 class Faults:
@@ -423,3 +430,22 @@
         target.lose_answers = 0.3
         await asyncio.sleep(dice.uniform(0.5, 3.0))
         target.lose_answers = 0.0
+
+    async def reject_all(self, dice):
+        """All targets of a service reject many requests without running them."""
+        service = dice.choice(self.world.services)
+        rejecting = [each for each in self.world.targets if each.home == service]
+        for each in rejecting:
+            each.history.end(time.monotonic())
+            each.reject = REJECTED
+        await asyncio.sleep(dice.uniform(2.0, 8.5))
+        for each in rejecting:
+            each.reject = 0.0
+
+    async def kill_parent(self, dice):
+        """The daemon that most others report to is killed; any, if none is."""
+        parents = collections.Counter(
+            found[-1] for one in self.world.daemons
+            if (found := REPORTS.findall(one.log.read_text(errors="replace"))))
+        index = int(max(parents, key=parents.get, default=0))
+        await self.kill(dice, self.world.daemons[index - 1] if index else None)
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -14,12 +14,13 @@
 
 class Target:
     def __init__(self, ip, port, service, zone, dice: random.Random, runs, on_poison,
-                 shown, limits):
+                 shown, limits, nested=None):
         self.ip, self.port, self.service, self.zone = ip, port, service, zone
         self.dice = dice
         self.runs = runs  # By request id: list of (target id, when it began).
         self.shown = shown  # By request id: the organisation and the key it came with.
         self.limits = limits
+        self.nested = nested  # What its runs call, or none.
         self.on_poison = on_poison  # Called with this target and the path.
         self.home = service  # Whose it is where its address isn't lent.
         self.history = History()  # Of its starts, as soon as all can know of one.
@@ -32,6 +33,7 @@
         self.limit = None  # Requests a second that it names in its answers.
         self.registered_at = 0.0
         self.lose_answers = 0.0
+        self.reject = 0.0  # Part of the requests that it rejects unrun.
         self.running = 0
         self.server = None
         self.writers = set()
@@ -93,7 +95,10 @@
         if headers.get("expected-instance") not in (None, self.id):
             self._send(writer, 421, request, b"", "Not-Executed: 1\r\n")
             return
-        if self.running >= self.slots + 4:
+        if self.nested is not None:
+            self.nested.arrived(self, request)
+        if self.running >= self.slots + 4 or (
+                self.reject and self.dice.random() < self.reject):
             self.limits.arrived(self, request)
             self._send(writer, 503, request, b"", "Not-Executed: 1\r\n" + self.says())
             return
@@ -104,13 +109,20 @@
             asyncio.get_running_loop().create_task(self.on_poison(self, path))
             return
         self.running += 1
+        began, well = time.monotonic(), True
         try:
             slow = path.endswith("/same")
             await asyncio.sleep(self.dice.uniform(*((1.0, 2.5) if slow else (0.01, 0.12))))
+            if self.nested is not None and self.nested.makes_calls(path):
+                left = int(headers["deadline-ms"]) / 1000 - (time.monotonic() - began)
+                well = left > 0 and await self.nested.call_all(self, request, left)
         finally:
             self.running = max(0, self.running - 1)
         if start != self.id:
             return
+        if not well:
+            self._send(writer, 500, request, b"", self.says())
+            return
         if self.dice.random() < self.lose_answers:
             writer.transport.abort()
             return
