--- a/fuzz/peer_frame_fuzz.cc
+++ b/fuzz/peer_frame_fuzz.cc
@@ -1,5 +1,6 @@
-// Fuzzes frames between daemons: changes that decode must survive being encoded
-// and decoded again, and no bytes may harm the decoding of any frame.
+// Fuzzes frames between daemons: changes and lineages that decode must survive
+// being encoded and decoded again, and no bytes may harm the decoding of any
+// frame.
 #include <cstdint>
 #include <cstdlib>
 #include <string>
@@ -29,6 +30,20 @@
   }
 }
 
+void CheckCall(std::string_view bytes) {
+  const auto told = pistachioweir::DecodeCallFrame(bytes);
+  // Only calls with a send time are encoded with their lineage.
+  if (!told || !told->lineage || told->sent <= pistachioweir::milliseconds(0)) {
+    return;
+  }
+  const std::string encoded = pistachioweir::Encode(*told);
+  const auto again = pistachioweir::DecodeCallFrame(
+      std::string_view(encoded).substr(pistachioweir::kFrameHeadBytes));
+  if (!again || again->lineage != told->lineage) {
+    std::abort();
+  }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -38,7 +53,7 @@
   (void)pistachioweir::NextFrame(bytes, bytes.size(), &frame);
   (void)pistachioweir::DecodeHello(bytes);
   (void)pistachioweir::DecodeWelcome(bytes);
-  (void)pistachioweir::DecodeCallFrame(bytes);
+  CheckCall(bytes);
   (void)pistachioweir::DecodeAnswerFrame(bytes);
   (void)pistachioweir::DecodePong(bytes);
   (void)pistachioweir::DecodeNotice(bytes);
