A call keeps what it inherits at retries, and ids decide where they tell

Rank and precedence that a call has inherited stay; deadlines count only on routes whose calls don't extend the ids of running requests.

--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -208,9 +208,16 @@
       call->call.caller_timeout > milliseconds(0)
           ? call->call.received + call->call.caller_timeout
           : call->deadline;
-  const bool made_by_targets =
-      StateOf(call->service).made_by_targets.test(call->placing.method);
-  call->parent = local_.FindParent(call->call.id, expiry, made_by_targets);
+  service_state& state = StateOf(call->service);
+  const std::uint32_t kind = call->placing.method;
+  // Where ids tell the parent, a call without one is made for a run that has
+  // ended, and another run with its deadline isn't its parent.
+  const bool search_deadlines =
+      state.made_by_targets.test(kind) && !state.extend_ids.test(kind);
+  call->parent = local_.FindParent(call->call.id, expiry, search_deadlines);
+  if (call->parent.evidence == lineage_evidence::kRequestId) {
+    state.extend_ids.set(kind);
+  }
   if (call->parent.found()) {
     call->rank = call->parent.rank;
     call->ahead = call->parent.has_precedence;
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -207,6 +207,8 @@
     kind_index kinds;
     // Kinds that are made by targets, as far as their executors know.
     std::bitset<kind_index::kMaxKinds> made_by_targets;
+    // Kinds whose parents were found by request ids.
+    std::bitset<kind_index::kMaxKinds> extend_ids;
     // Kinds whose runs make no calls, by the last answer that told.
     std::bitset<kind_index::kMaxKinds> without_calls;
   };
--- a/src/forward/origin_keys.cc
+++ b/src/forward/origin_keys.cc
@@ -40,8 +40,11 @@
   const reason refusal = RefusalOf(key.verdict);
   if (refusal == reason::kNone) {
     const precedence& ranks = view_->config->ranks;
-    call.rank = ranks.RankOf(key.holder, *call.matched);
-    call.ahead = ranks.TakesPrecedence(key.holder);
+    // Before another send, too: a call keeps what it has inherited.
+    if (!call.parent.found()) {
+      call.rank = ranks.RankOf(key.holder, *call.matched);
+      call.ahead = ranks.TakesPrecedence(key.holder);
+    }
     call.organisation = key.holder != nullptr ? key.holder->name : "";
     call.holder =
         key.holder != nullptr ? std::optional(key.holder->id) : std::nullopt;
--- a/tests/call_lineage_test.cc
+++ b/tests/call_lineage_test.cc
@@ -197,6 +197,37 @@
   EXPECT_EQ(Found(lineage_evidence::kRequestId), 0U);
 }
 
+// Guards against a rank that is lost when a call is sent again.
+TEST_F(call_lineage_test, ACallThatIsSentAgainKeepsTheRankOfItsRequest) {
+  Configure(lineage_policy::kRequestId);
+  StartParent("/order/1", "id-1");
+  Call(target_, "/peek/1", "id-1.1");
+  const std::size_t before = called_.runs.size();
+  called_.ends.back()({.end = run_end::kNotSent});
+  ASSERT_TRUE(RunUntil([&] { return called_.runs.size() > before; }));
+  EXPECT_EQ(called_.Running().rank, 0U);
+}
+
+// Guards against calls of a run that has ended, which a target goes on making,
+// that are taken for calls of another run with a similar deadline.
+TEST_F(call_lineage_test, IdsThatMatchNoRunAreNotSearchedByDeadline) {
+  Configure(lineage_policy::kRequestId);
+  StartParent("/order/1", "id-1");
+  for (std::uint32_t i = 0; i <= caller_mix::kMinCalls; ++i) {
+    Call(target_, "/peek/1", "id-1." + std::to_string(i));
+    called_.EndRun();
+    EXPECT_EQ(target_.NextResponse().status, 200);
+  }
+  at_target_->Send(fake_http_target::Answer(path_.target.requests[0], "well"));
+  EXPECT_EQ(client_.NextResponse().status, 200);
+  at_target_ = nullptr;
+  StartParent("/order/2", "id-9");
+  Call(target_, "/peek/1", "id-1.99");
+  EXPECT_EQ(called_.Running().rank, 1U);
+  EXPECT_EQ(Found(lineage_evidence::kDeadline), 0U);
+  EXPECT_EQ(Found(lineage_evidence::kAmbiguous), 0U);
+}
+
 // Guards against decisions that change without the setting.
 TEST_F(call_lineage_test, WithoutThePolicyCallsHaveTheRankOfTheirRoute) {
   Configure(lineage_policy::kOff);
