--- a/src/forward/entrance_control.cc
+++ b/src/forward/entrance_control.cc
@@ -87,8 +87,7 @@
   return arrived;
 }
 
-double entrance_control::LowestShare(std::uint32_t root, time_point now) {
-  local_.Update(now);
+double entrance_control::LowestShare(std::uint32_t root, time_point now) const {
   double lowest = local_.share(root);
   for (const auto& [service, share] : roots_[root].below) {
     lowest = std::min(lowest, share.Get(now));
@@ -127,11 +126,12 @@
   roots_[kinds_.IndexOf(root)].below[service].Add(share, now);
 }
 
-std::vector<std::pair<std::string, double>> entrance_control::Applied() const {
+std::vector<std::pair<std::string, double>> entrance_control::Shares(
+    time_point now) const {
   std::vector<std::pair<std::string, double>> shares;
   shares.reserve(entrances_.size());
   for (const auto& [route, root] : entrances_) {
-    shares.emplace_back(route, roots_[root].limiter.share());
+    shares.emplace_back(route, LowestShare(root, now));
   }
   return shares;
 }
--- a/src/forward/entrance_control.h
+++ b/src/forward/entrance_control.h
@@ -70,11 +70,12 @@
   // The smallest share of the local target and of the services below, for the
   // root kind of a call.
   [[nodiscard]] double ShareOf(const call_frame& call, time_point now);
-  // To be called once a second: ends an overload also if no call arrives.
+  // To be called once a second: ends an overload even if no call arrives.
   void Tick(time_point now) { local_.Update(now); }
 
-  // Share applied to each kind for which root requests have arrived here.
-  [[nodiscard]] std::vector<std::pair<std::string, double>> Applied() const;
+  // Share that applies to each kind of which root requests have arrived here.
+  [[nodiscard]] std::vector<std::pair<std::string, double>> Shares(
+      time_point now) const;
   [[nodiscard]] const capacity_shares& local() const { return local_; }
 
  private:
@@ -83,7 +84,7 @@
     std::unordered_map<std::string, recent_share> below;  // By service.
   };
 
-  [[nodiscard]] double LowestShare(std::uint32_t root, time_point now);
+  [[nodiscard]] double LowestShare(std::uint32_t root, time_point now) const;
   void SetCapacity() { local_.SetCapacity(slots_, targets_, kMaxSends); }
 
   // Of one call by its origin; see origin::StateOf().
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -177,7 +177,7 @@
       "Share of the requests of a route that the services below the local "
       "target have room for";
   family.type = MetricType::Gauge;
-  for (const auto& [route, share] : entrance.Applied()) {
+  for (const auto& [route, share] : entrance.Shares(monotonic_clock::now())) {
     ClientMetric metric;
     metric.label = {{.name = "route", .value = route}};
     metric.gauge.value = share;
