Repeats kept for the important requests of other daemons

Where important requests come to other daemons than unimportant ones, the latter daemons had spent their part before it was asked for: tokens are wanted for half a second ahead only. Reports and grants now carry what will be wanted in the window, and each daemon keeps its proportion of that. Two attempts close together no longer look like a rate of ten a second.

--- a/include/retry/ranked_repeat_budget.h
+++ b/include/retry/ranked_repeat_budget.h
@@ -38,6 +38,8 @@
 
 // A count for each priority, the most important first.
 using rank_counts = std::array<std::uint32_t, kPriorityCount>;
+// Likewise, but of parts of tokens.
+using rank_amounts = std::array<double, kPriorityCount>;
 
 struct ranked_repeat_counters {
   std::array<std::uint64_t, kPriorityCount> spent{};
@@ -94,10 +96,16 @@
   [[nodiscard]] std::uint32_t Lend(priority level,
                                    std::uint32_t count,
                                    time_point now);
+  // What other daemons need of this one in the window. Kept for them like what
+  // requests here need, until kTokenLifetime has passed without another call.
+  void KeepForOthers(const rank_amounts& needed, time_point now);
   void Borrow(const repeat_tokens& tokens, time_point now);
   // Tokens wanted for the next kDemandHorizon beyond what is there.
   [[nodiscard]] rank_counts Unmet(time_point now);
 
+  // Tokens wanted for the rest of the window beyond what is there.
+  [[nodiscard]] rank_counts Shortage(time_point now);
+
   // Repeats that may be spent now, by any rank; negative after inherited ones
   // without budget.
   [[nodiscard]] double remaining(time_point now);
@@ -132,6 +140,8 @@
   [[nodiscard]] double DemandOf(std::size_t rank) const;
   // What the rank needs until its oldest repeats leave the window.
   [[nodiscard]] double NeedOf(std::size_t rank, time_point now) const;
+  // Likewise, of other daemons.
+  [[nodiscard]] double NeedOfOthers(std::size_t rank, time_point now) const;
   // What ranks more important than `rank` need, and the minimums of others.
   [[nodiscard]] double KeptFor(std::size_t rank, time_point now) const;
   // What the rank may spend besides its minimum.
@@ -146,6 +156,8 @@
   // Repeats by priority, on whose account ever; then kOwn and kOwnCalling.
   slot_counts<kPriorityCount + 2> used_;
   slot_counts<1> lent_;
+  rank_amounts needed_{};  // By other daemons.
+  time_point needed_at_;
   // Attempts to spend, granted or not.
   std::array<attempt_counts, kPriorityCount> attempts_;
   token_pool borrowed_;
--- a/include/retry/repeat_exchange.h
+++ b/include/retry/repeat_exchange.h
@@ -33,8 +33,9 @@
   std::string service;
   std::vector<passed_tokens> tokens;
   // Report: of the sender and the daemons below. Grant: of the fleet.
-  rank_counts unmet{};  // Tokens wanted.
-  rank_counts spare{};  // Tokens that could be lent.
+  rank_counts unmet{};     // Tokens wanted now.
+  rank_counts spare{};     // Tokens that could be lent.
+  rank_counts shortage{};  // Tokens that will be wanted in the window.
 
   friend bool operator==(const repeat_entry&, const repeat_entry&) = default;
 };
@@ -68,6 +69,8 @@
 
   // Without a parent, this daemon divides the tokens of the fleet.
   void SetRoot(bool is_root) { is_root_ = is_root; }
+  // Daemons of the fleet.
+  void SetDaemons(std::size_t daemons) { daemons_ = daemons; }
 
   // Lends what is due, and takes what is left for this daemon. Call before each
   // report. `random` from 0 up to 1 decides the rounding.
@@ -92,6 +95,7 @@
   struct need {
     rank_counts unmet{};
     rank_counts spare{};
+    rank_counts shortage{};
     time_point at;
   };
 
@@ -101,23 +105,34 @@
     std::map<std::uint64_t, need> children;
     need own;
     time_point wanted_since = time_point::max();  // By `fleet`.
-    need fleet;  // As the parent told, or at the root as of the last Tick().
+    need fleet;  // As the parent told, or at the root the sum.
   };
 
   void Expire(time_point now);
-  static void LendDue(service_state& state,
-                      ranked_repeat_budget& budget,
-                      token_pool& to,
-                      double random,
-                      time_point now);
+  // Keeps in the budget what the fleet will want of it.
+  void KeepDue(service_state& state,
+               ranked_repeat_budget& budget,
+               time_point now) const;
+  static void UpdateFleet(service_state& state, time_point now);
+  void LendDue(service_state& state,
+               ranked_repeat_budget& budget,
+               double random,
+               time_point now);
   static void TakeOwn(service_state& state,
                       ranked_repeat_budget& budget,
                       time_point now);
+  [[nodiscard]] static bool IsWanted(const need& of);
   [[nodiscard]] static need Sum(const service_state& state);
   // Nothing if there are too many.
   [[nodiscard]] service_state* StateOf(std::string_view service);
 
+  // The part of what the fleet wants that is due from this daemon, by rank.
+  [[nodiscard]] rank_amounts DueParts(const service_state& state,
+                                      const rank_counts& spare,
+                                      time_point now) const;
+
   bool is_root_ = false;
+  std::size_t daemons_ = 1;
   std::map<std::string, service_state, std::less<>> services_;
 };
 
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -41,6 +41,7 @@
     ips.push_back(target.address.ip);
   }
   parent_.SetDaemons(std::move(ips));
+  exchange_.SetDaemons(parent_.daemons());
   if (!std::exchange(reporting_, true)) {
     Report();
   }
--- a/src/peer/repeat_frame.cc
+++ b/src/peer/repeat_frame.cc
@@ -14,7 +14,7 @@
 
 constexpr std::uint32_t kFixedFields = 2;
 constexpr std::uint32_t kEntryFields =
-    1 + 2 * kPriorityCount + 2 * repeat_entry::kMaxGroups;
+    1 + 3 * kPriorityCount + 2 * repeat_entry::kMaxGroups;
 constexpr std::uint32_t kMaxEntries = repeat_exchange::kMaxServices;
 // Longer names, and more tokens than any fleet has, are a broken message.
 constexpr std::size_t kMaxNameLength = 256;
@@ -46,6 +46,7 @@
   entry.service = reader.String();
   entry.unmet = ReadCounts(reader);
   entry.spare = ReadCounts(reader);
+  entry.shortage = ReadCounts(reader);
   for (std::size_t group = 0; group < repeat_entry::kMaxGroups; ++group) {
     const auto count =
         static_cast<std::uint32_t>(reader.UnsignedUpTo(kMaxTokens));
@@ -70,6 +71,7 @@
     writer.Put(entry.service);
     Put(entry.unmet, writer);
     Put(entry.spare, writer);
+    Put(entry.shortage, writer);
     for (std::size_t group = 0; group < repeat_entry::kMaxGroups; ++group) {
       const passed_tokens tokens =
           group < entry.tokens.size() ? entry.tokens[group] : passed_tokens();
--- a/src/retry/ranked_repeat_budget.cc
+++ b/src/retry/ranked_repeat_budget.cc
@@ -30,13 +30,15 @@
 }
 
 // Attempts a second, less `uncertain` of those that were counted.
-double Rate(const slot_counts<2>& attempts, double uncertain, time_point now) {
+double Rate(const slot_counts<2>& attempts,
+            double uncertain,
+            duration min_span,
+            time_point now) {
   const auto oldest = attempts.oldest();
   if (!oldest) {
     return 0;
   }
-  const duration span =
-      std::max<duration>(slot_counts<2>::kSlotWidth, now - *oldest);
+  const duration span = std::max(min_span, now - *oldest);
   return (Total(attempts) - uncertain) / Seconds(span);
 }
 
@@ -101,14 +103,25 @@
 double ranked_repeat_budget::NeedOf(std::size_t rank, time_point now) const {
   const attempt_counts& attempts = attempts_[rank];
   const double rate =
-      std::max(Rate(attempts.recent, 1, now),
-               Rate(attempts.latest, std::sqrt(Total(attempts.latest)), now));
+      std::max(Rate(attempts.recent, 1, kLatest, now),
+               Rate(attempts.latest, std::sqrt(Total(attempts.latest)),
+                    slot_counts<2>::kSlotWidth, now));
   return std::max(DemandOf(rank), rate * Seconds(options_.window) -
                                       static_cast<double>(used_.sum(rank)));
 }
 
+// Where the important requests come to other daemons, the budget would be spent
+// here before those have used up their own.
+double ranked_repeat_budget::NeedOfOthers(std::size_t rank,
+                                          time_point now) const {
+  return now - needed_at_ <= kTokenLifetime ? needed_[rank] : 0;
+}
+
 double ranked_repeat_budget::KeptFor(std::size_t rank, time_point now) const {
   double kept = 0;
+  for (std::size_t other = 0; other < rank; ++other) {
+    kept += NeedOfOthers(other, now);
+  }
   for (std::size_t other = 0; other < kPriorityCount; ++other) {
     if (other == rank || DemandOf(other) == 0) {
       continue;
@@ -217,6 +230,12 @@
   return lent;
 }
 
+void ranked_repeat_budget::KeepForOthers(const rank_amounts& needed,
+                                         time_point now) {
+  needed_ = needed;
+  needed_at_ = now;
+}
+
 void ranked_repeat_budget::Borrow(const repeat_tokens& tokens, time_point now) {
   borrowed_.Add(tokens);
   borrowed_.Expire(now);
@@ -243,6 +262,22 @@
   return unmet;
 }
 
+rank_counts ranked_repeat_budget::Shortage(time_point now) {
+  Expire(now);
+  rank_counts shortage{};
+  for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+    const slot_counts<2>& attempts = attempts_[rank].recent;
+    const double all = Total(attempts);
+    if (all > 0) {
+      const double leaf =
+          static_cast<double>(attempts.sum(kWithoutCalls)) / all;
+      const double there = std::max(0.0, Usable(rank, now));
+      shortage[rank] = WholeTokens(leaf * (NeedOf(rank, now) - there));
+    }
+  }
+  return shortage;
+}
+
 double ranked_repeat_budget::remaining(time_point now) {
   Expire(now);
   return OwnRemaining() + borrowed_.size();
--- a/src/retry/repeat_exchange.cc
+++ b/src/retry/repeat_exchange.cc
@@ -48,6 +48,10 @@
   return share;
 }
 
+double OfOthers(std::uint32_t all, std::uint32_t own) {
+  return static_cast<double>(all - std::min(all, own));
+}
+
 // The frame has room for a few groups; each expires with its first token.
 std::vector<passed_tokens> Pass(const std::vector<repeat_tokens>& tokens,
                                 time_point now) {
@@ -96,10 +100,15 @@
   for (const auto& [child, each] : state.children) {
     AddTo(sum.unmet, each.unmet);
     AddTo(sum.spare, each.spare);
+    AddTo(sum.shortage, each.shortage);
   }
   return sum;
 }
 
+bool repeat_exchange::IsWanted(const need& of) {
+  return Total(of.unmet) + Total(of.shortage) > 0;
+}
+
 void repeat_exchange::Expire(time_point now) {
   for (auto& [service, state] : services_) {
     state.to_parent.Expire(now);
@@ -121,29 +130,70 @@
   });
 }
 
-// Each daemon's part of what the fleet wants is that of its spare tokens.
+// The proportion of its spare tokens. Until all have told those, more than an
+// equal part, since not all daemons call the service.
+rank_amounts repeat_exchange::DueParts(const service_state& state,
+                                       const rank_counts& spare,
+                                       time_point now) const {
+  constexpr double kEqualParts = 4;
+  const bool all_told = now - state.wanted_since >= kLendDelay;
+  rank_amounts parts{};
+  for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+    const std::uint32_t all = std::max(state.fleet.spare[rank], spare[rank]);
+    if (!all_told) {
+      parts[rank] = std::min(1.0, kEqualParts / static_cast<double>(daemons_));
+    } else if (all > 0) {
+      parts[rank] = static_cast<double>(spare[rank]) / all;
+    }
+  }
+  return parts;
+}
+
+void repeat_exchange::KeepDue(service_state& state,
+                              ranked_repeat_budget& budget,
+                              time_point now) const {
+  rank_amounts needed{};
+  if (IsWanted(state.fleet)) {
+    state.wanted_since = std::min(state.wanted_since, now);
+    const rank_amounts parts = DueParts(state, budget.Spare(now), now);
+    for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
+      needed[rank] = parts[rank] * OfOthers(state.fleet.shortage[rank],
+                                            state.own.shortage[rank]);
+    }
+  } else {
+    state.wanted_since = time_point::max();
+  }
+  budget.KeepForOthers(needed, now);
+}
+
 void repeat_exchange::LendDue(service_state& state,
                               ranked_repeat_budget& budget,
-                              token_pool& to,
                               double random,
                               time_point now) {
-  const rank_counts spare = budget.Spare(now);
+  if (!IsWanted(state.fleet) || now - state.wanted_since < kLendDelay) {
+    return;
+  }
+  const rank_amounts parts = DueParts(state, budget.Spare(now), now);
   for (std::size_t rank = 0; rank < kPriorityCount; ++rank) {
-    const std::uint32_t wanted = state.fleet.unmet[rank];
-    const std::uint32_t all = std::max(state.fleet.spare[rank], spare[rank]);
-    if (wanted == 0 || all == 0) {
-      continue;
+    const double due =
+        parts[rank] * OfOthers(state.fleet.unmet[rank], state.own.unmet[rank]);
+    if (due > 0) {
+      const std::uint32_t lent =
+          budget.Lend(static_cast<priority>(rank),
+                      static_cast<std::uint32_t>(due + random), now);
+      (is_root_ ? state.to_divide : state.to_parent)
+          .Add({.count = lent,
+                .expires = now + ranked_repeat_budget::kTokenLifetime});
     }
-    const double part =
-        std::min(1.0, static_cast<double>(wanted) / all) * spare[rank];
-    const std::uint32_t lent =
-        budget.Lend(static_cast<priority>(rank),
-                    static_cast<std::uint32_t>(part + random), now);
-    to.Add(
-        {.count = lent, .expires = now + ranked_repeat_budget::kTokenLifetime});
   }
 }
 
+void repeat_exchange::UpdateFleet(service_state& state, time_point now) {
+  state.fleet = Sum(state);
+  Reduce(state.fleet.unmet, state.to_divide.size());
+  state.fleet.at = IsWanted(state.fleet) ? now : time_point();
+}
+
 void repeat_exchange::TakeOwn(service_state& state,
                               ranked_repeat_budget& budget,
                               time_point now) {
@@ -161,24 +211,23 @@
   Expire(now);
   for (const own_repeat_budget& each : own) {
     const rank_counts unmet = each.budget->Unmet(now);
+    const rank_counts shortage = each.budget->Shortage(now);
+    const bool wants = Total(unmet) + Total(shortage) > 0;
     const auto found = services_.find(each.service);
-    if (found == services_.end() && Total(unmet) == 0) {
+    if (found == services_.end() && !wants) {
       continue;
     }
     service_state* const state = StateOf(each.service);
     if (state == nullptr) {
       continue;
     }
-    const bool wanted = Total(state->fleet.unmet) > 0;
-    state->wanted_since =
-        wanted ? std::min(state->wanted_since, now) : time_point::max();
-    if (wanted && now - state->wanted_since >= kLendDelay) {
-      LendDue(*state, *each.budget,
-              is_root_ ? state->to_divide : state->to_parent, random, now);
-    }
+    const bool wanted = IsWanted(state->fleet);
+    KeepDue(*state, *each.budget, now);
+    LendDue(*state, *each.budget, random, now);
     state->own = {.unmet = unmet,
                   .spare = wanted ? each.budget->Spare(now) : rank_counts{},
-                  .at = Total(unmet) > 0 || wanted ? now : time_point()};
+                  .shortage = shortage,
+                  .at = wants || wanted ? now : time_point()};
     if (is_root_) {
       TakeOwn(*state, *each.budget, now);
     }
@@ -191,9 +240,7 @@
          state.to_parent.Take(state.to_parent.size())) {
       state.to_divide.Add(each);
     }
-    state.fleet = Sum(state);
-    Reduce(state.fleet.unmet, state.to_divide.size());
-    state.fleet.at = Total(state.fleet.unmet) > 0 ? now : time_point();
+    UpdateFleet(state, now);
   }
 }
 
@@ -202,11 +249,12 @@
   for (auto& [service, state] : services_) {
     const need sum = Sum(state);
     const std::uint32_t tokens = state.to_parent.size();
-    if (tokens + Total(sum.unmet) + Total(sum.spare) > 0) {
+    if (tokens + Total(sum.spare) > 0 || IsWanted(sum)) {
       report.push_back({.service = service,
                         .tokens = Pass(state.to_parent.Take(tokens), now),
                         .unmet = sum.unmet,
-                        .spare = sum.spare});
+                        .spare = sum.spare,
+                        .shortage = sum.shortage});
     }
   }
   return report;
@@ -226,17 +274,23 @@
       continue;
     }
     if (state->children.size() < kMaxChildren) {
-      state->children[child] = {
-          .unmet = entry.unmet, .spare = entry.spare, .at = now};
+      state->children[child] = {.unmet = entry.unmet,
+                                .spare = entry.spare,
+                                .shortage = entry.shortage,
+                                .at = now};
     }
     Collect(entry.tokens, now - transit, now,
             is_root_ ? state->to_divide : state->to_parent);
   }
   repeat_entries grant;
   for (auto& [service, state] : services_) {
+    if (is_root_) {
+      UpdateFleet(state, now);
+    }
     repeat_entry entry{.service = service,
                        .unmet = state.fleet.unmet,
-                       .spare = state.fleet.spare};
+                       .spare = state.fleet.spare,
+                       .shortage = state.fleet.shortage};
     const auto found = state.children.find(child);
     if (found != state.children.end()) {
       const std::uint32_t share = ShareOf(found->second.unmet, Sum(state).unmet,
@@ -244,7 +298,7 @@
       entry.tokens = Pass(state.to_divide.Take(share), now);
       Reduce(found->second.unmet, share);
     }
-    if (!entry.tokens.empty() || Total(entry.unmet) > 0) {
+    if (!entry.tokens.empty() || IsWanted(state.fleet)) {
       grant.push_back(std::move(entry));
     }
   }
@@ -264,12 +318,16 @@
     if (state == nullptr) {
       continue;
     }
-    state->fleet = {.unmet = entry.unmet, .spare = entry.spare, .at = now};
+    state->fleet = {.unmet = entry.unmet,
+                    .spare = entry.spare,
+                    .shortage = entry.shortage,
+                    .at = now};
     Collect(entry.tokens, reported_at, now, state->to_divide);
   }
   for (const own_repeat_budget& each : own) {
     const auto found = services_.find(each.service);
     if (found != services_.end()) {
+      KeepDue(found->second, *each.budget, now);
       TakeOwn(found->second, *each.budget, now);
     }
   }
--- a/tests/repeat_exchange_test.cc
+++ b/tests/repeat_exchange_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -30,6 +31,7 @@
   exchanging_fleet(std::size_t count, std::size_t busy) : busy_(busy) {
     for (std::size_t i = 0; i < count; ++i) {
       daemons_.push_back(std::make_unique<daemon>());
+      daemons_.back()->exchange.SetDaemons(count);
       daemons_.back()->exchange.SetRoot(i == 0);
     }
   }
@@ -39,9 +41,7 @@
     for (milliseconds passed{0}; passed < time; passed += kStep) {
       now_ += kStep;
       for (std::size_t i = 0; i < busy_; ++i) {
-        for (int attempts = 0; attempts < kAttemptsPerStep; ++attempts) {
-          const priority level =
-              attempts == 0 ? priority::kCritical : priority::kNormal;
+        for (const priority level : attempts(i)) {
           const bool granted = daemons_[i]->budget.TrySpend(level, false, now_);
           ++(granted ? spent : refused)[static_cast<std::size_t>(level)];
         }
@@ -60,12 +60,17 @@
     return sum;
   }
 
+  // What a daemon tries to spend every 50 ms.
+  std::function<std::vector<priority>(std::size_t daemon)> attempts =
+      [](std::size_t) {
+        return std::vector<priority>{priority::kCritical, priority::kNormal,
+                                     priority::kNormal, priority::kNormal};
+      };
   std::array<std::uint64_t, kPriorityCount> spent{};
   std::array<std::uint64_t, kPriorityCount> refused{};
 
  private:
   static constexpr milliseconds kStep{50};
-  static constexpr int kAttemptsPerStep = 4;
 
   struct daemon {
     ranked_repeat_budget budget{{.ratio = 0, .reserve = kReserve}};
@@ -141,6 +146,20 @@
   EXPECT_GT(share(0), 3 * share(2));
 }
 
+// Guards against daemons without important requests that spend their part on
+// others, before those with important ones have asked for it.
+TEST(RepeatExchangeTest, ImportantRequestsOfOtherDaemonsComeFirst) {
+  exchanging_fleet fleet(10, 10);
+  fleet.attempts = [](std::size_t daemon) {
+    return daemon == 3 ? std::vector<priority>{priority::kCritical}
+                       : std::vector<priority>{priority::kNormal};
+  };
+  // 160 important ones and 1440 others; 200 are allowed.
+  fleet.Run(seconds(8));
+  EXPECT_GT(fleet.spent[0], 80U);
+  EXPECT_LE(fleet.spent[0] + fleet.spent[2], 10 * exchanging_fleet::kReserve);
+}
+
 // Guards against tokens that are spent by nobody and stay in use, or twice.
 TEST(RepeatExchangeTest, LostGrantsOnlyCostTheirTokens) {
   exchanging_fleet fleet(10, 3);
--- /dev/null
+++ b/tests/repeat_sharing_test.cc
@@ -0,0 +1,160 @@
+// Reports and grants of repeats between daemons, over real sockets, and the
+// choice of the report that a grant answers.
+#include "src/forward/repeat_sharing.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "include/base/call_log.h"
+#include "src/forward/executor.h"
+#include "src/forward/origin.h"
+#include "src/net/tcp_listener.h"
+#include "src/peer/peer_server.h"
+#include "tests/support/run_until.h"
+
+namespace pistachioweir {
+namespace {
+
+const std::string kParentIp = "127.0.0.9";
+constexpr std::string_view kService = "kyc";
+
+// A daemon that reports to another one.
+class repeat_sharing_test : public testing::Test {
+ protected:
+  repeat_sharing_test()
+      : port_(
+            LocalEndpoint(Listen(context_, {.ip = kParentIp, .port = 0})).port),
+        executor_(
+            context_,
+            [](const target_run&, const std::function<void(run_result)>&) {
+              return [] {};
+            },
+            log_),
+        child_(context_,
+               {.vm = "vm-1",
+                .service = "registry",
+                .peer_port = port_,
+                .self = incarnation_id{7},
+                .on_repeat_grant =
+                    [this](const std::string&,
+                           const std::optional<repeat_frame>& grant) {
+                      ++answers_;
+                      grant_ = grant;
+                    }},
+               executor_,
+               log_) {}
+
+  // The parent's side.
+  void Listens() {
+    server_ = std::make_unique<peer_server>(
+        context_,
+        peer_server_options{
+            .address = {.ip = kParentIp, .port = port_},
+            .self = incarnation_id{9},
+            .on_repeat_report =
+                [this](incarnation_id sender,
+                       const std::optional<repeat_frame>& report,
+                       milliseconds transit) {
+                  return parent_.OnReport(sender, report, transit);
+                }},
+        executor_);
+  }
+
+  [[nodiscard]] bool Send(const repeat_frame& report) {
+    return child_.SendRepeatReport(kParentIp, report);
+  }
+
+  boost::asio::io_context context_;
+  const std::uint16_t port_;
+  call_log log_{{}};
+  executor executor_;
+  origin child_;
+  ranked_repeat_budget budget_{{.ratio = 0, .reserve = 100}};
+  repeat_sharing parent_{
+      context_,
+      {.self = kParentIp, .enabled = true},
+      {.send = [](const std::string&, const repeat_frame&) { return true; },
+       .budgets =
+           [this] {
+             return std::vector<own_repeat_budget>{
+                 {.service = kService, .budget = &budget_}};
+           }}};
+  std::unique_ptr<peer_server> server_;
+  int answers_ = 0;
+  std::optional<repeat_frame> grant_;
+};
+
+// Guards against a report to an older build, which ends the connection at a
+// frame that it doesn't know: it is sent only once the peer has told that it
+// reads such reports.
+TEST_F(repeat_sharing_test, AReportIsSentOnlyToAPeerThatReadsIt) {
+  EXPECT_FALSE(Send({.number = 1}));
+  Listens();
+  EXPECT_TRUE(RunUntil(context_, [&] { return Send({.number = 2}); }));
+  EXPECT_TRUE(RunUntil(context_, [&] { return answers_ > 0; }));
+  ASSERT_TRUE(grant_);
+  EXPECT_EQ(grant_->number, 2U);
+}
+
+TEST_F(repeat_sharing_test, TheDemandOfAChildReachesItsParent) {
+  Listens();
+  const repeat_frame report{
+      .number = 3,
+      .sent = SendTime(boot_clock::now()),
+      .entries = {{.service = std::string(kService),
+                   .tokens = {{.count = 5, .valid_for = milliseconds(1500)}},
+                   .unmet = {2, 0, 0, 0}}}};
+  EXPECT_TRUE(RunUntil(context_, [&] { return Send(report); }));
+  EXPECT_TRUE(RunUntil(context_, [&] { return answers_ > 0; }));
+  ASSERT_TRUE(grant_);
+  // Two of its own five: all that it wants.
+  ASSERT_EQ(grant_->entries.size(), 1U);
+  ASSERT_EQ(grant_->entries[0].tokens.size(), 1U);
+  EXPECT_EQ(grant_->entries[0].tokens[0].count, 2U);
+}
+
+// Guards against a malformed frame that is taken in part, or goes unnoticed.
+TEST_F(repeat_sharing_test, AFrameThatCannotBeReadIsOnlyCounted) {
+  EXPECT_FALSE(parent_.OnReport(incarnation_id{7}, std::nullopt, {}));
+  parent_.OnGrant("10.0.0.1", std::nullopt);
+  EXPECT_EQ(parent_.counters().unreadable, 2U);
+}
+
+// Guards against a daemon that takes part although its setting says otherwise.
+TEST_F(repeat_sharing_test, WithoutTheSettingNothingIsAnswered) {
+  repeat_sharing off(context_, {.self = kParentIp}, {});
+  EXPECT_FALSE(off.OnReport(incarnation_id{7}, repeat_frame{}, {}));
+}
+
+// Guards against tokens of an answer that belongs to an earlier report, or that
+// is taken twice.
+TEST(ReportParentTest, OnlyTheLastReportIsAnsweredOnce) {
+  const time_point start{seconds(1000)};
+  report_parent parent({.self = "10.0.0.1"});
+  parent.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+  parent.Choose(start);
+  ASSERT_TRUE(parent.ip());
+  const std::string ip = *parent.ip();
+  const auto first = parent.Begin(start);
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(parent.Begin(start + milliseconds(250)));
+  const time_point later = start + report_parent::kResponseTimeout;
+  const auto second = parent.Begin(later);
+  ASSERT_TRUE(second);
+  EXPECT_FALSE(parent.OnResponse(ip, *first, later));
+  EXPECT_FALSE(parent.OnResponse("10.0.0.9", *second, later));
+  EXPECT_EQ(parent.OnResponse(ip, *second, later), later);
+  EXPECT_FALSE(parent.OnResponse(ip, *second, later));
+}
+
+}  // namespace
+}  // namespace pistachioweir
