Rejections by a target are no demand for slots, and routes of most organisations are told apart

A rejected call was taken for the end of its root; it is sent again.

Its organisations have two ranks and its routes three: six pairs were spread over four priorities so that the most important route of nearly all organisations shared one with the next. Now the pairs of the organisations that come first share the first priority.

--- a/include/admit/capacity_shares.h
+++ b/include/admit/capacity_shares.h
@@ -98,8 +98,9 @@
   void OnRefused(const capacity_call& call);
   // A run of a call reported to OnArrival() has failed. Like a refused call, it
   // may end its root; unlike that, it isn't sent to other targets for nothing.
-  // `rejected` means that the target has rejected it for lack of capacity.
-  void OnFailed(const capacity_call& call, bool rejected);
+  // Not for calls that the target rejected without running them: they are sent
+  // again, and tell nothing of the slots.
+  void OnFailed(const capacity_call& call);
   // A run has succeeded within `served`. Not for failed ones: a target that
   // rejects calls at once would seem fast.
   void OnCompleted(std::uint32_t root, duration served);
@@ -126,7 +127,6 @@
     double arrived = 0;
     double refused = 0;
     double failed = 0;
-    double rejected = 0;       // Included in `failed`.
     double arrived_roots = 0;  // Different root requests in `arrived`.
     // In this period, not weighted.
     double new_calls = 0;
@@ -139,8 +139,8 @@
     double rank = 0;   // Mean of the last calls.
     // Results of the last update.
     double calls_per_root = 1;
-    double demand = 0;        // In slots.
-    double refused_part = 0;  // Refused or rejected.
+    double demand = 0;  // In slots.
+    double refused_part = 0;
     double share = 1;
   };
 
--- a/include/organisation/precedence.h
+++ b/include/organisation/precedence.h
@@ -17,8 +17,10 @@
 namespace pistachioweir {
 
 // Orders requests by the rank of their organisation, then by that of their
-// route. The pairs that exist are distributed over the priorities. Routes whose
-// requests come without an organisation keep their rank.
+// route. Where more pairs exist than priorities, the most important ones share
+// the first: organisations with precedence are few, and most requests belong to
+// the others, whose routes are still told apart. Routes whose requests come
+// without an organisation keep their rank.
 class precedence {
  public:
   precedence() = default;
@@ -47,8 +49,9 @@
     const auto index = static_cast<std::size_t>(
         std::ranges::lower_bound(pairs_, MakePair(*holder, matched)) -
         pairs_.begin());
-    const std::size_t levels = std::max(pairs_.size(), kPriorityCount);
-    return static_cast<std::uint32_t>(index * kPriorityCount / levels);
+    const std::size_t merged =
+        std::max(pairs_.size(), kPriorityCount) - kPriorityCount;
+    return static_cast<std::uint32_t>(index - std::min(index, merged));
   }
 
   // Whether some other organisation has to yield to this one.
--- a/src/admit/capacity_shares.cc
+++ b/src/admit/capacity_shares.cc
@@ -85,10 +85,8 @@
   kinds_[call.root].refused += WeightOf(call);
 }
 
-void capacity_shares::OnFailed(const capacity_call& call, bool rejected) {
-  const double weight = WeightOf(call);
-  kinds_[call.root].failed += weight;
-  kinds_[call.root].rejected += rejected ? weight : 0;
+void capacity_shares::OnFailed(const capacity_call& call) {
+  kinds_[call.root].failed += WeightOf(call);
 }
 
 void capacity_shares::OnCompleted(std::uint32_t root, duration served) {
@@ -161,8 +159,7 @@
     const double slots = PeriodCalls(state) / seconds * MeanRunSeconds(state);
     state.demand = slots + keep_demand * (state.demand - slots);
     if (state.arrived > 0) {
-      const double refused =
-          std::min(1.0, (state.refused + state.rejected) / state.arrived);
+      const double refused = std::min(1.0, state.refused / state.arrived);
       state.refused_part =
           refused + keep_demand * (state.refused_part - refused);
     } else {
@@ -171,7 +168,6 @@
     state.arrived = 0;
     state.refused = 0;
     state.failed = 0;
-    state.rejected = 0;
     state.arrived_roots = 0;
     state.run_seconds *= keep_cost;
     state.runs *= keep_cost;
--- a/src/forward/entrance_control.cc
+++ b/src/forward/entrance_control.cc
@@ -113,9 +113,9 @@
   }
 }
 
-void entrance_control::OnFailed(const arrival& ended, bool rejected) {
+void entrance_control::OnFailed(const arrival& ended) {
   if (ended.counted) {
-    local_.OnFailed(ended.call, rejected);
+    local_.OnFailed(ended.call);
   }
 }
 
--- a/src/forward/entrance_control.h
+++ b/src/forward/entrance_control.h
@@ -59,8 +59,8 @@
   void OnSucceeded(const arrival& ended, duration served) {
     local_.OnCompleted(ended.call.root, served);
   }
-  // A run has failed; `rejected` means that the target refused to run it.
-  void OnFailed(const arrival& ended, bool rejected);
+  // A run has failed. Not for one that the target refused to begin.
+  void OnFailed(const arrival& ended);
 
   // A called service has reported the share of `root` that fits there.
   void UpdateBelow(const std::string& root,
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -563,8 +563,9 @@
   if (result.end == run_end::kAnswered &&
       !IsServerError(result.response.status)) {
     entrance_->OnSucceeded(*served.counted, now - served.started);
-  } else if (result.end != run_end::kCancelled) {
-    entrance_->OnFailed(*served.counted, result.end == run_end::kNotExecuted);
+  } else if (result.end != run_end::kCancelled &&
+             result.end != run_end::kNotExecuted) {
+    entrance_->OnFailed(*served.counted);
   }
 }
 
--- a/tests/organisation_table_test.cc
+++ b/tests/organisation_table_test.cc
@@ -98,6 +98,30 @@
   EXPECT_EQ(RankOf(precedence(), 1, 2), 2U);
 }
 
+// Guards against an overload in which the most important route of nearly all
+// organisations waits like their other requests, since both share a priority.
+TEST(PrecedenceTest, RoutesOfMostOrganisationsAreToldApart) {
+  std::string problem;
+  const auto organisations = *organisation_table::Make(
+      {{.name = "north", .rank = 0}, {.name = "south", .rank = 1}}, &problem);
+  std::vector<route> routes;
+  for (std::uint32_t rank = 0; rank < 3; ++rank) {
+    const std::string name = "r" + std::to_string(rank);
+    routes.push_back({.name = name,
+                      .host = "a",
+                      .prefix = "/" + name + "/",
+                      .rank = rank,
+                      .parts = {{.service = "s"}}});
+  }
+  const precedence ranks =
+      precedence::Make(organisations, *route_table::Make(routes, &problem));
+  EXPECT_EQ(RankOf(ranks, 0, 0), 0U);
+  EXPECT_EQ(RankOf(ranks, 0, 2), 0U);
+  EXPECT_EQ(RankOf(ranks, 1, 0), 1U);
+  EXPECT_EQ(RankOf(ranks, 1, 1), 2U);
+  EXPECT_EQ(RankOf(ranks, 1, 2), 3U);
+}
+
 TEST(KeyCheckTest, ARouteDeterminesWhetherAKeyIsNeeded) {
   const organisation_table table = Table();
   const auto check = [&](bool is_public, const char* key) {
