--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -31,13 +31,13 @@
 constexpr priority kOther = priority::kNormal;
 
 // 400 calls a second to one service, every seventh of them important. From
-// `begin` on, the service rejects 55 of 100 sends for 8.5 s.
+// `begin_` on, the service rejects 55 of 100 sends for 8.5 s.
 class rejecting_service {
  public:
   rejecting_service() {
     for (int i = 0; i < kCalls; ++i) {
       const time_point now = kStart + i * kGap;
-      const bool rejects = now >= begin && now < begin + milliseconds(8500);
+      const bool rejects = now >= begin_ && now < begin_ + milliseconds(8500);
       Call(i % 7 == 0 ? kImportant : kOther, rejects, now);
     }
   }
@@ -50,7 +50,7 @@
   static constexpr int kCalls = 12000;
   static constexpr microseconds kGap{2500};
   static constexpr int kMaxSends = 8;
-  const time_point begin = kStart + seconds(15);
+  const time_point begin_ = kStart + seconds(15);
 
   void Call(priority level, bool rejects, time_point now) {
     requests.push_back(now);
