--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -164,9 +164,13 @@
             {.self = settings.target.ip,
              .enabled =
                  settings.repeat_sharing == repeat_sharing_policy::kShared},
-            {.send =
+            {.is_ready =
+                 [this](const std::string& ip) {
+                   return origin_.ReadsRepeatReports(ip);
+                 },
+             .send =
                  [this](const std::string& ip, const repeat_frame& report) {
-                   return origin_.SendRepeatReport(ip, report);
+                   origin_.SendRepeatReport(ip, report);
                  },
              .budgets = [this] { return origin_.RepeatBudgets(); }}),
         suspects_(
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -152,8 +152,10 @@
   void AskChanges(const std::string& ip);
   // Reports quota usage to the daemon at `ip`.
   void SendUsage(const std::string& ip, const usage_frame& usage);
-  // Reports repeats to the daemon at `ip`. False if that can't read it now.
-  bool SendRepeatReport(const std::string& ip, const repeat_frame& report);
+  // Whether the daemon at `ip` is connected and reads reports of repeats.
+  [[nodiscard]] bool ReadsRepeatReports(const std::string& ip);
+  // Reports repeats to it.
+  void SendRepeatReport(const std::string& ip, const repeat_frame& report);
   // The budgets of all called services.
   [[nodiscard]] std::vector<own_repeat_budget> RepeatBudgets();
   // Over all called services.
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -241,9 +241,13 @@
   LinkTo(ip)->SendUsage(usage);
 }
 
-bool origin::SendRepeatReport(const std::string& ip,
+bool origin::ReadsRepeatReports(const std::string& ip) {
+  return LinkTo(ip)->ReadsRepeatReports();
+}
+
+void origin::SendRepeatReport(const std::string& ip,
                               const repeat_frame& report) {
-  return LinkTo(ip)->SendRepeatReport(report);
+  LinkTo(ip)->SendRepeatReport(report);
 }
 
 void origin::AskProofs(const std::vector<std::string>& ips,
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -57,14 +57,23 @@
   }
   exchange_.SetRoot(!parent_.ip());
   exchange_.Tick(callbacks_.budgets(), RandomFraction(), now);
+  SendReport(now);
+  Arm();
+}
+
+// Only to a daemon that can take it: another report could follow only when this
+// one counts as lost, and by then the parent counts as unresponsive. Without a
+// link to the first parent, each was given up in turn.
+void repeat_sharing::SendReport(time_point now) {
+  if (!parent_.ip() || !callbacks_.is_ready(*parent_.ip())) {
+    return;
+  }
   if (const auto number = parent_.Begin(now)) {
-    const bool sent =
-        callbacks_.send(*parent_.ip(), {.number = *number,
-                                        .sent = SendTime(boot_clock::now()),
-                                        .entries = exchange_.TakeReport(now)});
-    counters_.reports += sent ? 1U : 0U;
+    ++counters_.reports;
+    callbacks_.send(*parent_.ip(), {.number = *number,
+                                    .sent = SendTime(boot_clock::now()),
+                                    .entries = exchange_.TakeReport(now)});
   }
-  Arm();
 }
 
 void repeat_sharing::Arm() {
--- a/src/forward/repeat_sharing.h
+++ b/src/forward/repeat_sharing.h
@@ -27,8 +27,10 @@
 };
 
 struct repeat_sharing_callbacks {
-  // False if the daemon at `ip` can't read the report now.
-  std::function<bool(const std::string& ip, const repeat_frame& report)> send;
+  // Whether the daemon at `ip` is connected and reads reports. If not, it is
+  // connected to.
+  std::function<bool(const std::string& ip)> is_ready;
+  std::function<void(const std::string& ip, const repeat_frame& report)> send;
   // The budgets of this daemon.
   std::function<std::vector<own_repeat_budget>()> budgets;
 };
@@ -64,6 +66,7 @@
 
  private:
   void Report();
+  void SendReport(time_point now);
   void Arm();
 
   const repeat_sharing_options options_;
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -191,17 +191,16 @@
   }
 }
 
-bool peer_link::SendRepeatReport(const repeat_frame& report) {
+bool peer_link::ReadsRepeatReports() {
   last_used_ = monotonic_clock::now();
-  if (current_ == nullptr) {
-    Probe();
-    return false;
-  }
-  if (!Has(features_, peer_features::kRepeatSharing)) {
-    return false;
+  Probe();
+  return current_ != nullptr && Has(features_, peer_features::kRepeatSharing);
+}
+
+void peer_link::SendRepeatReport(const repeat_frame& report) {
+  if (ReadsRepeatReports()) {
+    current_->Send(Encode(report, frame_kind::kRepeatReport));
   }
-  current_->Send(Encode(report, frame_kind::kRepeatReport));
-  return true;
 }
 
 void peer_link::Probe() {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -120,9 +120,10 @@
   void SendMissedSuspects();
   // Tells what was used of quotas; connects if need be, for the next time.
   void SendUsage(const usage_frame& usage);
-  // As SendUsage(), but not to a peer that doesn't read such reports. False if
-  // it wasn't sent.
-  bool SendRepeatReport(const repeat_frame& report);
+  // Whether SendRepeatReport() reaches a peer that reads such reports; connects
+  // if need be, for the next time.
+  [[nodiscard]] bool ReadsRepeatReports();
+  void SendRepeatReport(const repeat_frame& report);
   // Tries to reach the peer although there is nothing to send.
   void Probe();
   // Has the peer tell what changes in the store, from now on and over each
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,8 +70,13 @@
         executor_);
   }
 
+  // Returns false if the parent can't read the report now.
   [[nodiscard]] bool Send(const repeat_frame& report) {
-    return child_.SendRepeatReport(kParentIp, report);
+    if (!child_.ReadsRepeatReports(kParentIp)) {
+      return false;
+    }
+    child_.SendRepeatReport(kParentIp, report);
+    return true;
   }
 
   boost::asio::io_context context_;
@@ -79,15 +85,12 @@
   executor executor_;
   origin child_;
   ranked_repeat_budget budget_{{.ratio = 0, .reserve = 100}};
-  repeat_sharing parent_{
-      context_,
-      {.self = kParentIp, .enabled = true},
-      {.send = [](const std::string&, const repeat_frame&) { return true; },
-       .budgets =
-           [this] {
-             return std::vector<own_repeat_budget>{
-                 {.service = kService, .budget = &budget_}};
-           }}};
+  repeat_sharing parent_{context_,
+                         {.self = kParentIp, .enabled = true},
+                         {.budgets = [this] {
+                           return std::vector<own_repeat_budget>{
+                               {.service = kService, .budget = &budget_}};
+                         }}};
   std::unique_ptr<peer_server> server_;
   int answers_ = 0;
   std::optional<repeat_frame> grant_;
@@ -135,6 +138,37 @@
   EXPECT_FALSE(off.OnReport(incarnation_id{7}, repeat_frame{}, {}));
 }
 
+// Guards against a daemon that has no link to its parent when it first reports,
+// and gives up one parent after the other (soak 61001: another one every 0.75
+// s).
+TEST_F(repeat_sharing_test, AParentWithoutALinkIsKept) {
+  Listens();
+  std::set<std::string> asked;
+  int reports = 0;
+  repeat_sharing child(
+      context_, {.self = "10.0.0.1", .enabled = true},
+      {.is_ready =
+           [&](const std::string& ip) {
+             asked.insert(ip);
+             return child_.ReadsRepeatReports(kParentIp);
+           },
+       .send =
+           [&](const std::string& ip, const repeat_frame& report) {
+             ++reports;
+             child.OnGrant(ip, repeat_frame{.number = report.number});
+           },
+       .budgets = [] { return std::vector<own_repeat_budget>(); }});
+  service_view view;
+  for (const char* const ip : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+    view.targets.push_back({.address = {.ip = ip, .port = 1}});
+  }
+  child.OnView(view);
+  EXPECT_TRUE(RunUntil(context_, [&] { return reports == 4; }));
+  EXPECT_EQ(asked.size(), 1U);
+  EXPECT_EQ(child.counters().grants, 4U);
+  child.Stop();
+}
+
 // Guards against tokens of an answer that belongs to an earlier report, or that
 // is taken twice.
 TEST(ReportParentTest, OnlyTheLastReportIsAnsweredOnce) {
