--- a/src/lineage/running_requests.cc
+++ b/src/lineage/running_requests.cc
@@ -31,10 +31,11 @@
   if (named != last_named) {
     by_id_.erase(named);
   }
-  const auto same = std::ranges::equal_range(
+  const auto first_due = std::ranges::lower_bound(
       by_deadline_, request->second.deadline, {}, &deadline_entry::deadline);
-  by_deadline_.erase(
-      std::ranges::find(same, request, &deadline_entry::request));
+  by_deadline_.erase(std::find_if(
+      first_due, by_deadline_.end(),
+      [&](const deadline_entry& each) { return each.request == request; }));
   requests_.erase(found);
 }
 
--- a/tests/adaptive_throttle_test.cc
+++ b/tests/adaptive_throttle_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <random>
 #include <string_view>
 
@@ -54,7 +55,7 @@
   double credit = 1;
   time_point now = kStart;
   for (int i = 0; i < 20000; ++i, now += milliseconds(1)) {
-    throttle.OnResult(random() % 1000 > (i / 5000) * 300U, now);
+    throttle.OnResult(random() % 1000 > std::uint64_t{300} * (i / 5000), now);
     const bool has_precedence = random() % 10 == 0;
     credit += throttle.share();
     const bool admits =
--- a/tests/capacity_shares_test.cc
+++ b/tests/capacity_shares_test.cc
@@ -283,11 +283,11 @@
 }
 
 // 2.5 s into a burst that follows a busy day.
-class CapacitySharesTest : public testing::Test {
+class capacity_shares_test : public testing::Test {
  protected:
   static constexpr milliseconds kBurst{8000};
 
-  CapacitySharesTest() {
+  capacity_shares_test() {
     for (chain_model* model : {&model_, &unlimited_}) {
       model->Run(kQuiet, milliseconds(10000));
       model->Run(1, milliseconds(2500));
@@ -299,7 +299,7 @@
 };
 
 // Guards against work for requests that fail at the last hop.
-TEST_F(CapacitySharesTest, ABurstIsServedByRankAndCost) {
+TEST_F(capacity_shares_test, ABurstIsServedByRankAndCost) {
   const results ended = model_.Run(1, kBurst);
   EXPECT_GE(Worth(ended) / Seconds(kBurst), 0.9 * OptimalWorth());
   EXPECT_GE(Worth(ended), 1.15 * Worth(unlimited_.Run(1, kBurst)));
@@ -312,7 +312,7 @@
 
 // Guards against shares that swing between too much and too little, or stay
 // below 1 after the overload.
-TEST_F(CapacitySharesTest, SharesAreSteadyInABurstAndReturnWithinTwoSeconds) {
+TEST_F(capacity_shares_test, SharesAreSteadyInABurstAndReturnWithinTwoSeconds) {
   std::vector<double> shares;
   for (milliseconds time{0}; time < kBurst; time += milliseconds(100)) {
     model_.Run(1, milliseconds(100));
--- a/tests/running_requests_test.cc
+++ b/tests/running_requests_test.cc
@@ -158,8 +158,9 @@
   std::vector<std::uint64_t> keys;
   for (const auto& [id, rank, deadline] : all) {
     keys.push_back(keys.size() + 1);
-    running.Insert(keys.back(), Request(std::string(32, 'a' + id), rank,
-                                        milliseconds(deadline)));
+    running.Insert(keys.back(),
+                   Request(std::string(32, static_cast<char>('a' + id)), rank,
+                           milliseconds(deadline)));
   }
   // The least important rank of the possible parents; nothing without any.
   const auto least = [&](const auto& is_possible) {
@@ -177,7 +178,7 @@
   };
   for (bool done = false; !done; done = keys.empty()) {
     for (int id = 0; id < 3; ++id) {
-      const std::string name(32, 'a' + id);
+      const std::string name(32, static_cast<char>('a' + id));
       RC_ASSERT(rank_of(running.FindById(name + ".1")) ==
                 least([&](const auto& r) { return r.id == name; }));
     }
