usage_tree: forgets unresponsive daemons after the back-off

Entries of daemons that had left the fleet stayed for good. An entry older than the back-off had no effect already, so decisions are the same.

--- a/include/quota/usage_tree.h
+++ b/include/quota/usage_tree.h
@@ -1,6 +1,4 @@
-// usage_tree: selects the daemon to which a daemon reports quota usage.
-//
-// Pure logic; quota_sharing keeps one.
+// usage_tree: selects the daemon to which a daemon reports.
 #pragma once
 
 #include <cstddef>
@@ -27,6 +25,8 @@
 // A heap over the daemons, ordered by a hash of their addresses. Each daemon
 // reports to one that precedes it, so that reports never form a cycle even if
 // the lists of the daemons differ.
+//
+// Pure logic; each report_parent keeps one.
 class usage_tree {
  public:
   explicit usage_tree(usage_tree_options options)
@@ -42,12 +42,13 @@
   [[nodiscard]] std::size_t daemons() const { return daemons_; }
 
  private:
-  [[nodiscard]] std::optional<std::string> Choose(time_point now) const;
+  [[nodiscard]] std::optional<std::string> Choose() const;
 
   const usage_tree_options options_;
   std::vector<std::string> predecessors_;  // In hash order, before this daemon.
   std::size_t daemons_ = 1;
-  std::map<std::string, time_point> unresponsive_;  // Since when.
+  // Since when; for `parent_backoff`.
+  std::map<std::string, time_point> unresponsive_;
   std::optional<std::string> parent_;
   time_point last_response_at_;  // Of the parent, or when it was chosen.
   time_point last_call_at_;      // The last call of Parent().
--- a/src/quota/usage_tree.cc
+++ b/src/quota/usage_tree.cc
@@ -34,13 +34,11 @@
   }
 }
 
-std::optional<std::string> usage_tree::Choose(time_point now) const {
+std::optional<std::string> usage_tree::Choose() const {
   std::vector<const std::string*> usable;
   usable.reserve(predecessors_.size());
   for (const std::string& ip : predecessors_) {
-    const auto found = unresponsive_.find(ip);
-    if (found == unresponsive_.end() ||
-        now - found->second >= options_.parent_backoff) {
+    if (!unresponsive_.contains(ip)) {
       usable.push_back(&ip);
     }
   }
@@ -53,13 +51,16 @@
 std::optional<std::string> usage_tree::Parent(time_point now) {
   const bool was_suspended = now - last_call_at_ > options_.parent_timeout;
   last_call_at_ = now;
+  std::erase_if(unresponsive_, [&](const auto& each) {
+    return now - each.second >= options_.parent_backoff;
+  });
   if (was_suspended) {
     last_response_at_ = now;  // This process received nothing while suspended.
   }
   if (parent_ && now - last_response_at_ > options_.parent_timeout) {
     unresponsive_[*parent_] = now;
   }
-  std::optional<std::string> chosen = Choose(now);
+  std::optional<std::string> chosen = Choose();
   if (chosen != parent_) {
     parent_ = std::move(chosen);
     last_response_at_ = now;
