Kinds make calls until the contrary is known; old entrance shares are dropped

A daemon without call_lineage, one that had just started and one that found only ambiguous parents all answered that a kind makes no calls. Now that is answered only with a lineage policy, after a run of the kind has succeeded, and if no call was found that it may have made.

The shares of services below were kept for each name that ever answered. Now they are dropped once they have returned to 1.

--- a/include/admit/entrance_limiter.h
+++ b/include/admit/entrance_limiter.h
@@ -28,6 +28,10 @@
   void Add(double share, time_point now);
   // 1 if no share was ever added.
   [[nodiscard]] double Get(time_point now) const;
+  // Whether Get() is 1 for lack of answers.
+  [[nodiscard]] bool IsForgotten(time_point now) const {
+    return now - last_ >= kForgotten;
+  }
 
  private:
   struct span {
--- a/src/forward/entrance_control.cc
+++ b/src/forward/entrance_control.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <cstddef>
 #include <functional>
 
 namespace pistachioweir {
@@ -126,6 +125,23 @@
   roots_[kinds_.IndexOf(root)].below[service].Add(share, now);
 }
 
+void entrance_control::Tick(time_point now) {
+  local_.Update(now);
+  for (root_state& root : roots_) {
+    std::erase_if(root.below, [now](const auto& each) {
+      return each.second.IsForgotten(now);
+    });
+  }
+}
+
+std::size_t entrance_control::services_below() const {
+  std::size_t count = 0;
+  for (const root_state& root : roots_) {
+    count += root.below.size();
+  }
+  return count;
+}
+
 std::vector<std::pair<std::string, double>> entrance_control::Shares(
     time_point now) const {
   std::vector<std::pair<std::string, double>> shares;
--- a/src/forward/entrance_control.h
+++ b/src/forward/entrance_control.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -70,18 +71,23 @@
   // The smallest share of the local target and of the services below, for the
   // root kind of a call.
   [[nodiscard]] double ShareOf(const call_frame& call, time_point now);
-  // To be called once a second: ends an overload even if no call arrives.
-  void Tick(time_point now) { local_.Update(now); }
+  // To be called once a second: ends an overload even if no call arrives, and
+  // drops the shares of services that no longer answer.
+  void Tick(time_point now);
 
   // Share that applies to each kind of which root requests have arrived here.
   [[nodiscard]] std::vector<std::pair<std::string, double>> Shares(
       time_point now) const;
   [[nodiscard]] const capacity_shares& local() const { return local_; }
+  // Shares of services below that are kept, over all root kinds.
+  [[nodiscard]] std::size_t services_below() const;
 
  private:
   struct root_state {
     entrance_limiter limiter;
-    std::unordered_map<std::string, recent_share> below;  // By service.
+    // By service; of those that answered within recent_share::kForgotten, and
+    // since the last Tick().
+    std::unordered_map<std::string, recent_share> below;
   };
 
   [[nodiscard]] double LowestShare(std::uint32_t root, time_point now) const;
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -439,6 +439,14 @@
                        .has_precedence = call.ahead,
                        .ticket = call.ticket,
                        .lineage = std::move(lineage)});
+  ++by_kind_[served.kind].running;
+}
+
+void executor::RemoveRunning(std::uint64_t id, const served_call& served) {
+  if (running_.Find(id) != nullptr) {
+    running_.Erase(id);
+    --by_kind_[served.kind].running;
+  }
 }
 
 parent_match executor::FindParent(std::string_view call_id,
@@ -455,11 +463,24 @@
     match = running_.FindByDeadline(deadline);
   }
   ++lineage_counts_[static_cast<std::size_t>(match.evidence)];
+  NoteParent(match);
+  return match;
+}
+
+void executor::NoteParent(const parent_match& match) {
   const auto parent = calls_.find(match.parent);
   if (parent != calls_.end()) {
     by_kind_[parent->second.kind].makes_calls = true;
+  } else if (match.found()) {
+    for (kind_state& kind : by_kind_) {
+      kind.makes_calls |= kind.running > 0;
+    }
   }
-  return match;
+}
+
+bool executor::MayMakeCalls(std::uint32_t kind) const {
+  const kind_state& state = by_kind_[kind];
+  return !keeps_lineage() || state.makes_calls || !state.has_succeeded;
 }
 
 void executor::UpdateTargetState(const run_result& result, time_point now) {
@@ -527,6 +548,8 @@
     vouching_.OnAnswer(result.closing || result.notice.leaving, now);
     by_kind_[served.kind].throttle.OnResult(
         !IsServerError(result.response.status), now);
+    by_kind_[served.kind].has_succeeded |=
+        keeps_lineage() && !IsServerError(result.response.status);
   }
   CountRunEnd(served, result, now);
   log_.Add(
@@ -603,7 +626,7 @@
   const auto found = calls_.find(id);
   served_call served = std::move(found->second);
   calls_.erase(found);
-  running_.Erase(id);
+  RemoveRunning(id, served);
   const time_point now = monotonic_clock::now();
   max_request_time_.Add(now - served.arrived, now);
   answer.number = served.call.number;
@@ -613,7 +636,7 @@
   if (served.call.lineage) {
     answer.lineage = {
         .entrance_share = entrance_ ? entrance_->ShareOf(served.call, now) : 1,
-        .makes_calls = by_kind_[served.kind].makes_calls};
+        .makes_calls = MayMakeCalls(served.kind)};
   }
   ++(answer.kind == outcome_kind::kCompleted     ? counters_.completed
      : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -253,7 +253,10 @@
   struct kind_state {
     adaptive_throttle throttle;
     caller_mix callers;
-    bool makes_calls = false;  // Runs of the kind were parents of calls.
+    // What runs of the kind have shown while lineages were kept.
+    bool has_succeeded = false;
+    bool makes_calls = false;   // They were possible parents of calls.
+    std::uint32_t running = 0;  // Of the kind, in `running_`.
     // Of the last call of the kind.
     priority level = priority::kNormal;
     milliseconds objective{0};
@@ -285,6 +288,11 @@
   bool Withdraw(std::uint64_t id);
   void Start(std::uint64_t id);
   void AddRunning(std::uint64_t id, const served_call& served);
+  void RemoveRunning(std::uint64_t id, const served_call& served);
+  void NoteParent(const parent_match& match);
+  // Whether runs of the kind make calls. True as well while that isn't known:
+  // origins send fewer repeats of such kinds.
+  [[nodiscard]] bool MayMakeCalls(std::uint32_t kind) const;
   void OnRunEnd(std::uint64_t id, run_result result);
   void Refuse(std::uint64_t id, reason why, milliseconds retry_after);
   void PublishNotice();
--- a/tests/entrance_control_test.cc
+++ b/tests/entrance_control_test.cc
@@ -61,13 +61,26 @@
   EXPECT_NEAR(control.local().demand(), 5, 0.5);
 }
 
+// Guards against memory that grows with each name that a service had.
+TEST(EntranceControlTest, SharesOfServicesThatNoLongerAnswerAreDropped) {
+  entrance_control control;
+  for (int i = 0; i < 100; ++i) {
+    control.UpdateBelow("quote", "service-" + std::to_string(i), 0.5, kStart);
+  }
+  control.UpdateBelow("quote", "current", 0.5, kStart + seconds(2));
+  EXPECT_EQ(control.services_below(), 101U);
+  control.Tick(kStart + seconds(3));
+  EXPECT_EQ(control.services_below(), 1U);
+  EXPECT_LT(control.ShareOf(RootCall("a"), kStart + seconds(3)), 1);
+}
+
 // An executor whose runs end when the test says so.
-class EntranceExecutorTest : public testing::Test {
+class entrance_executor_test : public testing::Test {
  protected:
-  explicit EntranceExecutorTest(bool by_cost = true)
+  explicit entrance_executor_test(bool by_cost = true)
       : executor_(
             context_,
-            [this](target_run, std::function<void(run_result)> done) {
+            [this](const target_run&, std::function<void(run_result)> done) {
               runs_.push_back(std::move(done));
               return [] {};
             },
@@ -84,13 +97,28 @@
     for (int i = 0; i < count; ++i) {
       executor_.Serve(
           RootCall("root-" + std::string(i % 3, 'x') + std::to_string(i)),
-          [this](answer_frame answer) { answer_ = answer; });
+          [this](const answer_frame& answer) { answer_ = answer; });
     }
     context_.restart();
     context_.poll();
     return runs_.size();
   }
 
+  // Serves a call to its end, and returns whether its kind makes calls
+  // according to the answer.
+  bool MakesCalls(const call_frame& call,
+                  const std::function<void()>& while_it_runs = {}) {
+    executor_.Serve(call,
+                    [this](const answer_frame& answer) { answer_ = answer; });
+    context_.restart();
+    context_.poll();
+    if (while_it_runs) {
+      while_it_runs();
+    }
+    runs_.back()({.end = run_end::kAnswered, .response = {.status = 200}});
+    return answer_->lineage->makes_calls;
+  }
+
   boost::asio::io_context context_;
   call_log log_{{}};
   std::vector<std::function<void(run_result)>> runs_;
@@ -100,7 +128,7 @@
 
 // Guards against a share that is reported but not applied, or not passed on:
 // the services below would take the admitted requests for the whole demand.
-TEST_F(EntranceExecutorTest, TheShareOfAServiceBelowIsAppliedAndPassedOn) {
+TEST_F(entrance_executor_test, TheShareOfAServiceBelowIsAppliedAndPassedOn) {
   executor_.UpdateEntranceShare("quote", "small-service", 0.4,
                                 monotonic_clock::now());
   EXPECT_NEAR(static_cast<double>(Offer(100)), 40, 2);
@@ -115,7 +143,7 @@
 }
 
 // Guards against the loss of the work that the hops above have done.
-TEST_F(EntranceExecutorTest, CallsOfAdmittedRequestsAreNotLimited) {
+TEST_F(entrance_executor_test, CallsOfAdmittedRequestsAreNotLimited) {
   executor_.UpdateEntranceShare("quote", "small-service", 0.1,
                                 monotonic_clock::now());
   for (int i = 0; i < 50; ++i) {
@@ -127,12 +155,12 @@
 
 // With entrance = results, daemons above learn nothing that would change what
 // they admit, and the limits are not asked.
-class EntranceResultsTest : public EntranceExecutorTest {
+class entrance_results_test : public entrance_executor_test {
  protected:
-  EntranceResultsTest() : EntranceExecutorTest(false) {}
+  entrance_results_test() : entrance_executor_test(false) {}
 };
 
-TEST_F(EntranceResultsTest, SharesStayOne) {
+TEST_F(entrance_results_test, SharesStayOne) {
   executor_.UpdateEntranceShare("quote", "below", 0.1, monotonic_clock::now());
   ASSERT_EQ(Offer(50), 50U);
   runs_[0]({.end = run_end::kAnswered, .response = {.status = 200}});
@@ -141,10 +169,11 @@
 }
 
 // An older build upstream neither sends lineage nor reads it in answers.
-TEST_F(EntranceExecutorTest, CallsWithoutLineageAreAnsweredWithout) {
+TEST_F(entrance_executor_test, CallsWithoutLineageAreAnsweredWithout) {
   call_frame call = RootCall("old");
   call.lineage.reset();
-  executor_.Serve(call, [this](answer_frame answer) { answer_ = answer; });
+  executor_.Serve(call,
+                  [this](const answer_frame& answer) { answer_ = answer; });
   context_.poll();
   ASSERT_EQ(runs_.size(), 1U);
   runs_[0]({.end = run_end::kAnswered, .response = {.status = 200}});
@@ -152,5 +181,35 @@
   EXPECT_FALSE(answer_->lineage);
 }
 
+// Guards against repeats beyond the operator's bound: those of kinds that make
+// no calls may use twice as much of it, so that has to be known.
+TEST_F(entrance_executor_test, KindsMakeCallsUntilTheContraryIsKnown) {
+  executor_.SetSlots(1);
+  executor_.Serve(CallBelow("a.1.1", 1), {});
+  call_frame expired = CallBelow("b.1.1", 1);
+  expired.remaining = milliseconds(0);
+  executor_.Serve(expired,
+                  [this](const answer_frame& answer) { answer_ = answer; });
+  ASSERT_TRUE(answer_);
+  EXPECT_TRUE(answer_->lineage->makes_calls);  // Nothing has run.
+  context_.poll();
+  runs_.back()({.end = run_end::kAnswered, .response = {.status = 200}});
+  EXPECT_FALSE(MakesCalls(CallBelow("c.1.1", 1)));
+  executor_.SetLineagePolicy(lineage_policy::kOff);
+  EXPECT_TRUE(MakesCalls(CallBelow("d.1.1", 1)));
+}
+
+// Likewise, if calls are found to be made by one of several runs.
+TEST_F(entrance_executor_test, KindsMakeCallsIfOneOfThemMade) {
+  executor_.Serve(CallBelow("a.1.1", 1), {});
+  context_.poll();
+  runs_.back()({.end = run_end::kAnswered, .response = {.status = 200}});
+  executor_.Serve(CallBelow("b.1.1", 1), {});
+  EXPECT_TRUE(MakesCalls(CallBelow("c.1.1", 1), [this] {
+    EXPECT_EQ(executor_.FindParent("d", {}, true).evidence,
+              lineage_evidence::kAmbiguous);
+  }));
+}
+
 }  // namespace
 }  // namespace pistachioweir
