Ids without parents end the search by deadlines for a while only

One call whose id extended that of a running request ended the search by deadlines for its kind until the daemon's end, so that a target that stopped extending ids, or a single caller, cost all later calls their lineage. Now 64 calls in a row without a parent by id begin it again.

--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kDefaultTimeout{30000};
 // Retry-after if the refusal carries none.
 constexpr milliseconds kDefaultRetryAfter{200};
+// Covers the calls that a target may still make for a few ended runs.
+constexpr std::uint8_t kIdsDecideFor = 64;
 
 std::string Text(std::uint64_t number) {
   return std::to_string(number);
@@ -131,34 +133,11 @@
   if (view_->config->organisations == nullptr) {
     placed->call.request.header_block += placed->call.credential_headers;
   }
-  const route& matched = *placed->matched;
-  const auto split =
-      splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
-  placed->service = std::string(split->second.Next(matched.parts));
-  service_state& state = StateOf(placed->service);
-  if (SharesRepeats()) {
-    state.ranked_repeats.OnRequest(placed->call.received);
-  } else {
-    state.repeats.OnRequest(placed->call.received);
-  }
-
-  const milliseconds timeout = TimeoutOf(*placed);
-  placed->deadline = placed->call.received + timeout;
-  placed->placing = {
-      .method = state.kinds.IndexOf(matched.name),
-      .ticket = static_cast<std::uint8_t>(RandomBits32()),
-      .objective = matched.latency_objective > milliseconds(0)
-                       ? matched.latency_objective
-                       : timeout,
-      .at_most_once = matched.repeats == repeat_policy::kAtMostOnce};
-  Inherit(placed.get());
+  SetPlacing(placed.get());
+  Inherit(id, placed.get());
   placed->placing.level = PriorityOfRank(placed->rank);
-  if (placed->parent.parent != parent_match::kNoParent &&
-      matched.repeats == repeat_policy::kIdempotent) {
-    calls_by_parent_.emplace(placed->parent.parent, id);
-  }
   LogRouted(id, *placed);
-  if (local_.IsQuarantined(matched.name, placed->call.request,
+  if (local_.IsQuarantined(placed->matched->name, placed->call.request,
                            placed->call.received)) {
     Finish(id, {.kind = outcome_kind::kNotExecuted,
                 .why = reason::kQuarantined,
@@ -170,6 +149,28 @@
   return id;
 }
 
+void origin::SetPlacing(placed_call* call) {
+  const route& matched = *call->matched;
+  const auto split =
+      splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
+  call->service = std::string(split->second.Next(matched.parts));
+  service_state& state = StateOf(call->service);
+  if (SharesRepeats()) {
+    state.ranked_repeats.OnRequest(call->call.received);
+  } else {
+    state.repeats.OnRequest(call->call.received);
+  }
+  const milliseconds timeout = TimeoutOf(*call);
+  call->deadline = call->call.received + timeout;
+  call->placing = {
+      .method = state.kinds.IndexOf(matched.name),
+      .ticket = static_cast<std::uint8_t>(RandomBits32()),
+      .objective = matched.latency_objective > milliseconds(0)
+                       ? matched.latency_objective
+                       : timeout,
+      .at_most_once = matched.repeats == repeat_policy::kAtMostOnce};
+}
+
 void origin::LogRouted(call_id id, const placed_call& call) {
   const milliseconds timeout =
       ToMilliseconds(call.deadline - call.call.received);
@@ -200,7 +201,7 @@
       log_field{.name = "depth", .value = Text(match.lineage.depth)});
 }
 
-void origin::Inherit(placed_call* call) {
+void origin::Inherit(call_id id, placed_call* call) {
   if (!local_.keeps_lineage()) {
     return;
   }
@@ -211,18 +212,26 @@
   service_state& state = StateOf(call->service);
   const std::uint32_t kind = call->placing.method;
   // Where ids tell the parent, a call without one is made for a run that has
-  // ended, and another run with its deadline isn't its parent.
+  // ended, and another run with its deadline isn't its parent. Not for good: a
+  // single caller could extend an id, or the target could stop doing so.
+  std::uint8_t& ids_decide_for = state.ids_decide_for[kind];
   const bool search_deadlines =
-      state.made_by_targets.test(kind) && !state.extend_ids.test(kind);
+      state.made_by_targets.test(kind) && ids_decide_for == 0;
   call->parent = local_.FindParent(call->call.id, expiry, search_deadlines);
   if (call->parent.evidence == lineage_evidence::kRequestId) {
-    state.extend_ids.set(kind);
+    ids_decide_for = kIdsDecideFor;
+  } else if (ids_decide_for > 0) {
+    --ids_decide_for;
   }
   if (call->parent.found()) {
     call->rank = call->parent.rank;
     call->ahead = call->parent.has_precedence;
     call->placing.ticket = call->parent.ticket;
   }
+  if (call->parent.parent != parent_match::kNoParent &&
+      call->matched->repeats == repeat_policy::kIdempotent) {
+    calls_by_parent_.emplace(call->parent.parent, id);
+  }
 }
 
 void origin::EndCallsOf(std::uint64_t parent) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -3,6 +3,7 @@
 // and the deadline allow.
 #pragma once
 
+#include <array>
 #include <bitset>
 #include <cstddef>
 #include <cstdint>
@@ -209,8 +210,9 @@
     kind_index kinds;
     // Kinds that are made by targets, as far as their executors know.
     std::bitset<kind_index::kMaxKinds> made_by_targets;
-    // Kinds whose parents were found by request ids.
-    std::bitset<kind_index::kMaxKinds> extend_ids;
+    // Of each kind, calls without a parent by id until deadlines are searched
+    // again; see Inherit().
+    std::array<std::uint8_t, kind_index::kMaxKinds> ids_decide_for{};
     // Kinds whose runs make no calls, by the last answer that told.
     std::bitset<kind_index::kMaxKinds> without_calls;
   };
@@ -284,8 +286,10 @@
   // it.
   [[nodiscard]] milliseconds StartWithin(const placed_call& call,
                                          time_point now) const;
+  // Chooses the called service, and sets what placement needs to know.
+  void SetPlacing(placed_call* call);
   // Lets the call inherit from the request that it is made for, if any.
-  void Inherit(placed_call* call);
+  void Inherit(call_id id, placed_call* call);
   void LogRouted(call_id id, const placed_call& call);
   void LogEndedByStop(call_id id, const placed_call& call, time_point now);
   // Authenticates again, then places and sends the call again.
--- a/tests/call_lineage_test.cc
+++ b/tests/call_lineage_test.cc
@@ -228,6 +228,28 @@
   EXPECT_EQ(Found(lineage_evidence::kAmbiguous), 0U);
 }
 
+// A target that no longer extends the ids, or a caller that extended one, would
+// otherwise end the search by deadlines for good.
+TEST_F(call_lineage_test, DeadlinesAreSearchedAgainIfIdsTellNothing) {
+  Configure(lineage_policy::kRequestId);
+  StartParent("/order/1", "id-1");
+  Call(target_, "/peek/1", "id-1.1");
+  called_.EndRun();
+  EXPECT_EQ(target_.NextResponse().status, 200);
+  for (int i = 0; i < 100; ++i) {
+    const std::size_t before = called_.runs.size();
+    target_.Send(
+        "GET /peek/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: other\r\n"
+        "Deadline-Ms: 2000\r\n\r\n");
+    ASSERT_TRUE(RunUntil([&] { return called_.runs.size() > before; }));
+    called_.EndRun();
+    EXPECT_EQ(target_.NextResponse().status, 200);
+  }
+  EXPECT_GT(
+      Found(lineage_evidence::kDeadline) + Found(lineage_evidence::kAmbiguous),
+      0U);
+}
+
 // Guards against decisions that change without the setting.
 TEST_F(call_lineage_test, WithoutThePolicyCallsHaveTheRankOfTheirRoute) {
   Configure(lineage_policy::kOff);
