Repeats are lent and borrowed only over connections that answered in time

transit_time takes the first frame of a sender for one that didn't wait, so tokens in a late first report lived longer than their lender counted them (model: NO_ANSWERED_BEFORE). A report is now empty, without tokens and demand, unless the report before it was answered within kResponseTimeout over the connection that there is now, and nothing is lent to the parent until then. peer_link tells of each new connection, as it may replace one without loss. Guards of spec/repeat_lending.pml are named at the code.

With the condition in SendReport() taken out, TheFirstReportOfAConnectionIsEmpty and WithoutAnAnswerReportsStayEmpty fail.

--- a/include/quota/report_parent.h
+++ b/include/quota/report_parent.h
@@ -45,6 +45,13 @@
                                                      std::uint64_t number,
                                                      time_point now);
 
+  // There is a new connection to the daemon at `ip`.
+  void OnConnected(const std::string& ip);
+  // Whether the parent answered the last report in time, over the connection
+  // that there is now. If not, what the receiver knows of the clocks' offset
+  // may be wrong by more than kResponseTimeout.
+  [[nodiscard]] bool answered_in_time() const { return answered_in_time_; }
+
   // Nothing if this daemon is the root.
   [[nodiscard]] const std::optional<std::string>& ip() const { return parent_; }
   [[nodiscard]] std::size_t daemons() const { return tree_.daemons(); }
@@ -54,6 +61,7 @@
   std::optional<std::string> parent_;
   std::uint64_t last_number_ = 0;
   std::optional<time_point> sent_at_;  // Unset once answered.
+  bool answered_in_time_ = false;
 };
 
 }  // namespace pistachioweir
--- a/include/retry/repeat_exchange.h
+++ b/include/retry/repeat_exchange.h
@@ -69,6 +69,8 @@
 
   // Without a parent, this daemon divides the tokens of the fleet.
   void SetRoot(bool is_root) { is_root_ = is_root; }
+  // Whether tokens that are lent now can be passed on; if not, none are lent.
+  void SetLends(bool lends) { lends_ = lends; }
   // Daemons of the fleet.
   void SetDaemons(std::size_t daemons) { daemons_ = daemons; }
 
@@ -132,6 +134,7 @@
                                       time_point now) const;
 
   bool is_root_ = false;
+  bool lends_ = true;
   std::size_t daemons_ = 1;
   std::map<std::string, service_state, std::less<>> services_;
 };
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -263,6 +263,8 @@
               sharing_.OnReport(ip, report);
             },
         .on_peer_lost = [this](const std::string& ip) { sharing_.OnLost(ip); },
+        .on_peer_connected =
+            [this](const std::string& ip) { repeats_.OnConnected(ip); },
         .proven_age = [this] { return sharing_.proven_age(); },
         .max_key_age = MaxKeyAge(settings),
         .on_stale_target = [this] { views_.NoteStaleTarget(); },
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -68,6 +68,8 @@
       on_report;
   // The daemon at `ip` is unreachable or is stopping.
   std::function<void(const std::string& ip)> on_peer_lost;
+  // There is a new connection to the daemon at `ip`.
+  std::function<void(const std::string& ip)> on_peer_connected;
   // Time since the configuration was last proven to be the newest one; nullopt
   // if it never was.
   std::function<std::optional<milliseconds>()> proven_age;
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -56,6 +56,12 @@
               targets.SetReachable(target, reachable);
             });
           },
+      .on_connected =
+          [this, ip] {
+            if (options_.on_peer_connected) {
+              options_.on_peer_connected(ip);
+            }
+          },
       .on_leaving =
           [this, ip](bool leaving) {
             if (leaving && options_.on_peer_lost) {
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -56,6 +56,7 @@
               {.name = "daemons", .value = std::to_string(parent_.daemons())}});
   }
   exchange_.SetRoot(!parent_.ip());
+  exchange_.SetLends(!parent_.ip() || parent_.answered_in_time());
   exchange_.Tick(callbacks_.budgets(), RandomFraction(), now);
   SendReport(now);
   Arm();
@@ -64,6 +65,11 @@
 // Only to a daemon that can take it: another report could follow only when this
 // one counts as lost, and by then the parent counts as unresponsive. Without a
 // link to the first parent, each was given up in turn.
+//
+// The report is empty until an earlier one was answered in time over the same
+// connection (guard ANSWERED_BEFORE in spec/repeat_lending.pml): the receiver
+// takes the first frame of a sender for one that didn't wait, and would stretch
+// the tokens in it. Without demand in it, the answer has no tokens either.
 void repeat_sharing::SendReport(time_point now) {
   if (!parent_.ip() || !callbacks_.is_ready(*parent_.ip())) {
     return;
@@ -72,7 +78,9 @@
     ++counters_.reports;
     callbacks_.send(*parent_.ip(), {.number = *number,
                                     .sent = SendTime(boot_clock::now()),
-                                    .entries = exchange_.TakeReport(now)});
+                                    .entries = parent_.answered_in_time()
+                                                   ? exchange_.TakeReport(now)
+                                                   : repeat_entries()});
   }
 }
 
@@ -108,6 +116,7 @@
   }
   const time_point now = monotonic_clock::now();
   const auto reported_at = parent_.OnResponse(ip, grant->number, now);
+  // Guard LATE_GRANT_DROPPED in spec/repeat_lending.pml.
   if (!reported_at || now - *reported_at > report_parent::kResponseTimeout) {
     ++counters_.late_grants;
     return;
--- a/src/forward/repeat_sharing.h
+++ b/src/forward/repeat_sharing.h
@@ -57,6 +57,8 @@
       incarnation_id sender,
       const std::optional<repeat_frame>& report,
       milliseconds transit);
+  // There is a new connection to the daemon at `ip`.
+  void OnConnected(const std::string& ip) { parent_.OnConnected(ip); }
   // The daemon at `ip` answered a report.
   void OnGrant(const std::string& ip, const std::optional<repeat_frame>& grant);
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -486,6 +486,9 @@
   features_ = peer_features::kNone;
   Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
+  if (events_.on_connected) {
+    events_.on_connected();
+  }
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
   events_.on_report(welcome.report);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -61,6 +61,8 @@
 struct peer_link_events {
   // The peer can be reached, or can't; why.
   std::function<void(bool reachable, std::string_view why)> on_reachable;
+  // A new connection is welcomed, whether or not the peer was reachable.
+  std::function<void()> on_connected;
   std::function<void(bool leaving)> on_leaving;
   std::function<void(const load_report&)> on_load;
   std::function<void(const neighbour_report&)> on_report;
--- a/src/quota/report_parent.cc
+++ b/src/quota/report_parent.cc
@@ -12,6 +12,7 @@
     return std::nullopt;
   }
   sent_at_.reset();
+  answered_in_time_ = false;
   return std::exchange(parent_, std::move(chosen));
 }
 
@@ -20,6 +21,9 @@
   if (!parent_ || under_way) {
     return std::nullopt;
   }
+  if (sent_at_) {
+    answered_in_time_ = false;
+  }
   sent_at_ = now;
   return ++last_number_;
 }
@@ -31,7 +35,18 @@
     return std::nullopt;
   }
   tree_.OnResponse(ip, now);
+  if (sent_at_) {
+    answered_in_time_ = now - *sent_at_ <= kResponseTimeout;
+  }
   return std::exchange(sent_at_, std::nullopt);
 }
 
+// The report under way, if any, was sent over the connection before.
+void report_parent::OnConnected(const std::string& ip) {
+  if (ip == parent_) {
+    sent_at_.reset();
+    answered_in_time_ = false;
+  }
+}
+
 }  // namespace pistachioweir
--- a/src/retry/repeat_exchange.cc
+++ b/src/retry/repeat_exchange.cc
@@ -71,6 +71,8 @@
   return passed;
 }
 
+// Drops those whose time is over (guard EXPIRED_DROPPED in
+// spec/repeat_lending.pml).
 void Collect(const std::vector<passed_tokens>& tokens,
              time_point valid_from,
              time_point now,
@@ -170,7 +172,8 @@
                               ranked_repeat_budget& budget,
                               double random,
                               time_point now) {
-  if (!IsWanted(state.fleet) || now - state.wanted_since < kLendDelay) {
+  if (!lends_ || !IsWanted(state.fleet) ||
+      now - state.wanted_since < kLendDelay) {
     return;
   }
   const rank_amounts parts = DueParts(state, budget.Spare(now), now);
@@ -279,6 +282,7 @@
                                 .shortage = entry.shortage,
                                 .at = now};
     }
+    // Guard TRANSIT_SUBTRACTED in spec/repeat_lending.pml.
     Collect(entry.tokens, now - transit, now,
             is_root_ ? state->to_divide : state->to_parent);
   }
@@ -295,6 +299,7 @@
     if (found != state.children.end()) {
       const std::uint32_t share = ShareOf(found->second.unmet, Sum(state).unmet,
                                           state.to_divide.size());
+      // Taken out of the pool (guard GRANTED_ONCE in spec/repeat_lending.pml).
       entry.tokens = Pass(state.to_divide.Take(share), now);
       Reduce(found->second.unmet, share);
     }
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -45,6 +46,8 @@
                 .service = "registry",
                 .peer_port = port_,
                 .self = incarnation_id{7},
+                .on_peer_connected =
+                    [this](const std::string&) { ++connections_; },
                 .on_repeat_grant =
                     [this](const std::string&,
                            const std::optional<repeat_frame>& grant) {
@@ -92,6 +95,7 @@
                                {.service = kService, .budget = &budget_}};
                          }}};
   std::unique_ptr<peer_server> server_;
+  int connections_ = 0;
   int answers_ = 0;
   std::optional<repeat_frame> grant_;
 };
@@ -106,6 +110,7 @@
   EXPECT_TRUE(RunUntil(context_, [&] { return answers_ > 0; }));
   ASSERT_TRUE(grant_);
   EXPECT_EQ(grant_->number, 2U);
+  EXPECT_EQ(connections_, 1);
 }
 
 TEST_F(repeat_sharing_test, TheDemandOfAChildReachesItsParent) {
@@ -169,6 +174,119 @@
   child.Stop();
 }
 
+// A daemon with demand that reports to another one every 250 ms.
+class reporting_daemon {
+ public:
+  reporting_daemon() {
+    service_view view;
+    for (const char* const ip : {"10.0.0.1", "10.0.0.2"}) {
+      view.targets.push_back({.address = {.ip = ip, .port = 1}});
+    }
+    // One of the two is the root; the other one reports.
+    for (const char* const ip : {"10.0.0.1", "10.0.0.2"}) {
+      if (reports.empty()) {
+        Start(ip, view);
+      }
+    }
+  }
+  ~reporting_daemon() { child_->Stop(); }
+  reporting_daemon(const reporting_daemon&) = delete;
+  reporting_daemon& operator=(const reporting_daemon&) = delete;
+
+  bool RunUntilReports(std::size_t count) {
+    return RunUntil(context_, [&] { return reports.size() >= count; });
+  }
+  void Reconnect() { child_->OnConnected(parent_); }
+
+  bool answers = true;  // The reports from the second on.
+  std::vector<repeat_frame> reports;
+
+ private:
+  void Start(const std::string& ip, const service_view& view) {
+    child_ = std::make_unique<repeat_sharing>(
+        context_, repeat_sharing_options{.self = ip, .enabled = true},
+        repeat_sharing_callbacks{
+            .is_ready = [](const std::string&) { return true; },
+            .send =
+                [this](const std::string& to, const repeat_frame& report) {
+                  parent_ = to;
+                  reports.push_back(report);
+                  boost::asio::post(context_, [this, report] {
+                    if (answers) {
+                      child_->OnGrant(parent_,
+                                      repeat_frame{.number = report.number});
+                    }
+                  });
+                },
+            .budgets =
+                [this] {
+                  (void)budget_.TrySpend(priority::kCritical, false,
+                                         monotonic_clock::now());
+                  return std::vector<own_repeat_budget>{
+                      {.service = kService, .budget = &budget_}};
+                }});
+    child_->OnView(view);
+  }
+
+  boost::asio::io_context context_;
+  ranked_repeat_budget budget_{{.ratio = 0, .reserve = 0}};
+  std::unique_ptr<repeat_sharing> child_;
+  std::string parent_;
+};
+
+// Guards against tokens over a connection whose first frame is late, which the
+// receiver takes for one that didn't wait: they would live longer than their
+// lender counts them.
+TEST(RepeatSharingConnectionTest, TheFirstReportOfAConnectionIsEmpty) {
+  reporting_daemon daemon;
+  ASSERT_TRUE(daemon.RunUntilReports(2));
+  EXPECT_TRUE(daemon.reports[0].entries.empty());
+  EXPECT_FALSE(daemon.reports[1].entries.empty());
+  const std::size_t before = daemon.reports.size();
+  daemon.Reconnect();
+  ASSERT_TRUE(daemon.RunUntilReports(before + 2));
+  EXPECT_TRUE(daemon.reports[before].entries.empty());
+  EXPECT_FALSE(daemon.reports[before + 1].entries.empty());
+}
+
+// Guards against tokens for a parent that doesn't answer.
+TEST(RepeatSharingConnectionTest, WithoutAnAnswerReportsStayEmpty) {
+  reporting_daemon daemon;
+  daemon.answers = false;
+  ASSERT_TRUE(daemon.RunUntilReports(2));
+  EXPECT_TRUE(daemon.reports[0].entries.empty());
+  EXPECT_TRUE(daemon.reports[1].entries.empty());
+}
+
+// Guards against a late answer, or one over an earlier connection, that counts
+// as one in time.
+TEST(ReportParentTest, OnlyAnAnswerInTimeOverThisConnectionCounts) {
+  const time_point start{seconds(1000)};
+  report_parent parent({.self = "10.0.0.1"});
+  parent.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+  parent.Choose(start);
+  ASSERT_TRUE(parent.ip());
+  const std::string ip = *parent.ip();
+  const auto answer_after = [&](milliseconds wait) {
+    const auto number = parent.Begin(start);
+    EXPECT_TRUE(number);
+    (void)parent.OnResponse(ip, *number, start + wait);
+    return parent.answered_in_time();
+  };
+  EXPECT_TRUE(answer_after(report_parent::kResponseTimeout));
+  EXPECT_FALSE(answer_after(report_parent::kResponseTimeout + milliseconds(1)));
+  EXPECT_TRUE(answer_after(milliseconds(0)));
+  const auto number = parent.Begin(start);
+  EXPECT_TRUE(number);
+  parent.OnConnected(ip);
+  EXPECT_FALSE(parent.OnResponse(ip, *number, start));
+  EXPECT_FALSE(parent.answered_in_time());
+  EXPECT_TRUE(answer_after(milliseconds(0)));
+  (void)parent.Begin(start);
+  (void)parent.Begin(start + report_parent::kResponseTimeout);
+  EXPECT_FALSE(parent.answered_in_time());
+}
+
 // Guards against tokens of an answer that belongs to an earlier report, or that
 // is taken twice.
 TEST(ReportParentTest, OnlyTheLastReportIsAnsweredOnce) {
