Shared repeat budget: lower ratio after a start, and a longer hold of lent tokens

A restarted daemon earned again while its earlier spends were in the window: with all daemons killed at once, the fleet's ratio nearly doubled. `local` is unchanged.

kLentExtra was a literal of 3 s, which covered less than what may go unnoticed on the way: it is now the lifetime, 600 ms for the report and the grant at each of three levels of the tree, and 0.4 s for clocks: 6 s.

--- a/include/retry/ranked_repeat_budget.h
+++ b/include/retry/ranked_repeat_budget.h
@@ -9,6 +9,7 @@
 #include "include/base/enum_table.h"
 #include "include/base/priority.h"
 #include "include/base/time.h"
+#include "include/quota/report_parent.h"
 #include "include/retry/slot_counts.h"
 #include "include/retry/token_pool.h"
 
@@ -28,6 +29,10 @@
   milliseconds window{10000};
   // Repeats allowed per request in the window, inherited ones included.
   double ratio = 0.05;
+  // Likewise for `window` + kLentExtra after `started`, if lower than `ratio`.
+  double starting_ratio = 0.05;
+  // When this daemon started.
+  time_point started;
   // Of these, repeats of kinds whose runs make calls, since each of them uses
   // budget of the services further down.
   double calling_ratio = 0.05;
@@ -65,14 +70,37 @@
 // for longer than it may be spent, so that the window of this daemon covers
 // all that is spent on its account, whoever spends it.
 //
+// A daemon that restarts has forgotten its spends (guard
+// RESTART_FORGETS_REQUESTS in spec/repeat_lending.pml: and its requests), but
+// they are still in the window. Until they have left it, only `starting_ratio`
+// is allowed (guard STARTS_WITH_PART in spec/repeat_lending.pml).
+//
 // Pure logic; the owner keeps one per called service.
 class ranked_repeat_budget {
  public:
   // A token may be spent this long after it was lent.
   static constexpr milliseconds kTokenLifetime{2000};
-  // A lent token counts for longer than the window by its lifetime and by a
-  // second for the rounding of clocks and for frames on their way.
-  static constexpr milliseconds kLentExtra{3000};
+  // Levels of the usage tree below its root, and thus hops of a token to the
+  // root. Two levels of 64 children each are 4,161 daemons, three 266,305.
+  static constexpr int kTreeLevels = 3;
+  // Unnoticed wait of a report and of a grant at each level. Tokens of a grant
+  // count from its report, so the grants' part also covers the hops that are
+  // added while unresponsive parents are skipped.
+  static constexpr milliseconds kUnnoticedWait =
+      kTreeLevels * 2 * report_parent::kResponseTimeout;
+  // Rounding to milliseconds, and drift of clocks, which is below 0.1 s a level
+  // (see transit_time).
+  static constexpr milliseconds kClockError{400};
+  // A token may be spent so long after it was lent, and counts for longer than
+  // the window by that (guards LENT_OUTLIVES_WINDOW and LENT_OUTLIVES_WAITS in
+  // spec/repeat_lending.pml).
+  static constexpr milliseconds kLentExtra =
+      kTokenLifetime + kUnnoticedWait + kClockError;
+  // Parts of the operator's ratio for `ratio` and `starting_ratio`. Together at
+  // most 1, since a window may contain spends of two incarnations.
+  static constexpr double kNormalShare = 0.7;
+  static constexpr double kStartingShare = 0.3;
+  static_assert(kNormalShare + kStartingShare <= 1);
   // What is needed in this time is kept, or borrowed. Two rounds of the
   // exchange between daemons, which bring the next tokens.
   static constexpr milliseconds kDemandHorizon{500};
@@ -92,7 +120,8 @@
   // Tokens that could be lent to others' requests of each priority.
   [[nodiscard]] rank_counts Spare(time_point now);
   // Lends up to `count` tokens of Spare(level). They expire after
-  // kTokenLifetime.
+  // kTokenLifetime. They count also if they are lost on their way (guard
+  // LOST_STAY_COUNTED in spec/repeat_lending.pml): the frame may have arrived.
   [[nodiscard]] std::uint32_t Lend(priority level,
                                    std::uint32_t count,
                                    time_point now);
@@ -112,7 +141,7 @@
   // What a repeat of this priority has to leave for others.
   [[nodiscard]] double KeptFor(priority level, time_point now);
 
-  // `options.window` must not change.
+  // `options.window` and `options.started` must not change.
   void Configure(const ranked_repeat_options& options) { options_ = options; }
   [[nodiscard]] const ranked_repeat_counters& counters() const {
     return counters_;
@@ -133,6 +162,7 @@
   void Expire(time_point now);
   // These are as of the last Expire().
   [[nodiscard]] double Allowed(double ratio) const;
+  [[nodiscard]] double Ratio() const;
   [[nodiscard]] double OwnRemaining() const;
   [[nodiscard]] double UnusedMinimum(std::size_t rank) const;
   [[nodiscard]] double Minimum() const;
@@ -152,6 +182,7 @@
   [[nodiscard]] std::uint32_t SpareFor(std::size_t rank, time_point now) const;
 
   ranked_repeat_options options_;
+  bool starting_ = true;  // As of the last Expire().
   slot_counts<1> requests_;
   // Repeats by priority, on whose account ever; then kOwn and kOwnCalling.
   slot_counts<kPriorityCount + 2> used_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -250,10 +250,13 @@
         .repeat_reserve = settings.repeat_reserve,
         .repeat_window = settings.repeat_window,
         .repeat_sharing = settings.repeat_sharing,
-        .leaf_repeat_ratio =
-            settings.repeat_ratio *
-            (settings.call_lineage == lineage_policy::kOff ? kRatioShare
-                                                           : kLeafRatioShare),
+        .leaf_repeat_ratio = settings.repeat_ratio *
+                             (settings.call_lineage == lineage_policy::kOff
+                                  ? kRatioShare
+                                  : ranked_repeat_budget::kNormalShare),
+        .starting_repeat_ratio =
+            settings.repeat_ratio * ranked_repeat_budget::kStartingShare,
+        .started = monotonic_clock::now(),
         .on_suspects =
             [this](const suspects_frame& suspects) {
               return executor_.ImportSuspects(suspects);
@@ -339,9 +342,6 @@
   // it, each level adds its own share. Covers two levels, and a reserve for
   // daemons that lose their counts at a restart.
   static constexpr double kRatioShare = 0.4;
-  // Share with repeat_sharing_policy::kShared and a lineage: repeats that calls
-  // inherit are charged one by one. The rest covers restarts.
-  static constexpr double kLeafRatioShare = 0.85;
 
   http_server_options ReadyOptions() {
     return {.address = settings_.ready,
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -62,6 +62,10 @@
   // With kShared: the ratio that inherited repeats and those of kinds whose
   // runs make no calls may use; the others may use `repeat_ratio`.
   double leaf_repeat_ratio = 0.1;
+  // With kShared: the ratio of all of them after `started`, if lower; see
+  // ranked_repeat_options.
+  double starting_repeat_ratio = 0.1;
+  time_point started;  // When this daemon started.
   std::function<suspects_frame(const suspects_frame&)> on_suspects;
   // The daemon at `ip` reported the state of its view.
   std::function<void(const std::string& ip, const neighbour_report& report)>
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -94,6 +94,8 @@
 ranked_repeat_options origin::RankedRepeatOptions(time_point now) {
   return {.window = options_.repeat_window,
           .ratio = options_.leaf_repeat_ratio,
+          .starting_ratio = options_.starting_repeat_ratio,
+          .started = options_.started,
           .calling_ratio = options_.repeat_ratio,
           .reserve = options_.repeat_reserve * reserve_share_.Fraction(now)};
 }
--- a/src/retry/ranked_repeat_budget.cc
+++ b/src/retry/ranked_repeat_budget.cc
@@ -65,6 +65,7 @@
 }
 
 void ranked_repeat_budget::Expire(time_point now) {
+  starting_ = now - options_.started <= options_.window + kLentExtra;
   requests_.Expire(now);
   used_.Expire(now);
   lent_.Expire(now);
@@ -79,13 +80,18 @@
   return options_.reserve + ratio * static_cast<double>(requests_.sum(0));
 }
 
+double ranked_repeat_budget::Ratio() const {
+  return starting_ ? std::min(options_.ratio, options_.starting_ratio)
+                   : options_.ratio;
+}
+
 double ranked_repeat_budget::OwnRemaining() const {
-  return Allowed(options_.ratio) - static_cast<double>(used_.sum(kOwn)) -
+  return Allowed(Ratio()) - static_cast<double>(used_.sum(kOwn)) -
          static_cast<double>(lent_.sum(0));
 }
 
 double ranked_repeat_budget::Minimum() const {
-  return std::floor(kMinimumFraction * Allowed(options_.ratio));
+  return std::floor(kMinimumFraction * Allowed(Ratio()));
 }
 
 double ranked_repeat_budget::UnusedMinimum(std::size_t rank) const {
@@ -156,7 +162,7 @@
   // by the lender, too.
   if (makes_calls &&
       (own < 1 || static_cast<double>(used_.sum(kOwnCalling) + 1) >
-                      Allowed(options_.calling_ratio))) {
+                      Allowed(std::min(options_.calling_ratio, Ratio())))) {
     return false;
   }
   return UnusedMinimum(rank) >= 1 || Usable(rank, now) >= 1;
--- a/tests/origin_repeats_test.cc
+++ b/tests/origin_repeats_test.cc
@@ -48,7 +48,9 @@
                   .repeat_ratio = 20,
                   .repeat_reserve = 0,
                   .repeat_sharing = policy,
-                  .leaf_repeat_ratio = 20},
+                  .leaf_repeat_ratio = 20,
+                  .starting_repeat_ratio = starting_ratio_,
+                  .started = monotonic_clock::now()},
                  local_, log_);
     calls.SetView(View());
     std::optional<relayed_result> outcome;
@@ -81,6 +83,7 @@
     runs_ = 0;
   }
 
+  double starting_ratio_ = 20;
   int runs_ = 0;
   std::uint64_t inherited_ = 0;
 
@@ -141,6 +144,15 @@
   EXPECT_EQ(runs_, 8);
 }
 
+// Guards against a daemon that repeats after its start as if no spends from
+// before it were in the window.
+TEST_F(origin_repeats_test, AfterItsStartADaemonHasTheStartingRatio) {
+  starting_ratio_ = 2;
+  EXPECT_EQ(Request(repeat_sharing_policy::kShared, 100),
+            outcome_kind::kNotExecuted);
+  EXPECT_EQ(runs_, 3);
+}
+
 // Guards against a target that says when to come back, and isn't heard.
 TEST_F(origin_repeats_test, ATargetThatGivesARetryAfterDoesNotGetItAgain) {
   EXPECT_EQ(Request(repeat_sharing_policy::kShared, 5, milliseconds(500)),
--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -9,10 +9,14 @@
 #include <cstddef>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "include/quota/usage_tree.h"
+
 namespace pistachioweir {
 namespace {
 
@@ -151,6 +155,90 @@
   EXPECT_EQ(budget.Lend(kOther, 1000, now), 0U);
 }
 
+// Guards against a restart of all daemons after which a window has the spends
+// of two incarnations, each with nearly the whole ratio.
+TEST(RankedRepeatBudgetTest, TwoIncarnationsStayWithinTheRatio) {
+  constexpr milliseconds kGap{10};
+  const ranked_repeat_options options{
+      .ratio = ranked_repeat_budget::kNormalShare,
+      .starting_ratio = ranked_repeat_budget::kStartingShare,
+      .calling_ratio = 0.4,
+      .reserve = 0};
+  ranked_repeat_budget budget(options);
+  std::deque<time_point> spent;
+  int total = 0;
+  for (time_point now = kStart; now < kStart + seconds(90); now += kGap) {
+    if (now == kStart + seconds(30) || now == kStart + seconds(33)) {
+      ranked_repeat_options restarted = options;
+      restarted.started = now;
+      budget = ranked_repeat_budget(restarted);
+    }
+    budget.OnRequest(now);
+    // Just before the first restart, and at any time after it.
+    const bool spends = now >= kStart + milliseconds(29500);
+    while (spends && budget.TrySpend(kImportant, false, now)) {
+      spent.push_back(now);
+      ++total;
+    }
+    while (!spent.empty() && spent.front() < now - options.window) {
+      spent.pop_front();
+    }
+    ASSERT_LE(spent.size(), options.window / kGap);
+  }
+  // 700 a window later on.
+  EXPECT_GT(total, 3000);
+}
+
+// Guards against a new daemon whose kinds with calls exceed the lower ratio.
+TEST(RankedRepeatBudgetTest, TheStartingRatioHoldsForWindowAndHold) {
+  ranked_repeat_budget budget({.ratio = 0.7,
+                               .starting_ratio = 0.3,
+                               .started = kStart,
+                               .calling_ratio = 0.4,
+                               .reserve = 0});
+  const auto spend_all = [&](time_point now) {
+    for (int i = 0; i < 100; ++i) {
+      budget.OnRequest(now);
+    }
+    int spent = 0;
+    while (budget.TrySpend(kImportant, true, now)) {
+      ++spent;
+    }
+    return spent;
+  };
+  const time_point end =
+      kStart + seconds(10) + ranked_repeat_budget::kLentExtra;
+  EXPECT_EQ(spend_all(kStart), 30);
+  EXPECT_EQ(spend_all(end), 30);
+  EXPECT_EQ(spend_all(end + seconds(11)), 40);
+}
+
+// Guards against a lender that forgets a token which waited at each level of
+// the tree without anyone noticing, and is spent then.
+TEST(RankedRepeatBudgetTest, ALentTokenCountsWhileItsLatestSpendIsInTheWindow) {
+  usage_tree_options options{.parent_timeout = seconds(1)};
+  std::vector<std::string> ips;
+  for (int i = 0; i < 14000; ++i) {
+    ips.push_back(std::to_string(i));
+  }
+  int levels = 0;
+  for (std::optional<std::string> ip = "13999"; ip; ++levels) {
+    options.self = *ip;
+    usage_tree tree(options);
+    tree.SetDaemons(ips);
+    ip = tree.Parent(kStart);
+  }
+  --levels;  // The root has no parent.
+  EXPECT_LE(levels, ranked_repeat_budget::kTreeLevels);
+  const milliseconds latest_spend =
+      ranked_repeat_budget::kTokenLifetime +
+      ranked_repeat_budget::kTreeLevels * 2 * report_parent::kResponseTimeout;
+
+  ranked_repeat_budget budget({.ratio = 0, .reserve = 1});
+  ASSERT_EQ(budget.Lend(kOther, 1, kStart), 1U);
+  EXPECT_EQ(budget.remaining(kStart + latest_spend + seconds(10)), 0);
+}
+
 // Daemons of which each lends, borrows late or never, inherits repeats and
 // restarts. A restarted one has a new account.
 class lending_fleet {
@@ -260,14 +348,14 @@
   }
 
   // The oldest tokens arrive, at whatever time; what is left at the end is
-  // lost. A second late by the receiver's clock.
+  // lost. By the receiver's clock, as late as may go unnoticed.
   void Deliver(std::size_t daemon) {
     if (under_way_.empty()) {
       return;
     }
     lent_tokens arrived = under_way_.front();
     under_way_.pop_front();
-    arrived.tokens.expires += seconds(1);
+    arrived.tokens.expires += ranked_repeat_budget::kUnnoticedWait;
     accounts_[current_[daemon]]->budget.Borrow(arrived.tokens, now_);
     if (arrived.tokens.expires > now_) {
       borrowed_[daemon].push_back(arrived);
