Model of lent repeats: a lower ratio after a restart, and restarts in a row

The lender earns 3 of 4 parts of the limit, and 1 after a restart (guard STARTS_WITH_PART). The bound is now that of the busiest window instead of the sum over several, which was too weak to show the doubled ratio. One restart alone no longer needs RESTART_FORGETS_REQUESTS, two in a row do; the model has both.

--- a/spec/repeat_lending.pml
+++ b/spec/repeat_lending.pml
@@ -1,26 +1,30 @@
 /*
  * Repeats of a fleet whose daemons lend each other budget: a lender, the root
  * of the tree that passes tokens on, and a borrower. Each daemon's account is
- * independent of the others, so one is modelled: the lender's. It earns one
- * repeat with each request, which stays good for a window, and a reserve.
+ * independent of the others, so one is modelled: the lender's. It earns NORMAL
+ * repeats with each request, which stay good for a window, and a reserve; for
+ * COUNTED ticks after a restart, it earns only STARTING. RATIO is the
+ * operator's limit. With more levels in the tree, HOLD has the waits of each.
  *
  * Reports and grants may be lost, or wait for any time. A receiver subtracts
  * the wait that it measures, which may be less than the true one. The root and
  * the lender may restart, and then know nothing of before.
  *
  * What must hold whenever somebody spends on the account: in the window that
- * ends then, no more was spent on it than the share of the reserve and what was
- * earned in that window and the HOLD before it. If the lender has restarted, a
- * second share, and what was earned in one window more.
+ * ends then, no more was spent on it than the share of the reserve and NORMAL
+ * for each request of the busiest window that ended in the HOLD before or now.
+ * If the lender has restarted, a share for each life, and RATIO for each request of the
+ * busiest window since a window and HOLD earlier: with an even load, RATIO for
+ * each request of any window.
  *
  * NO_X takes out guard X. GOAL_X must be reached. GOAL_EARNED_EARLIER and
  * GOAL_EARNED_BEFORE_RESTART show why what must hold isn't stricter: what is
  * spent in a window may exceed what was earned in just that window, without a
  * restart since tokens are spent later than they are lent, and with one since
- * the lender earns again while its spending from before is in the window.
+ * spending from before, earned in an earlier window, is in it as well.
  */
 
-/* bounds: window 2 ticks, validity 1, waits unnoticed for 1 a hop, 1 token out */
+/* bounds: window 2 ticks, validity 1, waits unnoticed for 1 a hop, 1 token out, 1 request a tick */
 #define WINDOW 2
 #define VALID 1
 #define UNNOTICED 1        /* Of a frame's wait; one each for report and grant. */
@@ -29,6 +33,9 @@
 #define SPAN 7             /* 2 * WINDOW + HOLD */
 #define SHARE 1            /* Of the reserve, for each life of the lender. */
 #define TOKENS 1
+#define RATIO 4            /* Repeats for a request that the operator allows. */
+#define NORMAL 3
+#define STARTING 1         /* NORMAL + STARTING = RATIO */
 
 #define NOWHERE 0
 #define REPORTED 1         /* In a frame from the lender to the root. */
@@ -40,6 +47,7 @@
 byte requests[SPAN];
 byte spent[WINDOW];        /* On the account, by whomever. */
 byte since_restart = COUNTED;
+byte restarts;             /* Of the lender, until COUNTED after the last one. */
 
 /* The lender's memory, likewise. */
 byte known_requests[WINDOW];
@@ -62,21 +70,30 @@
 #define LENT (RECENT(lent) + lent[2] + lent[3] + lent[4])
 #endif
 #endif
-#define MAY_SPEND (RECENT(own) + LENT < SHARE + RECENT(known_requests))
-
-#define EARNED (requests[0] + requests[1] + requests[2] + requests[3] + requests[4])
-#define EARNED_LONG (EARNED + requests[5] + requests[6])
 #define RESTARTED (since_restart < COUNTED)
+#ifdef NO_STARTS_WITH_PART
+#define PER_REQUEST NORMAL
+#else
+#define PER_REQUEST (RESTARTED -> STARTING : NORMAL)
+#endif
+#define MAY_SPEND (RECENT(own) + LENT < SHARE + PER_REQUEST * RECENT(known_requests))
+
+/* The busiest window has 0, 1 or 2 requests, of which each tick has one at most. */
+#define BOTH(age) (requests[age] && requests[age + 1])
+#define ANY (requests[0] || requests[1] || requests[2] || requests[3] || requests[4])
+#define BUSIEST (BOTH(0) || BOTH(1) || BOTH(2) || BOTH(3) -> 2 : (ANY -> 1 : 0))
+#define ANY_LONG (ANY || requests[5] || requests[6])
+#define BUSIEST_LONG (BUSIEST == 2 || BOTH(4) || BOTH(5) -> 2 : (ANY_LONG -> 1 : 0))
 
 inline spend() {
   spent[0]++;
-  assert(RESTARTED || RECENT(spent) <= SHARE + EARNED);
-  assert(RECENT(spent) <= 2 * SHARE + EARNED_LONG);
+  assert(RESTARTED || RECENT(spent) <= SHARE + NORMAL * BUSIEST);
+  assert(RECENT(spent) <= (1 + restarts) * SHARE + RATIO * BUSIEST_LONG);
 #ifdef GOAL_EARNED_EARLIER
-  assert(RESTARTED || RECENT(spent) <= SHARE + RECENT(requests));
+  assert(RESTARTED || RECENT(spent) <= SHARE + NORMAL * RECENT(requests));
 #endif
 #ifdef GOAL_EARNED_BEFORE_RESTART
-  assert(RECENT(spent) <= 2 * SHARE + RECENT(requests));
+  assert(RECENT(spent) <= (1 + restarts) * SHARE + RATIO * RECENT(requests));
 #endif
 }
 
@@ -174,18 +191,20 @@
   own[1] = own[0]; own[0] = 0;
   known_requests[1] = known_requests[0]; known_requests[0] = 0;
   if :: RESTARTED -> since_restart++ :: else fi;
+  if :: RESTARTED :: else -> restarts = 0 fi;
   i = 0; age_token();
   i = 0
 }
 
-/* Two restarts within COUNTED would take a third share of the reserve. */
+/* Twice in a row: remembered requests would earn STARTING in each life. */
 inline restart_lender() {
   own[0] = 0; own[1] = 0;
   lent[0] = 0; lent[1] = 0; lent[2] = 0; lent[3] = 0; lent[4] = 0;
 #ifndef NO_RESTART_FORGETS_REQUESTS
   known_requests[0] = 0; known_requests[1] = 0;
 #endif
-  since_restart = 0
+  since_restart = 0;
+  restarts++
 }
 
 inline restart_root() {
@@ -222,7 +241,7 @@
   :: atomic { requests[0] == 0 -> requests[0] = 1; known_requests[0] = 1 }
   :: atomic { MAY_SPEND -> own[0]++; spend() }
   :: atomic { true -> step(0) }
-  :: atomic { !RESTARTED -> restart_lender() }
+  :: atomic { restarts < 2 -> restart_lender() }
   :: atomic { true -> restart_root() }
   od
 }
