Merge: repeat budget strict through restarts; few attempts show no rate

Also: a call keeps its lineage for a connection whose peer reads it, and only the pairs of the organisations that come first share the first priority.

Below ten attempts in two seconds the rate is taken over all of that time.

--- a/include/organisation/precedence.h
+++ b/include/organisation/precedence.h
@@ -17,10 +17,10 @@
 namespace pistachioweir {
 
 // Orders requests by the rank of their organisation, then by that of their
-// route. Where more pairs exist than priorities, the most important ones share
-// the first: organisations with precedence are few, and most requests belong to
-// the others, whose routes are still told apart. Routes whose requests come
-// without an organisation keep their rank.
+// route. Where more pairs exist than priorities, those of the organisations
+// that come first share the first priority, since these are few; the others are
+// distributed over the rest. Routes whose requests come without an organisation
+// keep their rank.
 class precedence {
  public:
   precedence() = default;
@@ -49,9 +49,7 @@
     const auto index = static_cast<std::size_t>(
         std::ranges::lower_bound(pairs_, MakePair(*holder, matched)) -
         pairs_.begin());
-    const std::size_t merged =
-        std::max(pairs_.size(), kPriorityCount) - kPriorityCount;
-    return static_cast<std::uint32_t>(index - std::min(index, merged));
+    return PriorityAt(index);
   }
 
   // Whether some other organisation has to yield to this one.
@@ -68,6 +66,24 @@
     return {holder.rank.value_or(matched.rank), matched.rank};
   }
 
+  [[nodiscard]] std::uint32_t PriorityAt(std::size_t index) const {
+    if (pairs_.size() <= kPriorityCount) {
+      return static_cast<std::uint32_t>(index);
+    }
+    const auto first_group = static_cast<std::size_t>(
+        std::ranges::count(pairs_, pairs_.front().first, &rank_pair::first));
+    const std::size_t others = pairs_.size() - first_group;
+    if (others == 0) {
+      return static_cast<std::uint32_t>(index * kPriorityCount / pairs_.size());
+    }
+    if (index < first_group) {
+      return 0;
+    }
+    constexpr std::size_t kLeft = kPriorityCount - 1;
+    return static_cast<std::uint32_t>(1 + (index - first_group) * kLeft /
+                                              std::max(others, kLeft));
+  }
+
   std::vector<rank_pair> pairs_;  // Sorted, without duplicates.
 };
 
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -125,13 +125,18 @@
   Elapse(waited, &record.call);
   record.call.sent =
       reads_send_time_ ? SendTime(boot_clock::now()) : milliseconds(0);
+  // Kept for another connection, whose peer may read it.
+  std::optional<call_lineage> unread;
   if (!Has(features_, peer_features::kLineage)) {
-    record.call.lineage.reset();
+    unread.swap(record.call.lineage);
   }
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
   record.sent_at = now;
   current_->Send(Encode(record.call));
+  if (unread) {
+    unread.swap(record.call.lineage);
+  }
 }
 
 bool peer_link::Cancel(std::uint64_t number) {
@@ -486,6 +491,9 @@
   features_ = peer_features::kNone;
   Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
+  if (events_.on_connected) {
+    events_.on_connected();
+  }
   events_.on_leaving(welcome.leaving);
   events_.on_load(welcome.load);
   events_.on_report(welcome.report);
--- a/src/retry/ranked_repeat_budget.cc
+++ b/src/retry/ranked_repeat_budget.cc
@@ -12,6 +12,10 @@
 // its dips.
 constexpr milliseconds kRecent{2000};
 constexpr milliseconds kLatest{500};
+// Fewer within kRecent may be those of one or two requests. Extended to the
+// window at each daemon of a fleet, they would hold back the repeats of all
+// less important ranks.
+constexpr double kFewAttempts = 10;
 // Attempts within kRecent that are expected within kDemandHorizon.
 constexpr double kDemandPerAttempt =
     static_cast<double>(ranked_repeat_budget::kDemandHorizon.count()) /
@@ -65,6 +69,7 @@
 }
 
 void ranked_repeat_budget::Expire(time_point now) {
+  starting_ = now - options_.started <= options_.window + kLentExtra;
   requests_.Expire(now);
   used_.Expire(now);
   lent_.Expire(now);
@@ -79,13 +84,18 @@
   return options_.reserve + ratio * static_cast<double>(requests_.sum(0));
 }
 
+double ranked_repeat_budget::Ratio() const {
+  return starting_ ? std::min(options_.ratio, options_.starting_ratio)
+                   : options_.ratio;
+}
+
 double ranked_repeat_budget::OwnRemaining() const {
-  return Allowed(options_.ratio) - static_cast<double>(used_.sum(kOwn)) -
+  return Allowed(Ratio()) - static_cast<double>(used_.sum(kOwn)) -
          static_cast<double>(lent_.sum(0));
 }
 
 double ranked_repeat_budget::Minimum() const {
-  return std::floor(kMinimumFraction * Allowed(options_.ratio));
+  return std::floor(kMinimumFraction * Allowed(Ratio()));
 }
 
 double ranked_repeat_budget::UnusedMinimum(std::size_t rank) const {
@@ -102,10 +112,13 @@
 // must not hold back the repeats of all other ranks.
 double ranked_repeat_budget::NeedOf(std::size_t rank, time_point now) const {
   const attempt_counts& attempts = attempts_[rank];
+  const double total = Total(attempts.recent);
   const double rate =
-      std::max(Rate(attempts.recent, 1, kLatest, now),
-               Rate(attempts.latest, std::sqrt(Total(attempts.latest)),
-                    slot_counts<2>::kSlotWidth, now));
+      total < kFewAttempts
+          ? Rate(attempts.recent, std::sqrt(total), kRecent, now)
+          : std::max(Rate(attempts.recent, 1, kLatest, now),
+                     Rate(attempts.latest, std::sqrt(Total(attempts.latest)),
+                          slot_counts<2>::kSlotWidth, now));
   return std::max(DemandOf(rank), rate * Seconds(options_.window) -
                                       static_cast<double>(used_.sum(rank)));
 }
@@ -156,7 +169,7 @@
   // by the lender, too.
   if (makes_calls &&
       (own < 1 || static_cast<double>(used_.sum(kOwnCalling) + 1) >
-                      Allowed(options_.calling_ratio))) {
+                      Allowed(std::min(options_.calling_ratio, Ratio())))) {
     return false;
   }
   return UnusedMinimum(rank) >= 1 || Usable(rank, now) >= 1;
