--- a/tools/soaking/nested.py
+++ b/tools/soaking/nested.py
@@ -87,11 +87,15 @@
 
     def _worst(self):
         """By service with repeats: the window that ends with one and leaves least."""
+        return {service: max(each) for service, each in self._all_windows().items()}
+
+    def _all_windows(self):
+        """By service with repeats: the windows that end with one."""
         settings = self.world.daemons[0].values
         windows = {service: list(_windows(arrivals, settings["repeat_ratio"],
                                           settings["repeat_reserve"]))
                    for service, arrivals in self.arrivals.items()}
-        return {service: max(each) for service, each in windows.items() if each}
+        return {service: each for service, each in windows.items() if each}
 
     def wrong_ranks(self):
         """Requests with a more important rank than their route's, and calls without that
@@ -124,8 +128,10 @@
     def summary(self):
         evidence, _ = _read(one.log for one in self.world.daemons)
         calls = [how for request, how in evidence.items() if "." in request]
+        fullest = {service: max(windows, key=lambda window: window[1] / max(window[2], 1.0))
+                   for service, windows in self._all_windows().items()}
         left = ", ".join(f"{service} {repeats} of {allowed:.0f}" for
-                         service, (_, repeats, allowed, _) in self._worst().items())
+                         service, (_, repeats, allowed, _) in fullest.items())
         return (f"{len(self.ledger.told)} calls of targets, parents found of "
                 f"{sum(set(how) <= FOUND for how in calls)} of {len(calls)} that are logged; "
                 f"repeats in the fullest windows: {left or 'none'}")
