--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -217,8 +217,10 @@
 // the tree without anyone noticing, and is spent then.
 TEST(RankedRepeatBudgetTest, ALentTokenCountsWhileItsLatestSpendIsInTheWindow) {
   usage_tree_options options{.parent_timeout = seconds(1)};
+  constexpr std::size_t kDaemons = 14000;
   std::vector<std::string> ips;
-  for (int i = 0; i < 14000; ++i) {
+  ips.reserve(kDaemons);
+  for (std::size_t i = 0; i < kDaemons; ++i) {
     ips.push_back(std::to_string(i));
   }
   int levels = 0;
