A change of the list of targets costs what has changed

Cause: each view was applied as a whole. balancer::SetTargets and lapsed_targets::SetListed compared all targets with all, view_builder compared all addresses with all targets on each removal, a load report searched the whole list for its address, and three components sorted all daemons anew, for a change of one target or of the configuration alone.

--- a/include/forward/lapsed_targets.h
+++ b/include/forward/lapsed_targets.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "include/base/time.h"
 #include "include/forward/service_view.h"
+#include "include/forward/target_changes.h"
 #include "include/forward/target_vouching.h"
 
 namespace pistachioweir {
@@ -35,7 +37,7 @@
   static constexpr milliseconds kRetention{6000};
 
   // Sets the targets that the store lists now.
-  void SetListed(std::vector<target_entry> listed, time_point now);
+  void SetListed(std::shared_ptr<const target_list> listed, time_point now);
   // The daemon at `ip` vouched for this start of its target, which answered at
   // `answered`. An empty `start` withdraws its vouching.
   void OnVouched(const std::string& ip,
@@ -60,7 +62,7 @@
   [[nodiscard]] bool IsListed(const target_entry& entry) const;
   [[nodiscard]] bool IsVouched(const target_entry& entry, time_point now) const;
 
-  std::vector<target_entry> listed_;
+  target_directory listed_;
   std::map<std::string, removed_target> removed_;  // By id; none is listed.
   std::map<std::string, vouching> vouchings_;      // By IP address.
 };
--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -11,18 +11,10 @@
 
 #include "include/base/time.h"
 #include "include/forward/view_changes.h"
+#include "include/route/daemon_order.h"
 
 namespace pistachioweir {
 
-// Where a daemon runs: beside a target.
-struct daemon_location {
-  std::string ip;
-  std::string data_centre;
-
-  friend auto operator<=>(const daemon_location&,
-                          const daemon_location&) = default;
-};
-
 struct view_following_options {
   daemon_location self;
   // Daemons that read the store for their data centre. With two, one that is
@@ -49,8 +41,7 @@
   std::vector<std::string> sources;  // IP addresses of the daemons to follow.
 };
 
-// Daemons are ordered by a hash of their addresses, which gives all of them the
-// same order. The first two of a data centre read the store; the others follow
+// All daemons have the same order of daemons. The first two of a data centre read the store; the others follow
 // them, in a large data centre through daemons earlier in the order. Differing
 // lists of daemons cost only extra calls and milliseconds; correctness depends
 // on revisions alone (view_changes.h).
@@ -69,8 +60,9 @@
 
   explicit view_following(view_following_options options);
 
-  // Sets all known daemons, including this one if its target is listed.
-  void SetDaemons(const std::vector<daemon_location>& daemons);
+  // Sets all known daemons, including this one if its target is listed. Those
+  // beside leaving targets alone aren't used: their VMs are about to stop.
+  void SetDaemons(const daemon_order& order);
 
   // The daemon at `ip` has a view that isn't older than the own one. A reader
   // of the store confirmed it `age` ago; zero if that daemon reads the store
--- a/include/quota/report_parent.h
+++ b/include/quota/report_parent.h
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "include/base/time.h"
 #include "include/quota/usage_tree.h"
+#include "include/route/daemon_order.h"
 
 namespace pistachioweir {
 
@@ -29,9 +29,7 @@
   explicit report_parent(usage_tree_options options)
       : tree_(std::move(options)) {}
 
-  void SetDaemons(std::vector<std::string> ips) {
-    tree_.SetDaemons(std::move(ips));
-  }
+  void SetDaemons(const daemon_order& order) { tree_.SetDaemons(order); }
 
   // Chooses the parent; call every kReportInterval. Returns the one before if
   // it has changed.
--- a/include/quota/usage_tree.h
+++ b/include/quota/usage_tree.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "include/base/time.h"
+#include "include/route/daemon_order.h"
 
 namespace pistachioweir {
 
@@ -32,7 +33,7 @@
   explicit usage_tree(usage_tree_options options)
       : options_(std::move(options)) {}
 
-  void SetDaemons(std::vector<std::string> ips);
+  void SetDaemons(const daemon_order& order);
   void OnResponse(const std::string& ip, time_point now);
 
   // Returns nullopt if this daemon is the root, that is, no predecessor is
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -8,10 +8,12 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "include/admit/admission_controller.h"
@@ -64,6 +66,12 @@
   std::uint32_t slots = 1;
 };
 
+// What has changed in the list of targets.
+struct target_list_changes {
+  std::vector<target_info> updated;  // New targets, or new values of known ones.
+  std::vector<vm_id> removed;
+};
+
 // Identifies a target until it is removed from the list; a stale reference is
 // harmless.
 struct target_ref {
@@ -123,6 +131,9 @@
   // Updates the list of targets. Targets that remain keep their state; removed
   // or leaving ones get no new calls.
   void SetTargets(const std::vector<target_info>& targets, time_point now);
+  // The same for a list of which only the changes are known: the work is
+  // proportional to those.
+  void UpdateTargets(const target_list_changes& changes, time_point now);
 
   // Selects a target and counts the call as in flight there until Finish(). The
   // random bits decide ties, candidates and probes.
@@ -220,6 +231,13 @@
 
   [[nodiscard]] static bool IsSameIncarnation(const target_info& known,
                                               const target_info& reported);
+  void Unlist(const vm_id& vm);
+  // Returns an entry for a new target: the first unlisted one, which is sought
+  // from `*free` on.
+  [[nodiscard]] target& AddEntry(const target_info& info,
+                                 std::size_t* free,
+                                 bool cold,
+                                 time_point now);
   [[nodiscard]] bool Reachable(const target& candidate, time_point now) const;
   [[nodiscard]] bool Usable(const target& candidate,
                             target_tier tier,
@@ -269,7 +287,8 @@
   balancer_options options_;
   target_estimates estimates_;   // By index in `targets_`.
   std::vector<target> targets_;  // Entries are reused, never erased.
-  std::uint32_t listed_ = 0;
+  // Indices in `targets_` of listed targets, by VM.
+  std::unordered_map<vm_id, std::uint32_t> index_of_;
   // Indices in `targets_` of listed targets; all, and by data centre.
   std::vector<std::uint32_t> all_;
   std::vector<std::uint32_t> local_;
--- /dev/null
+++ b/include/route/daemon_order.h
@@ -0,0 +1,63 @@
+// daemon_order: the order of all daemons, which each of them derives alone from
+// its list of targets.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pistachioweir {
+
+// Where a daemon runs: beside a target.
+struct daemon_location {
+  std::string ip;
+  std::string data_centre;
+
+  friend auto operator<=>(const daemon_location&,
+                          const daemon_location&) = default;
+};
+
+struct ordered_daemon {
+  std::uint64_t hash = 0;  // Of the address.
+  daemon_location location;
+  std::size_t targets = 1;  // Beside it.
+  std::size_t ready = 1;    // Among these.
+};
+
+// One target beside a daemon, or its departure.
+struct daemon_target {
+  daemon_location location;
+  bool is_ready = true;
+};
+
+// Ordered by a hash of the addresses, which gives all daemons the same order.
+// The addresses themselves would not do: they are assigned service by service.
+//
+// Updated by the changes of the list: sorting the whole list on each change
+// took, over a fleet that starts, the square of its size.
+//
+// Pure logic; the owner of a daemon's components keeps one for all.
+class daemon_order {
+ public:
+  daemon_order() = default;
+  explicit daemon_order(const std::vector<daemon_location>& daemons);
+  [[nodiscard]] static daemon_order InOneDataCentre(
+      const std::vector<std::string>& ips);
+
+  void Update(const std::vector<daemon_target>& removed,
+              const std::vector<daemon_target>& added);
+
+  [[nodiscard]] const std::vector<ordered_daemon>& daemons() const {
+    return daemons_;
+  }
+  // The first daemon that doesn't precede the address, which need not be known.
+  [[nodiscard]] std::vector<ordered_daemon>::const_iterator PositionOf(
+      const std::string& ip) const;
+
+ private:
+  std::vector<ordered_daemon> daemons_;  // One for each address.
+};
+
+}  // namespace pistachioweir
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -27,9 +27,11 @@
 #include "include/base/time.h"
 #include "include/forward/forward_settings.h"
 #include "include/forward/service_view.h"
+#include "include/forward/target_changes.h"
 #include "include/forward/view_changes.h"
 #include "include/forward/view_state.h"
 #include "include/quarantine/suspect_fanout.h"
+#include "include/route/daemon_order.h"
 #include "src/base/stop_signals.h"
 #include "src/forward/caller_server.h"
 #include "src/forward/executor.h"
@@ -421,9 +423,10 @@
     }
     executor_.SetListedTarget(std::move(own));
     executor_.SetTargets(targets);
-    sharing_.OnView(*view);
-    quotas_.OnView(*view);
-    repeats_.OnView(*view);
+    OrderDaemons(directory_.Set(TargetsOf(view)));
+    sharing_.OnView(*view, order_);
+    quotas_.OnView(*view, order_);
+    repeats_.OnView(order_);
     const bool usable = view->config != nullptr;
     origin_.SetView(std::move(view));
     if (usable && !std::exchange(ready_, true)) {
@@ -431,6 +434,27 @@
     }
   }
 
+  void OrderDaemons(const target_changes& changes) {
+    std::vector<daemon_target> removed;
+    std::vector<daemon_target> added;
+    const auto target_of = [](const target_entry& target) {
+      return daemon_target{.location = {.ip = target.address.ip,
+                                        .data_centre = target.data_centre},
+                           .is_ready = target.state == target_state::kReady};
+    };
+    for (const target_entry& each : changes.removed) {
+      removed.push_back(target_of(each));
+    }
+    for (const changed_target& each : changes.changed) {
+      removed.push_back(target_of(each.before));
+      added.push_back(target_of(each.after));
+    }
+    for (const target_entry& each : changes.added) {
+      added.push_back(target_of(each));
+    }
+    order_.Update(removed, added);
+  }
+
   void AwaitSignal() {
     signals_.async_wait([this](error_code error, int signal) {
       if (error) {
@@ -620,6 +644,8 @@
   peer_server peers_;
   caller_server<typename Platform::callers> callers_;
   typename Platform::views views_;
+  target_directory directory_;  // Of the view's targets.
+  daemon_order order_;          // Of the daemons beside them.
   view_sharing sharing_;
   quota_sharing quotas_;
   repeat_sharing repeats_;
--- a/src/forward/lapsed_targets.cc
+++ b/src/forward/lapsed_targets.cc
@@ -1,16 +1,13 @@
 // Removed targets and the vouching of the daemons beside them.
 #include "include/forward/lapsed_targets.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace pistachioweir {
 
 // Under its id, or with another target at its address.
 bool lapsed_targets::IsListed(const target_entry& entry) const {
-  return std::ranges::any_of(listed_, [&](const target_entry& listed) {
-    return listed.id == entry.id || listed.address == entry.address;
-  });
+  return listed_.Find(entry.id) != nullptr || listed_.IsListed(entry.address);
 }
 
 bool lapsed_targets::IsVouched(const target_entry& entry,
@@ -21,11 +18,10 @@
          found->second.start == StartName(entry);
 }
 
-void lapsed_targets::SetListed(std::vector<target_entry> listed,
+void lapsed_targets::SetListed(std::shared_ptr<const target_list> listed,
                                time_point now) {
-  const std::vector<target_entry> before =
-      std::exchange(listed_, std::move(listed));
-  for (const target_entry& entry : before) {
+  const target_changes changes = listed_.Set(std::move(listed));
+  for (const target_entry& entry : changes.removed) {
     if (entry.state == target_state::kReady && !IsListed(entry)) {
       removed_.insert_or_assign(
           entry.id, removed_target{.entry = entry, .last_needed = now});
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -303,7 +303,7 @@
   if (!call->sends_again) {
     call->placing.tried.refs[call->placing.tried.count++] = placed.target;
   }
-  const target_entry* const target = FindTarget(call->target_id);
+  const target_entry* const target = directory_.Find(call->target_id);
   if (target == nullptr) {
     // Not expected: the balancer's targets are those of the view.
     LogWarning("target_unknown", {{.name = "id", .value = call->target_id}});
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -25,6 +25,7 @@
 #include "include/config/settings.h"
 #include "include/forward/lapsed_targets.h"
 #include "include/forward/service_view.h"
+#include "include/forward/target_changes.h"
 #include "include/forward/target_notice.h"
 #include "include/lineage/running_requests.h"
 #include "include/organisation/key_check.h"
@@ -361,7 +362,6 @@
   [[nodiscard]] repeat_budget_options RepeatOptions(time_point now);
   [[nodiscard]] ranked_repeat_options RankedRepeatOptions(time_point now);
   void ShareReserve(time_point now);
-  [[nodiscard]] const target_entry* FindTarget(std::string_view id) const;
   [[nodiscard]] std::shared_ptr<peer_link> LinkTo(const std::string& ip);
   [[nodiscard]] peer_link_events EventsOf(const std::string& ip);
   void ForTargetsAt(const std::string& ip,
@@ -380,7 +380,7 @@
   // lost.
   std::shared_ptr<const service_view> view_;
   std::vector<target_entry> kept_;
-  std::unordered_map<std::string, std::size_t> targets_by_id_;  // Into view_.
+  target_directory directory_;  // Of the targets of `view_`.
   std::unordered_map<std::string, service_state> services_;
   reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -144,21 +144,19 @@
 }
 
 void origin::ApplyNotices() {
-  for (const target_entry& target : view_->targets) {
-    const auto found = notices_.find(target.address.ip);
-    if (found == notices_.end()) {
-      continue;
-    }
-    balancer& targets = StateOf(target.service).targets;
-    const auto ref = targets.RefOf(target.id);
-    if (!ref) {
-      continue;
-    }
-    const known_notice& notice = found->second.notice;
-    const bool is_same = StartName(target) == notice.start;
-    targets.SetRateLimit(*ref, is_same ? notice.rate_limit : std::nullopt);
-    if (is_same && notice.leaving) {
-      targets.MarkLeaving(*ref);
+  for (const auto& [ip, heard] : notices_) {
+    for (const target_entry* const target : directory_.At(ip)) {
+      balancer& targets = StateOf(target->service).targets;
+      const auto ref = targets.RefOf(target->id);
+      if (!ref) {
+        continue;
+      }
+      const bool is_same = StartName(*target) == heard.notice.start;
+      targets.SetRateLimit(
+          *ref, is_same ? heard.notice.rate_limit : std::nullopt);
+      if (is_same && heard.notice.leaving) {
+        targets.MarkLeaving(*ref);
+      }
     }
   }
 }
@@ -166,28 +164,22 @@
 // The view may list a start later than its notice arrives, and an entry may
 // vanish while the store is away.
 void origin::ExpireNotices(time_point now) {
-  std::set<std::string> starts;
-  for (const target_entry& target : view_->targets) {
-    starts.insert(StartName(target));
-  }
   std::erase_if(notices_, [&](const auto& entry) {
-    return !starts.contains(entry.second.notice.start) &&
-           now - entry.second.learnt_at > kNoticeRetention;
+    const auto& [ip, heard] = entry;
+    const bool listed = std::ranges::any_of(
+        directory_.At(ip), [&start = heard.notice.start](const auto* target) {
+          return StartName(*target) == start;
+        });
+    return !listed && now - heard.learnt_at > kNoticeRetention;
   });
 }
 
 void origin::ForTargetsAt(
     const std::string& ip,
     const std::function<void(balancer&, target_ref)>& work) {
-  if (view_ == nullptr) {
-    return;
-  }
-  for (const target_entry& target : view_->targets) {
-    if (target.address.ip != ip) {
-      continue;
-    }
-    balancer& targets = StateOf(target.service).targets;
-    if (const auto ref = targets.RefOf(target.id)) {
+  for (const target_entry* const target : directory_.At(ip)) {
+    balancer& targets = StateOf(target->service).targets;
+    if (const auto ref = targets.RefOf(target->id)) {
       work(targets, *ref);
     }
   }
@@ -325,12 +317,8 @@
 
 // Closes links to hosts that no longer have a target.
 void origin::CloseUnusedLinks() {
-  std::set<std::string> ips;
-  for (const target_entry& target : view_->targets) {
-    ips.insert(target.address.ip);
-  }
   for (auto it = links_.begin(); it != links_.end();) {
-    if (!ips.contains(it->first) && it->second->outstanding() == 0 &&
+    if (directory_.At(it->first).empty() && it->second->outstanding() == 0 &&
         !it->second->follows()) {
       it->second->Close();
       it = links_.erase(it);
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -4,9 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,12 +21,40 @@
 // don't count.
 constexpr std::uint32_t kMaxSends = 4;
 
+target_info InfoOf(const target_entry& target) {
+  return {.vm = target.id,
+          .data_centre = target.data_centre,
+          .incarnation = target.start,
+          .leaving = target.state == target_state::kLeaving,
+          .cold = target.warm_up_left > milliseconds(0),
+          .warm_up_left = target.warm_up_left,
+          .slots = target.slots};
+}
+
+std::map<std::string, target_list_changes> ByService(
+    const target_changes& changes) {
+  std::map<std::string, target_list_changes> by_service;
+  for (const target_entry& each : changes.removed) {
+    by_service[each.service].removed.push_back(each.id);
+  }
+  for (const changed_target& each : changes.changed) {
+    if (each.before.service != each.after.service) {
+      by_service[each.before.service].removed.push_back(each.before.id);
+    }
+    by_service[each.after.service].updated.push_back(InfoOf(each.after));
+  }
+  for (const target_entry& each : changes.added) {
+    by_service[each.service].updated.push_back(InfoOf(each));
+  }
+  return by_service;
+}
+
 }  // namespace
 
 void origin::SetView(std::shared_ptr<const service_view> view) {
   const time_point now = monotonic_clock::now();
   listed_ = std::move(view);
-  lapsed_.SetListed(listed_->targets, now);
+  lapsed_.SetListed(TargetsOf(listed_), now);
   SetKept(lapsed_.Kept(now));
   UseTargets(now);
 }
@@ -41,29 +67,11 @@
     used->targets.insert(used->targets.end(), kept_.begin(), kept_.end());
     view_ = std::move(used);
   }
-  targets_by_id_.clear();
-  std::set<std::string> ips;
-  std::map<std::string, std::vector<target_info>> by_service;
-  for (std::size_t i = 0; i < view_->targets.size(); ++i) {
-    const target_entry& target = view_->targets[i];
-    targets_by_id_.emplace(target.id, i);
-    ips.insert(target.address.ip);
-    by_service[target.service].push_back(
-        {.vm = target.id,
-         .data_centre = target.data_centre,
-         .incarnation = target.start,
-         .leaving = target.state == target_state::kLeaving,
-         .cold = target.warm_up_left > milliseconds(0),
-         .warm_up_left = target.warm_up_left,
-         .slots = target.slots});
-  }
-  reserve_share_.OnDaemonCount(ips.size(), now);
+  const target_changes changes = directory_.Set(TargetsOf(view_));
+  reserve_share_.OnDaemonCount(directory_.hosts(), now);
   ShareReserve(now);
-  for (auto& [service, state] : services_) {
-    by_service.try_emplace(service);
-  }
-  for (const auto& [service, targets] : by_service) {
-    StateOf(service).targets.SetTargets(targets, now);
+  for (const auto& [service, changed] : ByService(changes)) {
+    StateOf(service).targets.UpdateTargets(changed, now);
   }
   ApplyNotices();
   CloseUnusedLinks();
@@ -111,12 +119,6 @@
   }
 }
 
-const target_entry* origin::FindTarget(std::string_view id) const {
-  const auto found = targets_by_id_.find(std::string(id));
-  return found == targets_by_id_.end() ? nullptr
-                                       : &view_->targets[found->second];
-}
-
 // Starts or stops using targets whose entries have expired, as daemons vouch
 // for them or no longer do.
 void origin::KeepLapsed(time_point now) {
--- a/src/forward/quota_sharing.cc
+++ b/src/forward/quota_sharing.cc
@@ -34,16 +34,12 @@
   timer_.cancel();
 }
 
-void quota_sharing::OnView(const service_view& view) {
+void quota_sharing::OnView(const service_view& view,
+                           const daemon_order& order) {
   if (view.config == nullptr || view.config->organisations == nullptr) {
     return;
   }
-  std::vector<std::string> ips;
-  ips.reserve(view.targets.size());
-  for (const target_entry& target : view.targets) {
-    ips.push_back(target.address.ip);
-  }
-  parent_.SetDaemons(std::move(ips));
+  parent_.SetDaemons(order);
   ledger_.SetDaemons(parent_.daemons());
   ledger_.Configure(*view.config->organisations, monotonic_clock::now());
   if (!ledger_.empty() && !std::exchange(reporting_, true)) {
--- a/src/forward/quota_sharing.h
+++ b/src/forward/quota_sharing.h
@@ -15,6 +15,7 @@
 #include "include/forward/service_view.h"
 #include "include/quota/quota_ledger.h"
 #include "include/quota/report_parent.h"
+#include "include/route/daemon_order.h"
 #include "src/peer/quota_frame.h"
 
 namespace pistachioweir {
@@ -37,8 +38,8 @@
 
   void Stop();
 
-  // A new view was applied.
-  void OnView(const service_view& view);
+  // A new view was applied; `order` is that of its daemons.
+  void OnView(const service_view& view, const daemon_order& order);
   [[nodiscard]] quota_decision Admit(organisation_id id);
   void Refund(organisation_id id) { ledger_.Refund(id); }
   // A child sent a report. Returns the response.
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -31,16 +31,11 @@
   timer_.cancel();
 }
 
-void repeat_sharing::OnView(const service_view& view) {
+void repeat_sharing::OnView(const daemon_order& order) {
   if (!options_.enabled) {
     return;
   }
-  std::vector<std::string> ips;
-  ips.reserve(view.targets.size());
-  for (const target_entry& target : view.targets) {
-    ips.push_back(target.address.ip);
-  }
-  parent_.SetDaemons(std::move(ips));
+  parent_.SetDaemons(order);
   exchange_.SetDaemons(parent_.daemons());
   if (!std::exchange(reporting_, true)) {
     Report();
--- a/src/forward/repeat_sharing.h
+++ b/src/forward/repeat_sharing.h
@@ -16,6 +16,7 @@
 #include "include/base/ids.h"
 #include "include/forward/service_view.h"
 #include "include/quota/report_parent.h"
+#include "include/route/daemon_order.h"
 #include "include/retry/repeat_exchange.h"
 #include "src/peer/repeat_frame.h"
 
@@ -50,8 +51,8 @@
 
   void Stop();
 
-  // A new view was applied.
-  void OnView(const service_view& view);
+  // A new view was applied, with these daemons.
+  void OnView(const daemon_order& order);
   // A child sent a report, which waited for `transit`. Returns the grant.
   [[nodiscard]] std::optional<repeat_entries> OnReport(
       incarnation_id sender,
--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -1,32 +1,12 @@
 // Order of the daemons and state of the sources.
 #include "include/forward/view_following.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace pistachioweir {
 namespace {
 
-// Sorts by a hash of the address, which gives all daemons the same order. The
-// addresses themselves would not do: they are assigned service by service.
-void SortByHash(std::vector<std::string>* ips) {
-  std::vector<std::pair<std::uint64_t, std::string>> hashed;
-  hashed.reserve(ips->size());
-  for (std::string& ip : *ips) {
-    const std::uint64_t position = XXH3_64bits(ip.data(), ip.size());
-    hashed.emplace_back(position, std::move(ip));
-  }
-  std::ranges::sort(hashed);
-  ips->clear();
-  for (auto& [position, ip] : hashed) {
-    if (ips->empty() || ips->back() != ip) {
-      ips->push_back(std::move(ip));
-    }
-  }
-}
-
 bool Contains(const std::vector<std::string>& ips, const std::string& ip) {
   return std::ranges::find(ips, ip) != ips.end();
 }
@@ -36,15 +16,16 @@
 view_following::view_following(view_following_options options)
     : options_(std::move(options)) {}
 
-void view_following::SetDaemons(const std::vector<daemon_location>& daemons) {
+void view_following::SetDaemons(const daemon_order& order) {
   local_.clear();
   remote_.clear();
-  for (const daemon_location& each : daemons) {
-    const bool local = each.data_centre == options_.self.data_centre;
-    (local ? local_ : remote_).push_back(each.ip);
+  for (const ordered_daemon& each : order.daemons()) {
+    if (each.ready == 0) {
+      continue;
+    }
+    const bool local = each.location.data_centre == options_.self.data_centre;
+    (local ? local_ : remote_).push_back(each.location.ip);
   }
-  SortByHash(&local_);
-  SortByHash(&remote_);
 }
 
 void view_following::OnReport(const std::string& ip,
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -127,23 +127,16 @@
   callbacks_.set_reading(reading_);
 }
 
-void view_sharing::OnView(const service_view& view) {
-  std::vector<daemon_location> daemons;
+void view_sharing::OnView(const service_view& view, const daemon_order& order) {
   bool own_listed = false;
   bool own_ready = false;
   for (const target_entry& target : view.targets) {
-    const bool ready = target.state == target_state::kReady;
-    // The VM of a leaving target is about to stop.
-    if (ready) {
-      daemons.push_back(
-          {.ip = target.address.ip, .data_centre = target.data_centre});
-    }
     if (target.address == options_.own_target) {
       own_listed = true;
-      own_ready = ready;
+      own_ready = target.state == target_state::kReady;
     }
   }
-  following_.SetDaemons(daemons);
+  following_.SetDaemons(order);
   if (own_listed) {
     own_unlisted_since_.reset();
   } else if (own_ready_) {
--- a/src/forward/view_sharing.h
+++ b/src/forward/view_sharing.h
@@ -76,8 +76,8 @@
   void Start();
   void Stop();
 
-  // A view has become current.
-  void OnView(const service_view& view);
+  // A view has become current; `order` is that of its daemons.
+  void OnView(const service_view& view, const daemon_order& order);
   // The view has new changes, received from the daemon at `from`, or read from
   // the store if that is empty.
   void OnUpdate(const std::string& from);
--- a/src/quota/usage_tree.cc
+++ b/src/quota/usage_tree.cc
@@ -1,30 +1,17 @@
 // Ordering of daemons and choice of the parent.
 #include "include/quota/usage_tree.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstdint>
 #include <utility>
 
 namespace pistachioweir {
-namespace {
-
-std::pair<std::uint64_t, std::string_view> SortKey(std::string_view ip) {
-  return {XXH3_64bits(ip.data(), ip.size()), ip};
-}
-
-}  // namespace
-
-void usage_tree::SetDaemons(std::vector<std::string> ips) {
-  const auto before = [](const std::string& a, const std::string& b) {
-    return SortKey(a) < SortKey(b);
-  };
-  std::ranges::sort(ips, before);
-  ips.erase(std::unique(ips.begin(), ips.end()), ips.end());
-  daemons_ = std::max<std::size_t>(1, ips.size());
-  ips.erase(std::ranges::lower_bound(ips, options_.self, before), ips.end());
-  predecessors_ = std::move(ips);
+void usage_tree::SetDaemons(const daemon_order& order) {
+  const std::vector<ordered_daemon>& daemons = order.daemons();
+  daemons_ = std::max<std::size_t>(1, daemons.size());
+  predecessors_.clear();
+  for (auto it = daemons.begin(); it != order.PositionOf(options_.self); ++it) {
+    predecessors_.push_back(it->location.ip);
+  }
 }
 
 void usage_tree::OnResponse(const std::string& ip, time_point now) {
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <unordered_set>
 #include <utility>
 
 namespace pistachioweir {
@@ -69,56 +70,89 @@
   const bool restarted = known.incarnation != incarnation_id{} &&
                          reported.incarnation != incarnation_id{} &&
                          known.incarnation != reported.incarnation;
-  return known.vm == reported.vm && !restarted;
+  return !restarted;
 }
 
 void balancer::SetTargets(const std::vector<target_info>& targets,
                           time_point now) {
-  const bool first_list = listed_ == 0;
-  for (target& known : targets_) {
-    const bool kept =
-        std::ranges::any_of(targets, [&](const target_info& reported) {
-          return IsSameIncarnation(known.info, reported);
-        });
-    if (known.listed && !kept) {
-      known.listed = false;
-      ++known.generation;
-      --listed_;
+  std::unordered_set<std::string_view> reported;
+  for (const target_info& info : targets) {
+    reported.insert(info.vm);
+  }
+  target_list_changes changes{.updated = targets, .removed = {}};
+  for (const auto& [vm, index] : index_of_) {
+    if (!reported.contains(vm)) {
+      changes.removed.push_back(vm);
     }
   }
-  for (const target_info& info : targets) {
-    auto entry = std::ranges::find_if(targets_, [&](const target& t) {
-      return t.listed && t.info.vm == info.vm;
-    });
-    if (entry == targets_.end()) {
-      entry = std::ranges::find_if(targets_,
-                                   [](const target& t) { return !t.listed; });
-      if (entry == targets_.end()) {
-        targets_.emplace_back();
-        entry = targets_.end() - 1;
-      }
-      const std::uint32_t generation = entry->generation;
-      *entry = target{};
-      entry->generation = generation;
-      entry->listed = true;
-      entry->levels.resize(options_.methods);
-      entry->limit = std::max(1U, info.slots);
-      ++listed_;
-      // Nothing is known on the first list: all targets are assumed to be warm.
-      const bool cold = info.cold || !first_list;
-      entry->warm_from = cold ? now + kSlowStart : now;
-      if (info.warm_up_left > milliseconds(0)) {
-        entry->warm_from = now + info.warm_up_left;
-      }
-      estimates_.Reset(static_cast<std::uint32_t>(entry - targets_.begin()));
+  UpdateTargets(changes, now);
+}
+
+void balancer::Unlist(const vm_id& vm) {
+  const auto found = index_of_.find(vm);
+  if (found == index_of_.end()) {
+    return;
+  }
+  target& known = targets_[found->second];
+  known.listed = false;
+  ++known.generation;
+  index_of_.erase(found);
+}
+
+balancer::target& balancer::AddEntry(const target_info& info,
+                                     std::size_t* free,
+                                     bool cold,
+                                     time_point now) {
+  while (*free < targets_.size() && targets_[*free].listed) {
+    ++*free;
+  }
+  if (*free == targets_.size()) {
+    targets_.emplace_back();
+  }
+  target& added = targets_[*free];
+  const std::uint32_t generation = added.generation;
+  added = target{};
+  added.generation = generation;
+  added.listed = true;
+  added.levels.resize(options_.methods);
+  added.limit = std::max(1U, info.slots);
+  added.warm_from = cold ? now + kSlowStart : now;
+  if (info.warm_up_left > milliseconds(0)) {
+    added.warm_from = now + info.warm_up_left;
+  }
+  const auto index = static_cast<std::uint32_t>(*free);
+  estimates_.Reset(index);
+  index_of_.emplace(info.vm, index);
+  return added;
+}
+
+void balancer::UpdateTargets(const target_list_changes& changes,
+                             time_point now) {
+  // Nothing is known on the first list: all targets are assumed to be warm.
+  const bool first_list = index_of_.empty();
+  for (const vm_id& vm : changes.removed) {
+    Unlist(vm);
+  }
+  for (const target_info& info : changes.updated) {
+    const auto found = index_of_.find(info.vm);
+    if (found != index_of_.end() &&
+        !IsSameIncarnation(targets_[found->second].info, info)) {
+      Unlist(info.vm);
     }
-    const incarnation_id known = entry->info.incarnation;
-    entry->info = info;
+  }
+  std::size_t free = 0;
+  for (const target_info& info : changes.updated) {
+    const auto found = index_of_.find(info.vm);
+    target& entry = found == index_of_.end()
+                        ? AddEntry(info, &free, info.cold || !first_list, now)
+                        : targets_[found->second];
+    const incarnation_id known = entry.info.incarnation;
+    entry.info = info;
     if (info.incarnation == incarnation_id{}) {
-      entry->info.incarnation = known;
+      entry.info.incarnation = known;
     }
-    entry->leaving = entry->leaving || info.leaving;
-    entry->local = info.data_centre == options_.data_centre;
+    entry.leaving = entry.leaving || info.leaving;
+    entry.local = info.data_centre == options_.data_centre;
   }
   all_.clear();
   local_.clear();
@@ -202,12 +236,11 @@
 }
 
 std::optional<target_ref> balancer::RefOf(std::string_view vm) const {
-  for (std::uint32_t i = 0; i < targets_.size(); ++i) {
-    if (targets_[i].listed && targets_[i].info.vm == vm) {
-      return target_ref{i, targets_[i].generation};
-    }
+  const auto found = index_of_.find(vm_id(vm));
+  if (found == index_of_.end()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return target_ref{found->second, targets_[found->second].generation};
 }
 
 bool balancer::Reachable(const target& candidate, time_point now) const {
--- a/tests/lapsed_targets_test.cc
+++ b/tests/lapsed_targets_test.cc
@@ -5,7 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "include/forward/target_vouching.h"
@@ -28,6 +30,10 @@
   return Target(number).address.ip;
 }
 
+std::shared_ptr<const target_list> ListOf(target_list targets) {
+  return std::make_shared<const target_list>(std::move(targets));
+}
+
 class lapsed_targets_test : public testing::Test {
  protected:
   void List(const std::vector<int>& numbers, time_point now) {
@@ -36,7 +42,7 @@
     for (const int number : numbers) {
       listed.push_back(Target(number));
     }
-    targets_.SetListed(listed, now);
+    targets_.SetListed(ListOf(std::move(listed)), now);
   }
   void Vouch(int number, time_point now) {
     targets_.OnVouched(IpOf(number), StartName(Target(number)), now);
@@ -127,7 +133,7 @@
   List({}, kStart);
   target_entry other = Target(1, "archive");
   other.id = "i-9";
-  targets_.SetListed({other}, kStart + milliseconds(5));
+  targets_.SetListed(ListOf({other}), kStart + milliseconds(5));
   EXPECT_EQ(kept(kStart + milliseconds(5)), 0U);
   List({}, kStart + milliseconds(6));
   EXPECT_EQ(kept(kStart + milliseconds(6)), 0U);
@@ -147,7 +153,7 @@
 TEST_F(lapsed_targets_test, ALeavingTargetIsNotKept) {
   target_entry leaving = Target(1);
   leaving.state = target_state::kLeaving;
-  targets_.SetListed({leaving}, kStart);
+  targets_.SetListed(ListOf({leaving}), kStart);
   Vouch(1, kStart);
   List({}, kStart);
   EXPECT_EQ(kept(kStart), 0U);
@@ -173,7 +179,7 @@
           list.push_back(Target(i));
         }
       }
-      targets.SetListed(list, now);
+      targets.SetListed(ListOf(list), now);
     } else if (step % 3 == 1) {
       vouched_at[place] = now;
       targets.OnVouched(IpOf(place), StartName(Target(place)), now);
--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -151,10 +151,11 @@
     ips.push_back("10.0." + std::to_string(i / 200) + "." +
                   std::to_string(i % 200));
   }
+  const daemon_order order = daemon_order::InOneDataCentre(ips);
   const time_point now{seconds(100)};
   const auto parent_of = [&](const std::string& ip) {
     usage_tree tree({.self = ip});
-    tree.SetDaemons(ips);
+    tree.SetDaemons(order);
     return tree.Parent(now);
   };
   int first = 0;
@@ -172,7 +173,8 @@
 // Guards against daemons that keep reporting to a parent that is gone.
 TEST(UsageTreeTest, AnUnresponsiveParentIsReplaced) {
   usage_tree tree({.self = "10.0.0.3"});
-  tree.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"});
+  tree.SetDaemons(daemon_order::InOneDataCentre(
+      {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"}));
   time_point now{seconds(100)};
   const auto before = tree.Parent(now);
   for (int i = 0; i < 4; ++i) {
--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -223,11 +223,12 @@
   for (std::size_t i = 0; i < kDaemons; ++i) {
     ips.push_back(std::to_string(i));
   }
+  const daemon_order order = daemon_order::InOneDataCentre(ips);
   int levels = 0;
   for (std::optional<std::string> ip = "13999"; ip; ++levels) {
     options.self = *ip;
     usage_tree tree(options);
-    tree.SetDaemons(ips);
+    tree.SetDaemons(order);
     ip = tree.Parent(kStart);
   }
   --levels;  // The root has no parent.
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -163,11 +163,8 @@
              child.OnGrant(ip, repeat_frame{.number = report.number});
            },
        .budgets = [] { return std::vector<own_repeat_budget>(); }});
-  service_view view;
-  for (const char* const ip : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
-    view.targets.push_back({.address = {.ip = ip, .port = 1}});
-  }
-  child.OnView(view);
+  child.OnView(
+      daemon_order::InOneDataCentre({"10.0.0.1", "10.0.0.2", "10.0.0.3"}));
   EXPECT_TRUE(RunUntil(context_, [&] { return reports == 4; }));
   EXPECT_EQ(asked.size(), 1U);
   EXPECT_EQ(child.counters().grants, 4U);
@@ -178,14 +175,14 @@
 class reporting_daemon {
  public:
   reporting_daemon() {
-    service_view view;
+    std::vector<std::string> ips;
     for (const char* const ip : {"10.0.0.1", "10.0.0.2"}) {
-      view.targets.push_back({.address = {.ip = ip, .port = 1}});
+      ips.emplace_back(ip);
     }
     // One of the two is the root; the other one reports.
     for (const char* const ip : {"10.0.0.1", "10.0.0.2"}) {
       if (reports.empty()) {
-        Start(ip, view);
+        Start(ip, daemon_order::InOneDataCentre(ips));
       }
     }
   }
@@ -202,7 +199,7 @@
   std::vector<repeat_frame> reports;
 
  private:
-  void Start(const std::string& ip, const service_view& view) {
+  void Start(const std::string& ip, const daemon_order& order) {
     child_ = std::make_unique<repeat_sharing>(
         context_, repeat_sharing_options{.self = ip, .enabled = true},
         repeat_sharing_callbacks{
@@ -225,7 +222,7 @@
                   return std::vector<own_repeat_budget>{
                       {.service = kService, .budget = &budget_}};
                 }});
-    child_->OnView(view);
+    child_->OnView(order);
   }
 
   boost::asio::io_context context_;
@@ -263,7 +260,8 @@
 TEST(ReportParentTest, OnlyAnAnswerInTimeOverThisConnectionCounts) {
   const time_point start{seconds(1000)};
   report_parent parent({.self = "10.0.0.1"});
-  parent.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+  parent.SetDaemons(daemon_order::InOneDataCentre(
+      {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}));
   parent.Choose(start);
   ASSERT_TRUE(parent.ip());
   const std::string ip = *parent.ip();
@@ -292,7 +290,8 @@
 TEST(ReportParentTest, OnlyTheLastReportIsAnsweredOnce) {
   const time_point start{seconds(1000)};
   report_parent parent({.self = "10.0.0.1"});
-  parent.SetDaemons({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+  parent.SetDaemons(daemon_order::InOneDataCentre(
+      {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}));
   parent.Choose(start);
   ASSERT_TRUE(parent.ip());
   const std::string ip = *parent.ip();
--- a/tests/view_builder_test.cc
+++ b/tests/view_builder_test.cc
@@ -244,6 +244,26 @@
   EXPECT_TRUE(builder_.TakeChanged()->targets.empty());
 }
 
+// Guards against work that grows with the square of the fleet, which ends this
+// test by its time limit: each removal took a comparison of all addresses with
+// all targets.
+TEST_F(view_builder_test, AFleetThatLeavesOneByOneIsLinearWork) {
+  constexpr std::uint64_t kFleet = 14000;
+  builder_.NoteAnswer(kStart);
+  PutConfig("r1", 5);
+  const auto id_of = [](std::uint64_t i) { return "i-" + std::to_string(i); };
+  for (std::uint64_t i = 0; i < kFleet; ++i) {
+    PutTarget(id_of(i),
+              "10.0." + std::to_string(i / 250) + "." +
+                  std::to_string(i % 250) + ":80",
+              6 + i);
+  }
+  for (std::uint64_t i = 0; i < kFleet / 2; ++i) {
+    builder_.Remove("servers/" + id_of(i), 6 + kFleet + i, kStart);
+  }
+  EXPECT_EQ(builder_.TakeChanged()->targets.size(), kFleet / 2);
+}
+
 // The store was away for long, so that all targets' entries ran out although
 // the targets live. They are back within two seconds; would the daemon drop
 // them at once, it would refuse everything in that time.
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -60,7 +60,7 @@
            j += of.data_centres) {
         known.push_back(places[j]);
       }
-      next.following.SetDaemons(known);
+      next.following.SetDaemons(daemon_order(known));
       next.heartbeat = kStart + milliseconds(random_() % kHeartbeat.count());
       daemons_.push_back(std::move(next));
     }
@@ -429,7 +429,7 @@
   const daemon_location b{.ip = "10.0.0.2", .data_centre = "a"};
   const daemon_location c{.ip = "10.0.0.3", .data_centre = "a"};
   view_following one({.self = c});
-  one.SetDaemons({a, b, c});
+  one.SetDaemons(daemon_order({a, b, c}));
   time_point now = kStart;
   one.Plan(now);
   one.OnReport(a.ip, milliseconds(0), true, now);
@@ -457,7 +457,7 @@
   }
   time_point now = kStart;
   for (view_following& each : daemons) {
-    each.SetDaemons(places);
+    each.SetDaemons(daemon_order(places));
     each.Plan(now);
     each.OnReport(reader.ip, milliseconds(0), true, now);
   }
@@ -481,7 +481,7 @@
     places.push_back({.ip = IpOf(i), .data_centre = "a"});
   }
   view_following following({.self = {.ip = "10.9.9.9", .data_centre = "a"}});
-  following.SetDaemons(places);
+  following.SetDaemons(daemon_order(places));
   const following_plan before = following.Plan(kStart);
   const following_plan after = following.Plan(kStart + seconds(9));
   EXPECT_EQ(before.sources, after.sources);
@@ -493,7 +493,8 @@
   const daemon_location self{.ip = "10.0.0.1", .data_centre = "a"};
   view_following alone({.self = self});
   EXPECT_EQ(alone.Plan(kStart).reading, store_reading::kEager);
-  alone.SetDaemons({self, {.ip = "10.0.0.2", .data_centre = "b"}});
+  alone.SetDaemons(
+      daemon_order({self, {.ip = "10.0.0.2", .data_centre = "b"}}));
   EXPECT_EQ(alone.Plan(kStart).reading, store_reading::kEager);
 }
 
--- a/tools/quota_fleet.h
+++ b/tools/quota_fleet.h
@@ -167,7 +167,7 @@
     made->phase = milliseconds(std::uniform_int_distribution<int>(
         0, static_cast<int>(kInterval.count()) - 1)(random_));
     made->start = ++starts_;
-    made->tree.SetDaemons(ips_);
+    made->tree.SetDaemons(daemon_order::InOneDataCentre(ips_));
     made->ledger.SetDaemons(ips_.size());
     Configure(*made);
     return made;
