Calls to a large service are placed on a ring of twelve targets

Cause: each daemon placed calls on all targets of its data centre. With 318 targets and two calls a second nearly every call went to a target that the daemon had hardly met: over a new connection, without recent knowledge of its load.

Change: target_ring gives each caller the targets that follow its position on the ring of its data centre, and as many further ones as are full or gone. Up to twelve targets, decisions are the same draw by draw.

--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -23,6 +23,7 @@
 #include "include/base/priority.h"
 #include "include/base/time.h"
 #include "include/route/target_estimates.h"
+#include "include/route/target_ring.h"
 
 namespace pistachioweir {
 
@@ -30,8 +31,8 @@
 enum class placement_policy : std::uint8_t {
   kRandom,
   kPowerOfTwo,
-  // Compares all targets by the expected completion time and failure rate of
-  // the call; for callers with many kinds of calls to few targets.
+  // Compares the targets of the caller's rings by the expected completion time
+  // and failure rate of the call; for callers with many kinds of calls.
   kExpectedEnd,
 };
 
@@ -135,6 +136,9 @@
   // proportional to those.
   void UpdateTargets(const target_list_changes& changes, time_point now);
 
+  // Sets the caller's position on the rings, from 0 up to 1.
+  void SetPosition(double position);
+
   // Selects a target and counts the call as in flight there until Finish(). The
   // random bits decide ties, candidates and probes.
   placement Place(const placement_request& request,
@@ -232,6 +236,7 @@
   [[nodiscard]] static bool IsSameIncarnation(const target_info& known,
                                               const target_info& reported);
   void Unlist(const vm_id& vm);
+  void GroupTargets();
   // Returns an entry for a new target: the first unlisted one, which is sought
   // from `*free` on.
   [[nodiscard]] target& AddEntry(const target_info& info,
@@ -291,8 +296,8 @@
   std::unordered_map<vm_id, std::uint32_t> index_of_;
   // Indices in `targets_` of listed targets; all, and by data centre.
   std::vector<std::uint32_t> all_;
-  std::vector<std::uint32_t> local_;
-  std::vector<std::uint32_t> remote_;
+  target_ring local_;
+  target_ring remote_;
 };
 
 }  // namespace pistachioweir
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -427,6 +427,8 @@
     sharing_.OnView(*view, order_);
     quotas_.OnView(*view, order_);
     repeats_.OnView(order_);
+    origin_.SetPosition(order_.FractionBefore(
+        {.ip = settings_.target.ip, .data_centre = settings_.data_centre}));
     const bool usable = view->config != nullptr;
     origin_.SetView(std::move(view));
     if (usable && !std::exchange(ready_, true)) {
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -136,6 +136,10 @@
 
   void SetView(std::shared_ptr<const service_view> view);
 
+  // Sets this daemon's position among the callers of its data centre; see
+  // target_ring.
+  void SetPosition(double position);
+
   // Starts a call. `done` runs exactly once, possibly before Submit() returns,
   // unless the call is abandoned first.
   call_id Submit(relayed_call call, relayed_callback done);
@@ -381,6 +385,7 @@
   std::shared_ptr<const service_view> view_;
   std::vector<target_entry> kept_;
   target_directory directory_;  // Of the targets of `view_`.
+  double position_ = 0;
   std::unordered_map<std::string, service_state> services_;
   reserve_share reserve_share_;
   std::unordered_map<std::string, weighted_split> splits_;   // By route.
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -77,12 +77,20 @@
   CloseUnusedLinks();
 }
 
+void origin::SetPosition(double position) {
+  position_ = position;
+  for (auto& [service, state] : services_) {
+    state.targets.SetPosition(position);
+  }
+}
+
 origin::service_state& origin::StateOf(const std::string& service) {
   const auto found = services_.find(service);
   if (found != services_.end()) {
     return found->second;
   }
-  return services_
+  service_state& state =
+      services_
       .try_emplace(service,
                    balancer_options{.data_centre = options_.data_centre,
                                     .policy = placement_policy::kExpectedEnd,
@@ -91,6 +99,8 @@
                    RepeatOptions(monotonic_clock::now()),
                    RankedRepeatOptions(monotonic_clock::now()))
       .first->second;
+  state.targets.SetPosition(position_);
+  return state;
 }
 
 repeat_budget_options origin::RepeatOptions(time_point now) {
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -130,6 +130,7 @@
                              time_point now) {
   // Nothing is known on the first list: all targets are assumed to be warm.
   const bool first_list = index_of_.empty();
+  bool regroup = !changes.removed.empty();
   for (const vm_id& vm : changes.removed) {
     Unlist(vm);
   }
@@ -143,26 +144,43 @@
   std::size_t free = 0;
   for (const target_info& info : changes.updated) {
     const auto found = index_of_.find(info.vm);
-    target& entry = found == index_of_.end()
-                        ? AddEntry(info, &free, info.cold || !first_list, now)
-                        : targets_[found->second];
+    const bool is_new = found == index_of_.end();
+    target& entry =
+        is_new ? AddEntry(info, &free, info.cold || !first_list, now)
+               : targets_[found->second];
     const incarnation_id known = entry.info.incarnation;
     entry.info = info;
     if (info.incarnation == incarnation_id{}) {
       entry.info.incarnation = known;
     }
     entry.leaving = entry.leaving || info.leaving;
-    entry.local = info.data_centre == options_.data_centre;
+    const bool is_local = info.data_centre == options_.data_centre;
+    regroup = regroup || is_new || is_local != entry.local;
+    entry.local = is_local;
   }
+  if (regroup) {
+    GroupTargets();
+  }
+}
+
+void balancer::GroupTargets() {
   all_.clear();
-  local_.clear();
-  remote_.clear();
+  std::vector<std::pair<std::string, std::uint32_t>> local;
+  std::vector<std::pair<std::string, std::uint32_t>> remote;
   for (std::uint32_t i = 0; i < targets_.size(); ++i) {
-    if (targets_[i].listed) {
+    const target& each = targets_[i];
+    if (each.listed) {
       all_.push_back(i);
-      (targets_[i].local ? local_ : remote_).push_back(i);
+      (each.local ? local : remote).emplace_back(each.info.vm, i);
     }
   }
+  local_.SetTargets(std::move(local));
+  remote_.SetTargets(std::move(remote));
+}
+
+void balancer::SetPosition(double position) {
+  local_.SetPosition(position);
+  remote_.SetPosition(position);
 }
 
 void balancer::MarkLeaving(target_ref ref) {
@@ -362,8 +380,8 @@
   if (options_.policy == placement_policy::kRandom) {
     return Best(all_, request, tier, now, random).index;
   }
-  const candidate near = Best(local_, request, tier, now, random);
-  const candidate far = Best(remote_, request, tier, now, random);
+  const candidate near = Best(local_.targets(), request, tier, now, random);
+  const candidate far = Best(remote_.targets(), request, tier, now, random);
   if (near.index == kNone || far.index == kNone) {
     return near.index == kNone ? far.index : near.index;
   }
--- a/src/route/daemon_order.cc
+++ b/src/route/daemon_order.cc
@@ -41,6 +41,18 @@
   return std::ranges::lower_bound(daemons_, KeyOfIp(ip), {}, KeyOf);
 }
 
+double daemon_order::FractionBefore(const daemon_location& daemon) const {
+  const auto is_local = [&](const ordered_daemon& each) {
+    return each.location.data_centre == daemon.data_centre;
+  };
+  const auto position = PositionOf(daemon.ip);
+  const auto before = std::count_if(daemons_.begin(), position, is_local);
+  const auto rest = std::count_if(position, daemons_.end(), is_local);
+  return before == 0 ? 0
+                     : static_cast<double>(before) /
+                           static_cast<double>(before + std::max(rest, decltype(rest){1}));
+}
+
 daemon_order daemon_order::InOneDataCentre(
     const std::vector<std::string>& ips) {
   std::vector<daemon_location> daemons;
--- a/src/route/expected_end.cc
+++ b/src/route/expected_end.cc
@@ -74,15 +74,27 @@
     std::uint32_t index = kNone;
     double cost = 0;
   };
+  std::vector<std::uint32_t> eligible;
+  for (const target_ring* const ring : {&local_, &remote_}) {
+    ring->Choose(
+        [&](std::uint32_t index) {
+          return Usable(targets_[index], tier, now) &&
+                 !IsExcluded(request, index) &&
+                 !Refuses(targets_[index], request, now);
+        },
+        [&](std::uint32_t index) {
+          return Utilization(targets_[index], now) <= 1;
+        },
+        &eligible);
+  }
+  std::ranges::sort(eligible);
   std::vector<option> options;
+  options.reserve(eligible.size());
   double lowest_failure_rate = 1;
-  for (const std::uint32_t index : all_) {
-    if (Usable(targets_[index], tier, now) && !IsExcluded(request, index) &&
-        !Refuses(targets_[index], request, now)) {
-      options.push_back({.index = index});
-      lowest_failure_rate =
-          std::min(lowest_failure_rate, estimates_.FailureRate(index, now));
-    }
+  for (const std::uint32_t index : eligible) {
+    options.push_back({.index = index});
+    lowest_failure_rate =
+        std::min(lowest_failure_rate, estimates_.FailureRate(index, now));
   }
   double min_cost = std::numeric_limits<double>::max();
   for (option& each : options) {
