Reports go to a daemon of the same data centre in large fleets

Cause: the usage tree ordered all daemons by a hash, so that with five data centres four of five reports of repeats and quotas, four a second from each daemon, crossed to another one.

Change: above two fan-outs each data centre is a heap of its own, whose first daemon reports to the first of all. All edges still lead to an earlier daemon of one order, so that there are no cycles if lists differ. In the test of 984 daemons in five data centres 4 reports cross a border; levels stay within those that lent tokens survive. Fleets of up to 128 daemons report as before.

--- a/include/quota/usage_tree.h
+++ b/include/quota/usage_tree.h
@@ -15,6 +15,7 @@
 
 struct usage_tree_options {
   std::string self;  // IP address.
+  std::string data_centre;
   // Maximum number of children of a daemon; bounds its work for any fleet size.
   std::size_t fan_out = 64;
   // A parent that does not respond for `parent_timeout` is skipped, and retried
@@ -23,9 +24,13 @@
   milliseconds parent_backoff{3000};
 };
 
-// A heap over the daemons, ordered by a hash of their addresses. Each daemon
-// reports to one that precedes it, so that reports never form a cycle even if
-// the lists of the daemons differ.
+// Each daemon reports to one that precedes it in the order of all daemons, so
+// that reports never form a cycle even if the lists of the daemons differ.
+//
+// A small fleet is one heap. In a larger one each data centre is a heap, and
+// the first daemon of each data centre reports to the first of all: one heap
+// would send nearly all reports across data centres, at a cost that grows with
+// the fleet.
 //
 // Pure logic; each report_parent keeps one.
 class usage_tree {
@@ -44,9 +49,16 @@
 
  private:
   [[nodiscard]] std::optional<std::string> Choose() const;
+  // The parent in a heap of these daemons, without unresponsive ones.
+  [[nodiscard]] std::optional<std::string> ParentInHeap(
+      const std::vector<std::string>& predecessors) const;
+  [[nodiscard]] bool IsDivided(const daemon_order& order) const;
 
   const usage_tree_options options_;
-  std::vector<std::string> predecessors_;  // In hash order, before this daemon.
+  // Predecessors in order: those of the heap that this daemon belongs to, and
+  // if that is of its data centre, the first ones of all.
+  std::vector<std::string> predecessors_;
+  std::vector<std::string> first_;
   std::size_t daemons_ = 1;
   // Since when; for `parent_backoff`.
   std::map<std::string, time_point> unresponsive_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -157,13 +157,16 @@
                   .max_key_age = MaxKeyAge(settings)},
                  SharingCallbacks()),
         quotas_(context_,
-                {.self = settings.target.ip, .overage = settings.quota_overage},
+                {.self = {.ip = settings.target.ip,
+                          .data_centre = settings.data_centre},
+                 .overage = settings.quota_overage},
                 [this](const std::string& ip, const usage_frame& usage) {
                   origin_.SendUsage(ip, usage);
                 }),
         repeats_(
             context_,
-            {.self = settings.target.ip,
+            {.self = {.ip = settings.target.ip,
+                      .data_centre = settings.data_centre},
              .enabled =
                  settings.repeat_sharing == repeat_sharing_policy::kShared},
             {.is_ready =
--- a/src/forward/quota_sharing.h
+++ b/src/forward/quota_sharing.h
@@ -21,7 +21,7 @@
 namespace pistachioweir {
 
 struct quota_sharing_options {
-  std::string self;  // IP address.
+  daemon_location self;
   // Fraction by which the operator allows quotas to be exceeded.
   double overage = 0;
 };
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -23,7 +23,8 @@
     : options_(std::move(options)),
       callbacks_(std::move(callbacks)),
       timer_(context),
-      parent_({.self = options_.self}) {
+      parent_({.self = options_.self.ip,
+               .data_centre = options_.self.data_centre}) {
   exchange_.SetRoot(true);
 }
 
--- a/src/forward/repeat_sharing.h
+++ b/src/forward/repeat_sharing.h
@@ -23,7 +23,7 @@
 namespace pistachioweir {
 
 struct repeat_sharing_options {
-  std::string self;      // IP address.
+  daemon_location self;
   bool enabled = false;  // Otherwise nothing is sent or answered.
 };
 
--- a/src/quota/usage_tree.cc
+++ b/src/quota/usage_tree.cc
@@ -2,15 +2,50 @@
 #include "include/quota/usage_tree.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace pistachioweir {
+namespace {
+
+// Daemons for which one heap sends fewer levels of reports than one for each
+// data centre, in fan-outs.
+constexpr std::size_t kUndividedFanOuts = 2;
+// How many daemons the first one of a data centre tries before it counts itself
+// as the root. Those that precede it may all be gone.
+constexpr std::size_t kMaxFirst = 16;
+
+}  // namespace
+
+// Data centres with more levels than tokens survive are not divided
+// (ranked_repeat_budget::kTreeLevels).
+bool usage_tree::IsDivided(const daemon_order& order) const {
+  if (order.daemons().size() <= kUndividedFanOuts * options_.fan_out) {
+    return false;
+  }
+  std::map<std::string_view, std::size_t> sizes;
+  for (const ordered_daemon& each : order.daemons()) {
+    ++sizes[each.location.data_centre];
+  }
+  const std::size_t max_size = options_.fan_out * (options_.fan_out + 1);
+  return std::ranges::all_of(
+      sizes, [&](const auto& size) { return size.second <= max_size; });
+}
+
 void usage_tree::SetDaemons(const daemon_order& order) {
   const std::vector<ordered_daemon>& daemons = order.daemons();
   daemons_ = std::max<std::size_t>(1, daemons.size());
   predecessors_.clear();
+  first_.clear();
+  const bool divided = IsDivided(order);
   for (auto it = daemons.begin(); it != order.PositionOf(options_.self); ++it) {
-    predecessors_.push_back(it->location.ip);
+    if (!divided || it->location.data_centre == options_.data_centre) {
+      predecessors_.push_back(it->location.ip);
+    }
+    if (divided && first_.size() < kMaxFirst) {
+      first_.push_back(it->location.ip);
+    }
   }
 }
 
@@ -21,10 +56,11 @@
   }
 }
 
-std::optional<std::string> usage_tree::Choose() const {
+std::optional<std::string> usage_tree::ParentInHeap(
+    const std::vector<std::string>& predecessors) const {
   std::vector<const std::string*> usable;
-  usable.reserve(predecessors_.size());
-  for (const std::string& ip : predecessors_) {
+  usable.reserve(predecessors.size());
+  for (const std::string& ip : predecessors) {
     if (!unresponsive_.contains(ip)) {
       usable.push_back(&ip);
     }
@@ -35,6 +71,11 @@
   return *usable[(usable.size() - 1) / options_.fan_out];
 }
 
+std::optional<std::string> usage_tree::Choose() const {
+  auto parent = ParentInHeap(predecessors_);
+  return parent ? parent : ParentInHeap(first_);
+}
+
 std::optional<std::string> usage_tree::Parent(time_point now) {
   const bool was_suspended = now - last_call_at_ > options_.parent_timeout;
   last_call_at_ = now;
--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -4,10 +4,17 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "include/quota/usage_tree.h"
+#include "include/retry/ranked_repeat_budget.h"
+#include "include/route/daemon_order.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/quota_frame.h"
 #include "tools/quota_fleet.h"
@@ -170,6 +177,86 @@
   EXPECT_EQ(first, 1);
 }
 
+// The tree of a fleet in several data centres.
+class divided_tree {
+ public:
+  divided_tree(std::size_t daemons, std::size_t data_centres) {
+    for (std::size_t i = 0; i < daemons; ++i) {
+      locations_.push_back({.ip = "10.0." + std::to_string(i / 200) + "." +
+                                  std::to_string(i % 200),
+                            .data_centre = std::to_string(i % data_centres)});
+    }
+    const daemon_order order(locations_);
+    for (const daemon_location& each : locations_) {
+      usage_tree tree({.self = each.ip, .data_centre = each.data_centre});
+      tree.SetDaemons(order);
+      parents_[each.ip] = tree.Parent(time_point(seconds(100)));
+      data_centres_[each.ip] = each.data_centre;
+    }
+  }
+
+  [[nodiscard]] int roots() const {
+    return static_cast<int>(std::ranges::count_if(
+        parents_, [](const auto& each) { return !each.second; }));
+  }
+  [[nodiscard]] int ReportsAcrossDataCentres() const {
+    return static_cast<int>(
+        std::ranges::count_if(parents_, [&](const auto& each) {
+          return each.second && data_centres_.at(each.first) !=
+                                    data_centres_.at(*each.second);
+        }));
+  }
+  // Of reports on the way to the root.
+  [[nodiscard]] int levels() const {
+    int most = 0;
+    for (const auto& [ip, parent] : parents_) {
+      int steps = 0;
+      for (auto next = parent; next && steps < 100; ++steps) {
+        next = parents_.at(*next);
+      }
+      most = std::max(most, steps);
+    }
+    return most;
+  }
+  [[nodiscard]] std::size_t MostChildren() const {
+    std::map<std::string, std::size_t> children;
+    for (const auto& [ip, parent] : parents_) {
+      if (parent) {
+        ++children[*parent];
+      }
+    }
+    return std::ranges::max_element(children, {}, [](const auto& each) {
+             return each.second;
+           })->second;
+  }
+
+ private:
+  std::vector<daemon_location> locations_;
+  std::map<std::string, std::optional<std::string>> parents_;
+  std::map<std::string, std::string> data_centres_;
+};
+
+// Guards against reports that nearly all go to other data centres, and against
+// levels that tokens don't survive.
+TEST(UsageTreeTest, ALargeFleetReportsOnceForEachDataCentre) {
+  const std::pair<std::size_t, std::size_t> sizes[] = {
+      {300, 3}, {984, 5}, {2000, 5}};
+  for (const auto& [daemons, data_centres] : sizes) {
+    const divided_tree tree(daemons, data_centres);
+    EXPECT_EQ(tree.roots(), 1) << daemons;
+    EXPECT_EQ(tree.ReportsAcrossDataCentres(), data_centres - 1) << daemons;
+    EXPECT_LE(tree.levels(), ranked_repeat_budget::kTreeLevels) << daemons;
+    EXPECT_LE(tree.MostChildren(), 64 + data_centres) << daemons;
+  }
+}
+
+// Guards against a level more of reports where a fleet is small.
+TEST(UsageTreeTest, ASmallFleetReportsToOneDaemon) {
+  const divided_tree tree(60, 3);
+  EXPECT_EQ(tree.roots(), 1);
+  EXPECT_EQ(tree.levels(), 1);
+}
+
 // Guards against daemons that keep reporting to a parent that is gone.
 TEST(UsageTreeTest, AnUnresponsiveParentIsReplaced) {
   usage_tree tree({.self = "10.0.0.3"});
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -151,7 +151,7 @@
   std::set<std::string> asked;
   int reports = 0;
   repeat_sharing child(
-      context_, {.self = "10.0.0.1", .enabled = true},
+      context_, {.self = {.ip = "10.0.0.1"}, .enabled = true},
       {.is_ready =
            [&](const std::string& ip) {
              asked.insert(ip);
@@ -201,7 +201,7 @@
  private:
   void Start(const std::string& ip, const daemon_order& order) {
     child_ = std::make_unique<repeat_sharing>(
-        context_, repeat_sharing_options{.self = ip, .enabled = true},
+        context_, repeat_sharing_options{.self = {.ip = ip}, .enabled = true},
         repeat_sharing_callbacks{
             .is_ready = [](const std::string&) { return true; },
             .send =
