Repeats of a rank go to the requests that are served with them

Two reasons: every request of a rank had the same chance for a repeat, and the need of a rank was derived from attempts, of which a daemon of a large fleet sees two a second; those of roots that ended at their first refusal are missing.

Change: repeat_forecast derives the need from the requests of the window and the rejected part of all sends. Less important ranks leave that much, and where the budget doesn't suffice for a rank, the roots with the highest tickets are repeated, as many as can be served.

The bound is unchanged: no repeat is sent that was refused before for want of budget.

--- a/bench/repeat_bench.cc
+++ b/bench/repeat_bench.cc
@@ -15,9 +15,9 @@
   std::uint32_t number = 0;
   for (auto _ : state) {
     now += microseconds(830);
-    budget.OnRequest(now);
     const auto level = static_cast<priority>(number++ % kPriorityCount);
-    benchmark::DoNotOptimize(budget.TrySpend(level, false, now));
+    budget.OnRequest(level, now);
+    benchmark::DoNotOptimize(budget.TrySpend({.level = level}, now));
   }
 }
 BENCHMARK(BM_TrySpend);
--- a/include/retry/ranked_repeat_budget.h
+++ b/include/retry/ranked_repeat_budget.h
@@ -10,6 +10,7 @@
 #include "include/base/priority.h"
 #include "include/base/time.h"
 #include "include/quota/report_parent.h"
+#include "include/retry/repeat_forecast.h"
 #include "include/retry/slot_counts.h"
 #include "include/retry/token_pool.h"
 
@@ -41,6 +42,13 @@
   double reserve = 1;
 };
 
+// A repeat that a request needs.
+struct wanted_repeat {
+  priority level = priority::kNormal;
+  std::uint8_t ticket = 255;  // Of the root request; see admission_rank.
+  bool makes_calls = false;   // Runs of its kind make calls, or may.
+};
+
 // A count for each priority, the most important first.
 using rank_counts = std::array<std::uint32_t, kPriorityCount>;
 // Likewise, but of parts of tokens.
@@ -65,6 +73,12 @@
 // have left of their minimums. Within its minimum, a rank isn't refused for
 // another one.
 //
+// Where the budget doesn't suffice for a rank, only requests with the highest
+// tickets are repeated, as many as can be served with it. A root request whose
+// run makes four calls needs a repeat for each of them that is rejected; with
+// equal chances for all, most of the budget was spent on requests that failed
+// all the same.
+//
 // Daemons lend each other what they don't need: a token that is lent counts as
 // spent here, and is spent elsewhere in addition to the budget there. It counts
 // for longer than it may be spent, so that the window of this daemon covers
@@ -109,10 +123,9 @@
 
   explicit ranked_repeat_budget(const ranked_repeat_options& options);
 
-  void OnRequest(time_point now);
-  // Counts a repeat. Returns false if it must not be sent. `makes_calls`: runs
-  // of its kind make calls, or may.
-  [[nodiscard]] bool TrySpend(priority level, bool makes_calls, time_point now);
+  void OnRequest(priority level, time_point now);
+  // Counts a repeat. Returns false if it must not be sent.
+  [[nodiscard]] bool TrySpend(const wanted_repeat& repeat, time_point now);
   // A first send that the called service counts as a repeat, since a run above
   // is one. Counts whether or not there is budget for it.
   void ChargeInherited(time_point now);
@@ -174,16 +187,18 @@
   [[nodiscard]] double NeedOfOthers(std::size_t rank, time_point now) const;
   // What ranks more important than `rank` need, and the minimums of others.
   [[nodiscard]] double KeptFor(std::size_t rank, time_point now) const;
+  // Whether the budget suffices for requests with this ticket.
+  [[nodiscard]] bool IsChosen(std::size_t rank, std::uint8_t ticket) const;
   // What the rank may spend besides its minimum.
   [[nodiscard]] double Usable(std::size_t rank, time_point now) const;
-  [[nodiscard]] bool MaySpend(std::size_t rank,
-                              bool makes_calls,
+  [[nodiscard]] bool MaySpend(const wanted_repeat& repeat,
                               time_point now) const;
   [[nodiscard]] std::uint32_t SpareFor(std::size_t rank, time_point now) const;
 
   ranked_repeat_options options_;
   bool starting_ = true;  // As of the last Expire().
   slot_counts<1> requests_;
+  repeat_forecast forecast_;
   // Repeats by priority, on whose account ever; then kOwn and kOwnCalling.
   slot_counts<kPriorityCount + 2> used_;
   slot_counts<1> lent_;
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -136,6 +136,10 @@
   SetPlacing(placed.get());
   Inherit(id, placed.get());
   placed->placing.level = PriorityOfRank(placed->rank);
+  if (SharesRepeats()) {
+    StateOf(placed->service)
+        .ranked_repeats.OnRequest(placed->placing.level, placed->call.received);
+  }
   LogRouted(id, *placed);
   if (local_.IsQuarantined(placed->matched->name, placed->call.request,
                            placed->call.received)) {
@@ -155,9 +159,7 @@
       splits_.try_emplace(matched.name, weighted_split(RandomBits64())).first;
   call->service = std::string(split->second.Next(matched.parts));
   service_state& state = StateOf(call->service);
-  if (SharesRepeats()) {
-    state.ranked_repeats.OnRequest(call->call.received);
-  } else {
+  if (!SharesRepeats()) {
     state.repeats.OnRequest(call->call.received);
   }
   const milliseconds timeout = TimeoutOf(*call);
--- a/src/forward/origin_repeats.cc
+++ b/src/forward/origin_repeats.cc
@@ -35,7 +35,10 @@
       local_.keeps_lineage() && !state.without_calls.test(call.placing.method);
   const priority level = call.placing.level;
   ranked_repeat_budget& budget = state.ranked_repeats;
-  if (budget.TrySpend(level, may_make_calls, now)) {
+  if (budget.TrySpend({.level = level,
+                       .ticket = call.placing.ticket,
+                       .makes_calls = may_make_calls},
+                      now)) {
     return true;
   }
   const auto whole = [](double tokens) {
--- a/src/retry/ranked_repeat_budget.cc
+++ b/src/retry/ranked_repeat_budget.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "include/admit/admission_rank.h"
+
 namespace pistachioweir {
 namespace {
 
@@ -59,6 +61,7 @@
 ranked_repeat_budget::ranked_repeat_budget(const ranked_repeat_options& options)
     : options_(options),
       requests_(options.window, slot_expiry::kOldest),
+      forecast_(options.window),
       used_(options.window, slot_expiry::kNewest),
       lent_(options.window + kLentExtra, slot_expiry::kNewest),
       attempts_{NoAttempts(), NoAttempts(), NoAttempts(), NoAttempts()} {}
@@ -71,6 +74,7 @@
 void ranked_repeat_budget::Expire(time_point now) {
   starting_ = now - options_.started <= options_.window + kLentExtra;
   requests_.Expire(now);
+  forecast_.Expire(now);
   used_.Expire(now);
   lent_.Expire(now);
   for (auto& attempts : attempts_) {
@@ -119,8 +123,9 @@
           : std::max(Rate(attempts.recent, 1, kLatest, now),
                      Rate(attempts.latest, std::sqrt(Total(attempts.latest)),
                           slot_counts<2>::kSlotWidth, now));
-  return std::max(DemandOf(rank), rate * Seconds(options_.window) -
-                                      static_cast<double>(used_.sum(rank)));
+  const double need =
+      std::max(rate * Seconds(options_.window), forecast_.NeedOf(rank));
+  return std::max(DemandOf(rank), need - static_cast<double>(used_.sum(rank)));
 }
 
 // Where the important requests come to other daemons, the budget would be spent
@@ -157,9 +162,29 @@
                   std::max(borrowed, available - KeptFor(rank, now)));
 }
 
-bool ranked_repeat_budget::MaySpend(std::size_t rank,
-                                    bool makes_calls,
+// Of what the window allows, lent tokens and more important ranks take their
+// parts first.
+bool ranked_repeat_budget::IsChosen(std::size_t rank,
+                                    std::uint8_t ticket) const {
+  const double need = forecast_.NeedOf(rank);
+  double budget =
+      Allowed(Ratio()) - static_cast<double>(lent_.sum(0)) + borrowed_.size();
+  for (std::size_t other = 0; other < rank; ++other) {
+    budget -= std::max(forecast_.NeedOf(other),
+                       static_cast<double>(used_.sum(other)));
+  }
+  budget = std::max(budget, Minimum());
+  if (budget >= need) {
+    return true;
+  }
+  const double tickets = std::ceil(kRanksPerPriority * budget / need);
+  return ticket >= kRanksPerPriority - tickets;
+}
+
+bool ranked_repeat_budget::MaySpend(const wanted_repeat& repeat,
                                     time_point now) const {
+  const std::size_t rank = IndexOf(repeat.level);
+  const bool makes_calls = repeat.makes_calls;
   const double own = OwnRemaining();
   const double available = own + borrowed_.size();
   if (available < 1) {
@@ -172,26 +197,31 @@
                       Allowed(std::min(options_.calling_ratio, Ratio())))) {
     return false;
   }
-  return UnusedMinimum(rank) >= 1 || Usable(rank, now) >= 1;
+  return IsChosen(rank, repeat.ticket) &&
+         (UnusedMinimum(rank) >= 1 || Usable(rank, now) >= 1);
 }
 
-void ranked_repeat_budget::OnRequest(time_point now) {
+void ranked_repeat_budget::OnRequest(priority level, time_point now) {
   requests_.Expire(now);
   requests_.Add(0, 1, now);
+  forecast_.Expire(now);
+  forecast_.OnRequest(level, now);
 }
 
-bool ranked_repeat_budget::TrySpend(priority level,
-                                    bool makes_calls,
+bool ranked_repeat_budget::TrySpend(const wanted_repeat& repeat,
                                     time_point now) {
   Expire(now);
-  const std::size_t rank = IndexOf(level);
+  const std::size_t rank = IndexOf(repeat.level);
+  const bool makes_calls = repeat.makes_calls;
   const std::size_t kind = makes_calls ? kWithCalls : kWithoutCalls;
+  forecast_.OnFailure(now);
   attempts_[rank].recent.Add(kind, 1, now);
   attempts_[rank].latest.Add(kind, 1, now);
-  if (!MaySpend(rank, makes_calls, now)) {
+  if (!MaySpend(repeat, now)) {
     ++counters_.refused[rank];
     return false;
   }
+  forecast_.OnRepeat(now);
   ++counters_.spent[rank];
   used_.Add(rank, 1, now);
   // Borrowed tokens first: they expire sooner.
--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -58,7 +58,7 @@
 
   void Call(priority level, bool rejects, time_point now) {
     requests.push_back(now);
-    budget_.OnRequest(now);
+    budget_.OnRequest(level, now);
     if (!rejects) {
       return;
     }
@@ -69,7 +69,7 @@
         ++result.served;
         return;
       }
-      if (sends == kMaxSends || !budget_.TrySpend(level, false, now)) {
+      if (sends == kMaxSends || !budget_.TrySpend({.level = level}, now)) {
         return;
       }
       ++result.repeats;
@@ -107,20 +107,89 @@
   }
 }
 
+// A service three calls below the entrance, called by thirty daemons. Each root
+// request makes four calls, one after the other, and fails with the first that
+// isn't served. Each daemon has 2.2 important roots a second and 5 others. From
+// second 15 on, the service rejects 55 of 100 sends for 8.5 s.
+class rejecting_service_below {
+ public:
+  rejecting_service_below() {
+    for (auto& budget : budgets_) {
+      budget = std::make_unique<ranked_repeat_budget>(
+          ranked_repeat_options{.ratio = 0.14, .reserve = 0.5});
+    }
+    for (time_point now = kStart; now < kStart + milliseconds(23500);
+         now += kStep) {
+      for (auto& budget : budgets_) {
+        Arrive(*budget, kImportant, 2.2, now);
+        Arrive(*budget, kOther, 5, now);
+      }
+    }
+  }
+
+  std::array<served_calls, kPriorityCount> roots;  // While it rejects.
+
+ private:
+  static constexpr milliseconds kStep{10};
+  static constexpr int kMaxSends = 8;
+
+  void Arrive(ranked_repeat_budget& budget,
+              priority level,
+              double per_second,
+              time_point now) {
+    const double chance =
+        per_second * std::chrono::duration<double>(kStep).count();
+    if (std::uniform_real_distribution<>(0, 1)(random_) >= chance) {
+      return;
+    }
+    served_calls& result = roots[static_cast<std::size_t>(level)];
+    const bool rejects = now >= kStart + seconds(15);
+    const auto ticket = static_cast<std::uint8_t>(random_());
+    result.calls += rejects ? 1 : 0;
+    for (int call = 0; call < 4; ++call) {
+      budget.OnRequest(level, now);
+      for (int sends = 1; rejects && random_() % 100 < 55; ++sends) {
+        if (sends == kMaxSends ||
+            !budget.TrySpend({.level = level, .ticket = ticket}, now)) {
+          return;
+        }
+        ++result.repeats;
+      }
+    }
+    result.served += rejects ? 1 : 0;
+  }
+
+  std::array<std::unique_ptr<ranked_repeat_budget>, 30> budgets_;
+  std::mt19937 random_{5};
+};
+
+// Guards against repeats that are spread over all requests, of which each then
+// fails with another call: half of the repeats were lost so.
+TEST(RankedRepeatBudgetTest, RepeatsGoToRequestsThatAreServedWithThem) {
+  const rejecting_service_below service;
+  const auto& important = service.roots[static_cast<std::size_t>(kImportant)];
+  const auto& others = service.roots[static_cast<std::size_t>(kOther)];
+  // Each of four calls needs 55/45 of a repeat.
+  constexpr double kNeed = 4 * 55.0 / 45;
+  EXPECT_GT(important.served,
+            0.75 * (important.repeats + others.repeats) / kNeed);
+  EXPECT_GT(important.share(), 3 * others.share());
+}
+
 // Guards against repeats of kinds with calls that leave no budget to the
 // services further down, where each of them is charged several times.
 TEST(RankedRepeatBudgetTest, KindsWithCallsHaveASmallerPart) {
   ranked_repeat_budget budget(
       {.ratio = 0.85, .calling_ratio = 0.4, .reserve = 0});
   for (int i = 0; i < 100; ++i) {
-    budget.OnRequest(kStart);
+    budget.OnRequest(kImportant, kStart);
   }
   int calling = 0;
-  while (budget.TrySpend(kImportant, true, kStart)) {
+  while (budget.TrySpend({.level = kImportant, .makes_calls = true}, kStart)) {
     ++calling;
   }
   int all = calling;
-  while (budget.TrySpend(kImportant, false, kStart)) {
+  while (budget.TrySpend({.level = kImportant}, kStart)) {
     ++all;
   }
   EXPECT_EQ(calling, 40);
@@ -134,8 +203,9 @@
     budget.ChargeInherited(kStart);
   }
   EXPECT_EQ(budget.remaining(kStart), -1);
-  EXPECT_FALSE(budget.TrySpend(kImportant, false, kStart + seconds(10)));
-  EXPECT_TRUE(budget.TrySpend(kImportant, false, kStart + milliseconds(10001)));
+  EXPECT_FALSE(budget.TrySpend({.level = kImportant}, kStart + seconds(10)));
+  EXPECT_TRUE(
+      budget.TrySpend({.level = kImportant}, kStart + milliseconds(10001)));
 }
 
 // Guards against a daemon that lends what its own important requests need, or
@@ -144,7 +214,7 @@
   ranked_repeat_budget budget({.ratio = 0, .reserve = 100});
   for (int i = 0; i <= 10; ++i) {
     EXPECT_TRUE(
-        budget.TrySpend(kImportant, false, kStart + i * milliseconds(200)));
+        budget.TrySpend({.level = kImportant}, kStart + i * milliseconds(200)));
   }
   const time_point now = kStart + seconds(2);
   // 89 are left. Ten in two seconds make 50 in the window, of which 39 are to
@@ -173,10 +243,10 @@
       restarted.started = now;
       budget = ranked_repeat_budget(restarted);
     }
-    budget.OnRequest(now);
+    budget.OnRequest(kImportant, now);
     // Just before the first restart, and at any time after it.
     const bool spends = now >= kStart + milliseconds(29500);
-    while (spends && budget.TrySpend(kImportant, false, now)) {
+    while (spends && budget.TrySpend({.level = kImportant}, now)) {
       spent.push_back(now);
       ++total;
     }
@@ -198,10 +268,10 @@
                                .reserve = 0});
   const auto spend_all = [&](time_point now) {
     for (int i = 0; i < 100; ++i) {
-      budget.OnRequest(now);
+      budget.OnRequest(kImportant, now);
     }
     int spent = 0;
-    while (budget.TrySpend(kImportant, true, now)) {
+    while (budget.TrySpend({.level = kImportant, .makes_calls = true}, now)) {
       ++spent;
     }
     return spent;
@@ -287,7 +357,7 @@
         break;
       default:
         own.requests.push_back(now_);
-        own.budget.OnRequest(now_);
+        own.budget.OnRequest(kOther, now_);
     }
   }
 
@@ -371,7 +441,7 @@
     account& own = *accounts_[current_[daemon]];
     auto& held = borrowed_[daemon];
     const double before = own.budget.remaining(now_);
-    if (!own.budget.TrySpend(level, false, now_)) {
+    if (!own.budget.TrySpend({.level = level}, now_)) {
       return;
     }
     RC_ASSERT(before >= 1);
--- a/tests/repeat_exchange_test.cc
+++ b/tests/repeat_exchange_test.cc
@@ -42,7 +42,8 @@
       now_ += kStep;
       for (std::size_t i = 0; i < busy_; ++i) {
         for (const priority level : attempts(i)) {
-          const bool granted = daemons_[i]->budget.TrySpend(level, false, now_);
+          const bool granted =
+              daemons_[i]->budget.TrySpend({.level = level}, now_);
           ++(granted ? spent : refused)[static_cast<std::size_t>(level)];
         }
       }
@@ -174,7 +175,7 @@
   const std::vector<own_repeat_budget> own{
       {.service = kService, .budget = &budget}};
   repeat_exchange exchange;
-  EXPECT_TRUE(budget.TrySpend(priority::kNormal, false, kStart));
+  EXPECT_TRUE(budget.TrySpend({.level = priority::kNormal}, kStart));
   exchange.Tick(own, 0.5, kStart);
   EXPECT_TRUE(exchange.TakeReport(kStart).empty());
   EXPECT_TRUE(exchange.OnReport(1, {}, milliseconds(0), kStart).empty());
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -217,7 +217,7 @@
                 },
             .budgets =
                 [this] {
-                  (void)budget_.TrySpend(priority::kCritical, false,
+                  (void)budget_.TrySpend({.level = priority::kCritical},
                                          monotonic_clock::now());
                   return std::vector<own_repeat_budget>{
                       {.service = kService, .budget = &budget_}};
