--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -41,10 +41,11 @@
   std::vector<std::string> sources;  // IP addresses of the daemons to follow.
 };
 
-// All daemons have the same order of daemons. The first two of a data centre read the store; the others follow
-// them, in a large data centre through daemons earlier in the order. Differing
-// lists of daemons cost only extra calls and milliseconds; correctness depends
-// on revisions alone (view_changes.h).
+// All daemons have the same order of daemons. The first two of a data centre
+// read the store; the others follow them, in a large data centre through
+// daemons earlier in the order. Differing lists of daemons cost only extra
+// calls and milliseconds; correctness depends on revisions alone
+// (view_changes.h).
 //
 // A source is rated by the age of its reports, which accumulates over all
 // daemons on the path (guard AGE_COUNTS in spec/shared_views.pml). A daemon
--- a/tests/leaving_target_test.cc
+++ b/tests/leaving_target_test.cc
@@ -2,6 +2,7 @@
 // daemons misjudge the state of the store.
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -137,10 +138,12 @@
   target_vouching vouching;
   vouching.SetTarget(StartName(target));
   lapsed_targets lapsed;
-  lapsed.SetListed({target}, kStart);
+  lapsed.SetListed(std::make_shared<const target_list>(target_list{target}),
+                   kStart);
   const time_point left = kStart + seconds(4);
   vouching.OnAnswer(false, left);
-  lapsed.SetListed({}, left + milliseconds(100));
+  lapsed.SetListed(std::make_shared<const target_list>(),
+                   left + milliseconds(100));
   // Each frame from that daemon carries its vouching.
   for (milliseconds after{0}; after <= kDrain; after += milliseconds(50)) {
     const time_point now = left + after;
