A daemon reports repeats once it is listed

Cause: a daemon begins to report with its first view.

Change: until its own target is listed for the first time, a daemon lends and borrows nothing, as without a parent.

--- a/include/route/daemon_order.h
+++ b/include/route/daemon_order.h
@@ -57,6 +57,7 @@
   // The first daemon that doesn't precede the address, which need not be known.
   [[nodiscard]] std::vector<ordered_daemon>::const_iterator PositionOf(
       const std::string& ip) const;
+  [[nodiscard]] bool Contains(const std::string& ip) const;
   // The part of the daemons of its data centre that precede it, from 0 up to 1.
   [[nodiscard]] double FractionBefore(const daemon_location& daemon) const;
 
--- a/src/forward/repeat_sharing.cc
+++ b/src/forward/repeat_sharing.cc
@@ -33,7 +33,9 @@
 }
 
 void repeat_sharing::OnView(const daemon_order& order) {
-  if (!options_.enabled) {
+  // While a whole fleet starts, a daemon that isn't listed yet knows few
+  // others, and all of them would report to the first of those.
+  if (!options_.enabled || (!reporting_ && !order.Contains(options_.self.ip))) {
     return;
   }
   parent_.SetDaemons(order);
--- a/src/route/daemon_order.cc
+++ b/src/route/daemon_order.cc
@@ -41,6 +41,11 @@
   return std::ranges::lower_bound(daemons_, KeyOfIp(ip), {}, KeyOf);
 }
 
+bool daemon_order::Contains(const std::string& ip) const {
+  const auto position = PositionOf(ip);
+  return position != daemons_.end() && position->location.ip == ip;
+}
+
 double daemon_order::FractionBefore(const daemon_location& daemon) const {
   const auto is_local = [&](const ordered_daemon& each) {
     return each.location.data_centre == daemon.data_centre;
--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -171,6 +171,31 @@
   child.Stop();
 }
 
+// Guards against a fleet that starts and of which all daemons report to the few
+// that are listed.
+TEST(RepeatSharingConnectionTest, ADaemonReportsOnceItIsListed) {
+  boost::asio::io_context context;
+  int asked = 0;
+  repeat_sharing child(
+      context, {.self = {.ip = "10.0.0.1"}, .enabled = true},
+      {.is_ready =
+           [&](const std::string&) {
+             ++asked;
+             return false;
+           },
+       .send = [](const std::string&, const repeat_frame&) {},
+       .budgets = [] { return std::vector<own_repeat_budget>(); }});
+  child.OnView(daemon_order::InOneDataCentre({"10.0.0.2", "10.0.0.3"}));
+  EXPECT_EQ(asked, 0);
+  child.OnView(
+      daemon_order::InOneDataCentre({"10.0.0.1", "10.0.0.2", "10.0.0.3"}));
+  EXPECT_EQ(asked, 1);
+  // Its entry may expire while it runs.
+  child.OnView(daemon_order::InOneDataCentre({"10.0.0.2", "10.0.0.3"}));
+  EXPECT_TRUE(RunUntil(context, [&] { return asked == 2; }));
+  child.Stop();
+}
+
 // A daemon with demand that reports to another one every 250 ms.
 class reporting_daemon {
  public:
