Told changes confirm the view

Cause: a daemon that others tell of changes reads the store itself unless a reader has confirmed its view within a second. Only a report of the same revision confirmed it.

Change: changes carry the time since a reader of the store read them, when there was nothing newer; when they are applied, they confirm the view as of then. What was read by an answer that may be old confirms nothing.

Test: twenty heartbeats of reports of other revisions, with changes told in between: the daemon doesn't read the store; without them it does.

--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -53,6 +53,10 @@
   }
 }
 
+void view_following::OnChanges(milliseconds read_ago, time_point now) {
+  confirmed_ = std::max(confirmed_, now - read_ago - kReportDelay);
+}
+
 void view_following::OnLost(const std::string& ip, time_point now) {
   const auto known = sources_.find(ip);
   if (known != sources_.end() && !known->second.excluded_since) {
--- a/src/forward/view_sharing.cc
+++ b/src/forward/view_sharing.cc
@@ -235,6 +235,7 @@
   ++(taken ? counters_.taken : counters_.not_applied);
   if (taken) {
     CountAge(changes.read_ago);
+    following_.OnChanges(changes.read_ago, monotonic_clock::now());
   }
   // With two sources every change arrives twice.
   if (verdict == changes_verdict::kNotNewer) {
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -489,9 +489,35 @@
 }
 
 // The only two known daemons have no other source.
+// Guards against a series of changes in which each daemon reads the store: its
+// sources always report a revision that it doesn't have yet, or had before.
+TEST(ViewFollowingTest, ASeriesOfChangesConfirmsTheView) {
+  const std::vector<daemon_location> places = {
+      {.ip = "10.0.0.1"}, {.ip = "10.0.0.2"}, {.ip = "10.0.0.3"}};
+  const daemon_order order(places);
+  const daemon_location last = order.daemons().back().location;
+  for (const bool changes_come : {true, false}) {
+    view_following following({.self = last});
+    following.SetDaemons(order);
+    following_plan plan;
+    time_point now = kStart;
+    for (int i = 0; i < 20; ++i) {
+      now += kHeartbeat;
+      plan = following.Plan(now);
+      for (const std::string& source : plan.sources) {
+        following.OnReport(source, milliseconds(0), false, now);
+      }
+      if (changes_come) {
+        following.OnChanges(milliseconds(20), now);
+      }
+    }
+    EXPECT_EQ(plan.reading == store_reading::kNone, changes_come);
+  }
+}
+
 // Guards against a fleet that starts and of which all daemons follow the first
-// ones that are listed: those would tell each of a thousand daemons of the start
-// of each other one.
+// ones that are listed: those would tell each of a thousand daemons of the
+// start of each other one.
 TEST(ViewFollowingTest, DaemonsThatAreNotListedYetAreSpreadOverTheListedOnes) {
   constexpr std::size_t kDaemons = 1000;
   constexpr std::size_t kListed = 40;
