--- a/include/forward/view_changes.h
+++ b/include/forward/view_changes.h
@@ -36,8 +36,8 @@
   // them has been removed.
   std::uint64_t after = 0;
   std::uint64_t revision = 0;  // Of the last change; above zero.
-  // Time since a daemon read the newest of them from the store, and nothing newer
-  // was there.
+  // Time since a daemon read the newest of them from the store, and nothing
+  // newer was there.
   milliseconds read_ago{0};
   // Time since the end of the store's last outage, if that is so recent that
   // entries which expired in it may still come back.
