--- a/tests/repeat_sharing_test.cc
+++ b/tests/repeat_sharing_test.cc
@@ -89,7 +89,7 @@
   origin child_;
   ranked_repeat_budget budget_{{.ratio = 0, .reserve = 100}};
   repeat_sharing parent_{context_,
-                         {.self = kParentIp, .enabled = true},
+                         {.self = {.ip = kParentIp}, .enabled = true},
                          {.budgets = [this] {
                            return std::vector<own_repeat_budget>{
                                {.service = kService, .budget = &budget_}};
@@ -139,7 +139,7 @@
 
 // Guards against a daemon that takes part although its setting says otherwise.
 TEST_F(repeat_sharing_test, WithoutTheSettingNothingIsAnswered) {
-  repeat_sharing off(context_, {.self = kParentIp}, {});
+  repeat_sharing off(context_, {.self = {.ip = kParentIp}}, {});
   EXPECT_FALSE(off.OnReport(incarnation_id{7}, repeat_frame{}, {}));
 }
 
