--- a/include/forward/view_following.h
+++ b/include/forward/view_following.h
@@ -72,8 +72,8 @@
                 milliseconds age,
                 bool same,
                 time_point now);
-  // Changes were applied that a reader of the store read `read_ago`: the view is
-  // the store's newest state of then. In a series of changes, reports rarely
+  // Changes were applied that a reader of the store read `read_ago`: the view
+  // is the store's newest state of then. In a series of changes, reports rarely
   // come at a moment at which both daemons have the same revision.
   void OnChanges(milliseconds read_ago, time_point now);
   // The daemon at `ip` can't be reached, or is stopping.
--- a/include/route/balancer.h
+++ b/include/route/balancer.h
@@ -69,7 +69,8 @@
 
 // What has changed in the list of targets.
 struct target_list_changes {
-  std::vector<target_info> updated;  // New targets, or new values of known ones.
+  std::vector<target_info>
+      updated;  // New targets, or new values of known ones.
   std::vector<vm_id> removed;
 };
 
--- a/include/route/target_ring.h
+++ b/include/route/target_ring.h
@@ -52,8 +52,8 @@
               HasCapacity has_capacity,
               std::vector<std::uint32_t>* chosen) const {
     const std::size_t size = ring_.size();
-    const auto start = static_cast<std::size_t>(position_ *
-                                                static_cast<double>(size));
+    const auto start =
+        static_cast<std::size_t>(position_ * static_cast<double>(size));
     std::size_t with_capacity = 0;
     for (std::size_t i = 0; i < size && with_capacity < kTargets; ++i) {
       const std::uint32_t index = ring_[(start + i) % size].second;
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -152,8 +152,8 @@
         continue;
       }
       const bool is_same = StartName(*target) == heard.notice.start;
-      targets.SetRateLimit(
-          *ref, is_same ? heard.notice.rate_limit : std::nullopt);
+      targets.SetRateLimit(*ref,
+                           is_same ? heard.notice.rate_limit : std::nullopt);
       if (is_same && heard.notice.leaving) {
         targets.MarkLeaving(*ref);
       }
--- a/src/forward/origin_views.cc
+++ b/src/forward/origin_views.cc
@@ -91,14 +91,15 @@
   }
   service_state& state =
       services_
-      .try_emplace(service,
-                   balancer_options{.data_centre = options_.data_centre,
-                                    .policy = placement_policy::kExpectedEnd,
-                                    .methods = kind_index::kMaxKinds,
-                                    .max_tries = kMaxSends},
-                   RepeatOptions(monotonic_clock::now()),
-                   RankedRepeatOptions(monotonic_clock::now()))
-      .first->second;
+          .try_emplace(
+              service,
+              balancer_options{.data_centre = options_.data_centre,
+                               .policy = placement_policy::kExpectedEnd,
+                               .methods = kind_index::kMaxKinds,
+                               .max_tries = kMaxSends},
+              RepeatOptions(monotonic_clock::now()),
+              RankedRepeatOptions(monotonic_clock::now()))
+          .first->second;
   state.targets.SetPosition(position_);
   return state;
 }
--- a/src/forward/quota_sharing.cc
+++ b/src/forward/quota_sharing.cc
@@ -28,8 +28,8 @@
     : timer_(context),
       send_(std::move(send)),
       ledger_({.overage = options.overage * kPartitionOverageFraction}),
-      parent_({.self = options.self.ip,
-               .data_centre = options.self.data_centre}) {}
+      parent_(
+          {.self = options.self.ip, .data_centre = options.self.data_centre}) {}
 
 void quota_sharing::Stop() {
   timer_.cancel();
--- a/src/forward/repeat_sharing.h
+++ b/src/forward/repeat_sharing.h
@@ -16,8 +16,8 @@
 #include "include/base/ids.h"
 #include "include/forward/service_view.h"
 #include "include/quota/report_parent.h"
-#include "include/route/daemon_order.h"
 #include "include/retry/repeat_exchange.h"
+#include "include/route/daemon_order.h"
 #include "src/peer/repeat_frame.h"
 
 namespace pistachioweir {
--- a/src/forward/view_following.cc
+++ b/src/forward/view_following.cc
@@ -145,8 +145,7 @@
     return pair * (daemon_order::HashOf(options_.self.ip) % pairs);
   }
   const auto own_index = static_cast<std::size_t>(position - serving.begin());
-  return own_index < pair ? 0
-                          : pair * ((own_index - pair) / options_.fan_out);
+  return own_index < pair ? 0 : pair * ((own_index - pair) / options_.fan_out);
 }
 
 std::vector<std::string> view_following::Sources(
@@ -175,10 +174,9 @@
                                time_point now) const {
   const std::size_t limit = sources->size() + options_.readers;
   const std::size_t size = remote_.size();
-  const std::size_t first =
-      local_.empty() && size > 0
-          ? daemon_order::HashOf(options_.self.ip) % size
-          : 0;
+  const std::size_t first = local_.empty() && size > 0
+                                ? daemon_order::HashOf(options_.self.ip) % size
+                                : 0;
   for (std::size_t i = 0; i < size && sources->size() < limit; ++i) {
     const std::string& ip = remote_[(first + i) % size];
     if (!IsExcluded(ip, now)) {
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -149,9 +149,9 @@
   for (const target_info& info : changes.updated) {
     const auto found = index_of_.find(info.vm);
     const bool is_new = found == index_of_.end();
-    target& entry =
-        is_new ? AddEntry(info, &free, info.cold || !first_list, now)
-               : targets_[found->second];
+    target& entry = is_new
+                        ? AddEntry(info, &free, info.cold || !first_list, now)
+                        : targets_[found->second];
     const incarnation_id known = entry.info.incarnation;
     entry.info = info;
     if (info.incarnation == incarnation_id{}) {
--- a/src/route/daemon_order.cc
+++ b/src/route/daemon_order.cc
@@ -55,7 +55,8 @@
   const auto rest = std::count_if(position, daemons_.end(), is_local);
   return before == 0 ? 0
                      : static_cast<double>(before) /
-                           static_cast<double>(before + std::max(rest, decltype(rest){1}));
+                           static_cast<double>(
+                               before + std::max(rest, decltype(rest){1}));
 }
 
 daemon_order daemon_order::InOneDataCentre(
--- a/tests/quota_ledger_test.cc
+++ b/tests/quota_ledger_test.cc
@@ -202,8 +202,8 @@
   [[nodiscard]] int ReportsAcrossDataCentres() const {
     return static_cast<int>(
         std::ranges::count_if(parents_, [&](const auto& each) {
-          return each.second && data_centres_.at(each.first) !=
-                                    data_centres_.at(*each.second);
+          return each.second &&
+                 data_centres_.at(each.first) != data_centres_.at(*each.second);
         }));
   }
   // Of reports on the way to the root.
@@ -225,9 +225,9 @@
         ++children[*parent];
       }
     }
-    return std::ranges::max_element(children, {}, [](const auto& each) {
-             return each.second;
-           })->second;
+    return std::ranges::max_element(
+               children, {}, [](const auto& each) { return each.second; })
+        ->second;
   }
 
  private:
