--- a/include/route/daemon_order.h
+++ b/include/route/daemon_order.h
@@ -35,8 +35,8 @@
 // Ordered by a hash of the addresses, which gives all daemons the same order.
 // The addresses themselves would not do: they are assigned service by service.
 //
-// Updated by the changes of the list: sorting the whole list on each change
-// took, over a fleet that starts, the square of its size.
+// Updated by the changes of the list, which are one for each target while a
+// whole fleet starts.
 //
 // Pure logic; the owner of a daemon's components keeps one for all.
 class daemon_order {
@@ -58,7 +58,8 @@
   [[nodiscard]] std::vector<ordered_daemon>::const_iterator PositionOf(
       const std::string& ip) const;
   [[nodiscard]] bool Contains(const std::string& ip) const;
-  // The part of the daemons of its data centre that precede it, from 0 up to 1.
+  // The fraction of the daemons of its data centre that precede it, which need
+  // not be known.
   [[nodiscard]] double FractionBefore(const daemon_location& daemon) const;
 
  private:
--- a/src/quota/usage_tree.cc
+++ b/src/quota/usage_tree.cc
@@ -9,11 +9,11 @@
 namespace pistachioweir {
 namespace {
 
-// Daemons for which one heap sends fewer levels of reports than one for each
-// data centre, in fan-outs.
+// Fleets of up to this many fan-outs are one heap: divided, they would have a
+// level of reports more.
 constexpr std::size_t kUndividedFanOuts = 2;
-// How many daemons the first one of a data centre tries before it counts itself
-// as the root. Those that precede it may all be gone.
+// Daemons that the first one of a data centre may report to. Some of those that
+// precede it may be gone.
 constexpr std::size_t kMaxFirst = 16;
 
 }  // namespace
@@ -39,7 +39,8 @@
   predecessors_.clear();
   first_.clear();
   const bool divided = IsDivided(order);
-  for (auto it = daemons.begin(); it != order.PositionOf(options_.self); ++it) {
+  const auto end = order.PositionOf(options_.self);
+  for (auto it = daemons.begin(); it != end; ++it) {
     if (!divided || it->location.data_centre == options_.data_centre) {
       predecessors_.push_back(it->location.ip);
     }
--- a/src/route/daemon_order.cc
+++ b/src/route/daemon_order.cc
@@ -50,13 +50,11 @@
   const auto is_local = [&](const ordered_daemon& each) {
     return each.location.data_centre == daemon.data_centre;
   };
-  const auto position = PositionOf(daemon.ip);
-  const auto before = std::count_if(daemons_.begin(), position, is_local);
-  const auto rest = std::count_if(position, daemons_.end(), is_local);
-  return before == 0 ? 0
-                     : static_cast<double>(before) /
-                           static_cast<double>(
-                               before + std::max(rest, decltype(rest){1}));
+  const auto before =
+      std::count_if(daemons_.begin(), PositionOf(daemon.ip), is_local);
+  const auto listed = std::ranges::count_if(daemons_, is_local);
+  const auto all = Contains(daemon.ip) && listed > 0 ? listed : listed + 1;
+  return static_cast<double>(before) / static_cast<double>(all);
 }
 
 daemon_order daemon_order::InOneDataCentre(
