--- a/include/forward/target_changes.h
+++ b/include/forward/target_changes.h
@@ -37,7 +37,7 @@
 // everything derived from it is updated by the changes alone: while a whole
 // fleet starts, each registration changes one of some thousand targets.
 //
-// Pure logic; the origin and lapsed_targets keep one each.
+// Pure logic; forward_daemon, origin and lapsed_targets keep one each.
 class target_directory {
  public:
   // Replaces the list, whose ids are unique. Returns what changed.
--- a/include/retry/ranked_repeat_budget.h
+++ b/include/retry/ranked_repeat_budget.h
@@ -76,7 +76,7 @@
 // Where the budget doesn't suffice for a rank, only requests with the highest
 // tickets are repeated, as many as can be served with it. A root request whose
 // run makes four calls needs a repeat for each of them that is rejected; with
-// equal chances for all, most of the budget was spent on requests that failed
+// equal chances for all, a part of the budget is spent on requests that fail
 // all the same.
 //
 // Daemons lend each other what they don't need: a token that is lent counts as
--- a/src/route/daemon_order.cc
+++ b/src/route/daemon_order.cc
@@ -69,6 +69,9 @@
 
 void daemon_order::Update(const std::vector<daemon_target>& removed,
                           const std::vector<daemon_target>& added) {
+  if (removed.empty() && added.empty()) {
+    return;
+  }
   for (const daemon_target& each : removed) {
     const sort_key key = KeyOfIp(each.location.ip);
     const auto found = std::ranges::lower_bound(daemons_, key, {}, KeyOf);
--- a/tests/ranked_repeat_budget_test.cc
+++ b/tests/ranked_repeat_budget_test.cc
@@ -164,7 +164,7 @@
 };
 
 // Guards against repeats that are spread over all requests, of which each then
-// fails with another call: half of the repeats were lost so.
+// fails with another call, and over ranks.
 TEST(RankedRepeatBudgetTest, RepeatsGoToRequestsThatAreServedWithThem) {
   const rejecting_service_below service;
   const auto& important = service.roots[static_cast<std::size_t>(kImportant)];
--- a/tests/target_ring_test.cc
+++ b/tests/target_ring_test.cc
@@ -147,8 +147,8 @@
   std::mt19937_64 random_{11};
 };
 
-// Guards against a connection for nearly every call: a caller with sixty calls
-// in half a minute met 38 of the 60 targets.
+// Guards against a connection for nearly every call, and against targets that
+// get much more than their part.
 TEST_F(many_callers, ACallerMeetsFewTargetsAndTargetsGetEqualParts) {
   Play(60, milliseconds(500));
   for (const auto& [caller, targets] : used_) {
--- a/tests/view_following_test.cc
+++ b/tests/view_following_test.cc
@@ -488,7 +488,6 @@
   EXPECT_EQ(after.reading, store_reading::kNone);
 }
 
-// The only two known daemons have no other source.
 // Guards against a series of changes in which each daemon reads the store: its
 // sources always report a revision that it doesn't have yet, or had before.
 TEST(ViewFollowingTest, ASeriesOfChangesConfirmsTheView) {
@@ -550,6 +549,7 @@
   }
 }
 
+// The only two known daemons have no other source.
 TEST(ViewFollowingTest, AFewDaemonsReadThemselves) {
   const daemon_location self{.ip = "10.0.0.1", .data_centre = "a"};
   view_following alone({.self = self});
