Review, case 3: large configurations in quick succession leave all daemons on an old one

A watch of the store answers with all that has changed since. The daemons take answers of 4 MiB at most, and ask again from the same revision when one is larger, until the store has dropped that history.

--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 BINARY = ROOT / "target" / "pistachioweir"
 HEARTBEAT = 1.5  # Of upstreams, in seconds; `platform.heartbeat` of the pages.
+HISTORY = 20.0  # `history` of the site: how long the store keeps its events.
 RESTART_DELAY = 0.5  # Until an ended process is started again.
 CONTACT = 3.0  # `contact` of the site.
 
@@ -89,10 +90,15 @@
             self.revision += 1
             self._tell({"key": key, "revision": self.revision, "removed": True})
 
+    def _forget(self):
+        """Discards what is older than `history`."""
+        while self.events and now() - self.events[0][0] > HISTORY:
+            self.compacted = self.events.pop(0)[1]["revision"]
+
     def _tell(self, event):
         self.record.add("store", event["revision"], event["key"],
                         "removed" if event.get("removed") else "written")
-        self.events.append(event)
+        self.events.append((now(), event))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -144,6 +150,7 @@
         await asyncio.sleep(0.004)
         if path.endswith("kv-watch"):
             after = int(query["after"])
+            self._forget()
             self.watched[machine] = now()
             if after < self.compacted:
                 return 410, {}
@@ -153,7 +160,7 @@
                                            int(query["wait-ms"]) / 1000)
                 except asyncio.TimeoutError:
                     pass
-            return 200, {"events": [e for e in self.events if e["revision"] > after],
+            return 200, {"events": [e for _, e in self.events if e["revision"] > after],
                          "store-revision": self.revision}
         if path.endswith("kv-range"):
             keys = sorted(k for k in self.items
