Review, case 3: planned restarts break requests off that were taken too late

A daemon that has had its SIGTERM takes calls until no more than the recent maximum of a request's time is left, and breaks slower ones off 5.5 s behind the signal while their upstream is at work.

It takes the place of the case of large configurations, which moves to review/seen/config/: what is lost here is accepted work, at the site's own traffic.

--- a/review/3/case.py
+++ b/review/seen/config/case.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 import standins  # noqa: E402
 from standins import Clients, now  # noqa: E402
 
@@ -78,4 +78,4 @@
 
 
 if __name__ == "__main__":
-    standins.main(Path(__file__).resolve().parent, "3", play)
+    standins.main(Path(__file__).resolve().parent, "config", play)
