Log the signal and the stack of a process that ends by a fault

A daemon that crashed left nothing but its exit code: on-call engineers saw 139, and lines that waited to be written were lost with it. A handler of SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT now writes the waiting lines and one more, event=crashed with the signal, the address and the stack, and lets the default action end the process. Signals that a sanitizer handles stay its.

--- a/include/base/log.h
+++ b/include/base/log.h
@@ -28,6 +28,9 @@
 // any thread.
 void ScheduleLogFlush(std::function<void()> schedule);
 void FlushLog();
+// The same in a handler of a fatal signal. Writes nothing if the lines were
+// being changed when the signal came.
+void FlushLogAtCrash();
 
 // Writes one line: "time=... level=... event=NAME field=value ...". Values with
 // spaces or quotes are quoted. Thread-safe.
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -130,6 +130,10 @@
   Buffer().Flush();
 }
 
+void FlushLogAtCrash() {
+  Buffer().TryFlush();
+}
+
 void WriteLogLines(std::string_view lines) {
   const bool first = Buffer().Add(lines);
   const std::lock_guard lock(Schedule().mutex);
--- a/src/base/log_buffer.cc
+++ b/src/base/log_buffer.cc
@@ -57,6 +57,13 @@
   Write();
 }
 
+void log_buffer::TryFlush() {
+  const std::unique_lock lock(mutex_, std::try_to_lock);
+  if (lock) {
+    Write();
+  }
+}
+
 void log_buffer::Write() {
   std::size_t written = 0;
   while (written < bytes_.size()) {
--- a/src/base/log_buffer.h
+++ b/src/base/log_buffer.h
@@ -25,6 +25,8 @@
   bool Add(std::string_view lines);
   // Writes what the descriptor takes now.
   void Flush();
+  // The same unless the lock is held.
+  void TryFlush();
 
   [[nodiscard]] std::uint64_t dropped() const;
   [[nodiscard]] std::size_t waiting() const;
--- a/src/cli/run_command.cc
+++ b/src/cli/run_command.cc
@@ -13,6 +13,7 @@
 #include "include/base/log.h"
 #include "include/config/settings.h"
 #include "include/daemon/daemon.h"
+#include "src/base/crash_log.h"
 
 namespace pistachioweir {
 namespace {
@@ -33,6 +34,7 @@
     return kBadSettings;
   }
   InitLog();
+  LogCrashes();
   try {
     return RunDaemon(parsed.value);
   } catch (const std::exception& error) {
