peer_link: an event may close its link

Cause: OnWelcome() calls five events and goes on. on_report leads to origin::CloseUnusedLinks(), which closes this very link, and Close() reset current_, which OnWelcome() then sends on. A closed link could also connect again from a timer or a call.

Change: Close() closes the sockets and leaves the members as they are; no event or callback runs after it. That holds for every place that calls out, not only for those behind the five events.

--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -370,6 +370,9 @@
   [[nodiscard]] peer_link_events EventsOf(const std::string& ip);
   void ForTargetsAt(const std::string& ip,
                     const std::function<void(balancer&, target_ref)>& work);
+  // Closes links to hosts that no longer have a target. Runs within events of
+  // links too, but never within a loop over `links_`: such loops call only what
+  // calls no event.
   void CloseUnusedLinks();
   [[nodiscard]] std::vector<std::string> Unlinked() const;
 
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -315,7 +315,6 @@
   }
 }
 
-// Closes links to hosts that no longer have a target.
 void origin::CloseUnusedLinks() {
   for (auto it = links_.begin(); it != links_.end();) {
     if (directory_.At(it->first).empty() && it->second->outstanding() == 0 &&
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -39,6 +40,14 @@
 // Questions for a proof that may wait for their answers at a time.
 constexpr std::size_t kMostProofsAsked = 16;
 
+peer_answer MadeUpAnswer(std::uint64_t number, outcome_kind kind, reason why) {
+  peer_answer made_up;
+  made_up.answer.number = number;
+  made_up.answer.kind = kind;
+  made_up.answer.why = why;
+  return made_up;
+}
+
 }  // namespace
 
 peer_link::peer_link(boost::asio::io_context& context,
@@ -54,6 +63,9 @@
 }
 
 link_state peer_link::state() const {
+  if (closed_) {
+    return link_state::kDown;
+  }
   if (current_ != nullptr) {
     return link_state::kUp;
   }
@@ -72,16 +84,18 @@
 }
 
 bool peer_link::IsWell(time_point now) const {
-  return current_ != nullptr && now < DoubtedSince();
+  return is_up() && now < DoubtedSince();
 }
 
 std::optional<time_point> peer_link::last_heard() const {
-  return current_ == nullptr ? std::nullopt
-                             : std::optional(current_->last_heard());
+  return is_up() ? std::optional(current_->last_heard()) : std::nullopt;
 }
 
 stream_load peer_link::load() const {
   stream_load sum;
+  if (closed_) {
+    return sum;
+  }
   if (current_ != nullptr) {
     sum.Add(current_->load());
   }
@@ -100,6 +114,12 @@
   const time_point now = monotonic_clock::now();
   const std::uint64_t number = ++*options_.last_number;
   call.number = number;
+  if (closed_) {
+    boost::asio::post(context_, [done = std::move(done), number] {
+      done(MadeUpAnswer(number, outcome_kind::kNotExecuted, reason::kNotReady));
+    });
+    return number;
+  }
   last_used_ = now;
   carries_calls_ = true;
   const time_point deadline = now + call.remaining;
@@ -260,9 +280,7 @@
   }
   const boot_time asked = proofs_asked_.front().second;
   proofs_asked_.pop_front();
-  if (events_.on_proof) {
-    events_.on_proof(frame.proof, asked);
-  }
+  Notify(events_.on_proof, frame.proof, asked);
 }
 
 void peer_link::Close() {
@@ -278,12 +296,12 @@
       stream->Close();
     }
   }
-  current_ = nullptr;
-  candidate_ = nullptr;
-  connecting_ = nullptr;
 }
 
 void peer_link::Connect() {
+  if (closed_) {
+    return;
+  }
   const std::uint64_t attempt = ++connect_attempt_;
   auto socket = std::make_shared<tcp::socket>(context_);
   connecting_ = socket;
@@ -300,8 +318,8 @@
   socket->async_connect(
       remote, [self = weak_from_this(), socket, attempt](error_code error) {
         const auto link = self.lock();
-        if (link == nullptr || link->connect_attempt_ != attempt ||
-            link->connecting_ == nullptr) {
+        if (link == nullptr || link->closed_ ||
+            link->connect_attempt_ != attempt || link->connecting_ == nullptr) {
           return;
         }
         if (error) {
@@ -357,6 +375,9 @@
 }
 
 void peer_link::OnFrame(const stream_ptr& stream, const frame_view& frame) {
+  if (closed_) {
+    return;
+  }
   switch (frame.kind) {
     case frame_kind::kWelcome:
       if (const auto welcome = DecodeWelcome(frame.payload)) {
@@ -377,8 +398,8 @@
           Confirm(monotonic_clock::now());
           Resume();
         }
-        events_.on_load(pong->load);
-        events_.on_report(pong->report);
+        Notify(events_.on_load, pong->load);
+        Notify(events_.on_report, pong->report);
         return;
       }
       break;
@@ -394,14 +415,12 @@
       return;
     case frame_kind::kNotice:
       if (const auto notice = DecodeNotice(frame.payload)) {
-        if (events_.on_notice) {
-          events_.on_notice(*notice);
-        }
+        Notify(events_.on_notice, *notice);
         return;
       }
       break;
     case frame_kind::kLeaving:
-      events_.on_leaving(true);
+      Notify(events_.on_leaving, true);
       return;
     case frame_kind::kSuspects:
       if (const auto suspects = DecodeSuspectsFrame(frame.payload)) {
@@ -425,16 +444,12 @@
       break;
     case frame_kind::kQuota:
       if (const auto quota = DecodeQuota(frame.payload)) {
-        if (events_.on_quota) {
-          events_.on_quota(*quota);
-        }
+        Notify(events_.on_quota, *quota);
         return;
       }
       break;
     case frame_kind::kRepeatGrant:
-      if (events_.on_repeat_grant) {
-        events_.on_repeat_grant(DecodeRepeat(frame.payload));
-      }
+      Notify(events_.on_repeat_grant, DecodeRepeat(frame.payload));
       return;
     case frame_kind::kProof:
       if (const auto proof = DecodeProof(frame.payload)) {
@@ -462,9 +477,7 @@
     return false;
   }
   changes->from = options_.address.ip;
-  if (events_.on_changes) {
-    events_.on_changes(*changes);
-  }
+  Notify(events_.on_changes, *changes);
   return true;
 }
 
@@ -491,12 +504,13 @@
   features_ = peer_features::kNone;
   Confirm(monotonic_clock::now());
   SetReachable(true, "welcome");
-  if (events_.on_connected) {
-    events_.on_connected();
+  Notify(events_.on_connected);
+  Notify(events_.on_leaving, welcome.leaving);
+  Notify(events_.on_load, welcome.load);
+  Notify(events_.on_report, welcome.report);
+  if (closed_) {
+    return;
   }
-  events_.on_leaving(welcome.leaving);
-  events_.on_load(welcome.load);
-  events_.on_report(welcome.report);
   SendKnownSuspects();
   if (follows_) {
     current_->Send(EncodeNumbered(frame_kind::kFollow, events_.revision()));
@@ -562,9 +576,9 @@
 }
 
 void peer_link::OnAnswer(answer_frame answer) {
-  events_.on_report(answer.report);
+  Notify(events_.on_report, answer.report);
   const auto found = calls_.find(answer.number);
-  if (found == calls_.end()) {
+  if (closed_ || found == calls_.end()) {
     return;  // Cancelled, or a second answer after the call was asked for.
   }
   const callback done = std::move(found->second.done);
@@ -603,7 +617,7 @@
   }
   const bool changed = std::exchange(reachable_, reachable) != reachable;
   if (changed) {
-    events_.on_reachable(reachable, why);
+    Notify(events_.on_reachable, reachable, why);
   }
   if (!reachable) {
     GiveUpMovable();
@@ -636,16 +650,12 @@
 
 void peer_link::EndCall(std::uint64_t number, outcome_kind kind, reason why) {
   const auto found = calls_.find(number);
-  if (found == calls_.end()) {
+  if (closed_ || found == calls_.end()) {
     return;
   }
   const callback done = std::move(found->second.done);
   calls_.erase(found);
-  peer_answer given_up;
-  given_up.answer.number = number;
-  given_up.answer.kind = kind;
-  given_up.answer.why = why;
-  done(std::move(given_up));
+  done(MadeUpAnswer(number, kind, why));
 }
 
 void peer_link::ArmTimer() {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -57,7 +57,8 @@
                                                             "connecting",
                                                             "up"});
 
-// Hears what a link learns of its peer.
+// Hears what a link learns of its peer. The functions that return a value must
+// not close the link.
 struct peer_link_events {
   // The peer can be reached, or can't; why.
   std::function<void(bool reachable, std::string_view why)> on_reachable;
@@ -101,7 +102,10 @@
 // reconnection it asks for those that were sent: the same incarnation of the
 // peer tells what became of them, another one can't.
 //
-// Used on its context's thread only.
+// Used on its context's thread only. Events and callbacks run in the link's own
+// handlers, never within a call of a public method. Each handler holds a
+// reference to the link, and Close() doesn't reset what a handler uses, so an
+// event or a callback may close the link and drop the last other reference.
 class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
   using callback = std::function<void(peer_answer)>;
@@ -111,7 +115,7 @@
             peer_link_events events);
 
   // Sends the call and calls `done` once, later. Returns its number, which the
-  // link fills in.
+  // link fills in. On a closed link the call ends as not executed.
   std::uint64_t Send(call_frame call, callback done);
   // The caller has gone: `done` is not called any more. True if nothing of the
   // call had been sent.
@@ -136,13 +140,15 @@
   void AskChanges();
   // Likewise, how new the peer's view is.
   void AskProof();
+  // Closes the connections. No event and no callback of a call that was sent
+  // before runs after this, also if it's called from within one.
   void Close();
 
   [[nodiscard]] link_state state() const;
   [[nodiscard]] const endpoint& address() const { return options_.address; }
   // Which incarnation of the peer is connected, if one is.
   [[nodiscard]] std::optional<incarnation_id> connected() const {
-    return current_ == nullptr ? std::nullopt : std::optional(welcomed_);
+    return is_up() ? std::optional(welcomed_) : std::nullopt;
   }
   [[nodiscard]] std::size_t outstanding() const { return calls_.size(); }
   // Since when nothing was asked of the peer.
@@ -172,6 +178,16 @@
     time_point sent_at;
   };
 
+  // Calls the event unless the link is closed or nobody listens for it.
+  template <typename... Parameters, typename... Arguments>
+  void Notify(const std::function<void(Parameters...)>& event,
+              Arguments&&... arguments) const {
+    if (!closed_ && event) {
+      event(std::forward<Arguments>(arguments)...);
+    }
+  }
+
+  [[nodiscard]] bool is_up() const { return current_ != nullptr && !closed_; }
   void Connect();
   void OnConnected(const socket_ptr& socket);
   void OnConnectFailed(std::uint64_t attempt, std::string_view why);
@@ -212,7 +228,9 @@
   std::map<std::uint64_t, call_record> calls_;  // Without an answer.
   // Calls at `receiver_` that were cancelled while there was no connection.
   std::deque<std::uint64_t> unsent_cancels_;
-  stream_ptr current_;            // Welcomed, or nullptr.
+  // Welcomed, or nullptr. Reset when the stream ends or is given up, never by
+  // Close(): a closed stream ignores what is sent.
+  stream_ptr current_;
   bool reads_send_time_ = false;  // The peer of `current_` does.
   peer_features features_ = peer_features::kNone;  // Likewise.
   stream_ptr candidate_;  // Connected, not welcomed yet.
