Target pool: a connection carries each request id once

Cause: a request that a target rejected is sent to it again under its id, often over the connection on which the rejection came, and a late copy of the rejection bears the id of the request in progress there.

Change: the pool passes over connections that have carried the id. An answer without an id on a connection that has carried other requests is not taken for the answer to one with an id. run_ended names the connection and the answers to other requests that came on it.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -368,6 +368,8 @@
                    .callers = callers_.state(),
                    .target_connections_opened = targets_.counters().opened,
                    .target_connections_reused = targets_.counters().reused,
+                   .target_connections_passed_over =
+                       targets_.counters().passed_over,
                    .view = PageView(),
                    .quotas = PageQuotas(),
                    .repeats = repeats_.counters(),
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -276,6 +276,10 @@
           sources.target_connections_opened);
   counter("target_connections_reused", "Runs on a reused connection",
           sources.target_connections_reused);
+  counter("target_connections_passed_over",
+          "Idle connections not used for a request since they had carried its "
+          "id",
+          sources.target_connections_passed_over);
   counter("caller_requests", "Requests read from callers",
           sources.callers.requests);
   counter("caller_malformed", "Malformed requests from callers",
--- a/src/forward/forward_pages.h
+++ b/src/forward/forward_pages.h
@@ -55,6 +55,7 @@
   const caller_port_state& callers;
   std::uint64_t target_connections_opened = 0;
   std::uint64_t target_connections_reused = 0;
+  std::uint64_t target_connections_passed_over = 0;
   view_page view;
   quota_page quotas;
   repeat_sharing_counters repeats;
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -19,6 +20,7 @@
 
 #include "include/base/time.h"
 #include "include/config/settings.h"
+#include "src/forward/carried_ids.h"
 #include "src/forward/target_run.h"
 #include "src/net/http_message.h"
 #include "src/net/http_reader.h"
@@ -38,7 +40,9 @@
 inline constexpr milliseconds kDefaultIdleTimeout{4000};
 
 // Owns the socket. Kept alive by its pending operations, and by the pool while
-// it is idle.
+// it is idle. Carries each id once: a late second copy of an answer could not
+// be told from the answer to a second request with that id (guards MATCH_ID and
+// FRESH_FOR_ID in spec/answer_ids.pml). The pool chooses by MayCarry().
 template <target_protocol Protocol>
 class target_connection
     : public std::enable_shared_from_this<target_connection<Protocol>> {
@@ -47,19 +51,29 @@
   using callback = std::function<void(run_result)>;
   using listener = std::function<void(const self_ptr&)>;
 
+  // `number` names the connection in logs; `seed` is that of carried_ids.
   target_connection(boost::asio::io_context& context,
                     const endpoint& target,
-                    const read_limits& limits)
-      : socket_(context), timer_(context), target_(target), limits_(limits) {}
+                    const read_limits& limits,
+                    std::uint64_t number,
+                    std::uint64_t seed)
+      : socket_(context),
+        timer_(context),
+        target_(target),
+        limits_(limits),
+        number_(number),
+        carried_(seed) {}
 
   // Sends `run`. `on_reusable` is called if the connection may be used again.
   void Run(target_run run, callback done, listener on_reusable) {
     run_ = std::move(run);
+    first_run_ = carried_.empty();
+    carried_.Add(run_.request_id);
+    stray_answers_ = 0;
     done_ = std::move(done);
     on_reusable_ = std::move(on_reusable);
     on_closed_ = nullptr;
     response_begun_ = false;
-    clean_ = true;
     written_ = false;
     head_.clear();
     reader_.emplace(limits_, run_.request.verb == "HEAD");
@@ -81,6 +95,10 @@
   [[nodiscard]] bool IsUsable(time_point now) const {
     return socket_.is_open() && now - idle_since_ < max_idle_;
   }
+  // Whether no request with this id was sent on the connection.
+  [[nodiscard]] bool MayCarry(std::string_view id) const {
+    return !carried_.MayContain(id);
+  }
 
   void Cancel() {
     if (done_) {
@@ -237,11 +255,15 @@
     if (response.status < kFirstFinalStatus) {
       return false;
     }
-    const target_answer answer = Protocol::Classify(run_, response);
+    const target_answer answer = Protocol::Classify(run_, response, first_run_);
     if (answer == target_answer::kOtherRequest) {
-      clean_ = false;
+      ++stray_answers_;
       return false;
     }
+    if (answer == target_answer::kUnattributable) {
+      FinishAndClose({.end = run_end::kLost});
+      return true;
+    }
     run_result result{.end = EndOf(answer), .closing = !response.keep_alive};
     if (answer != target_answer::kWrongTarget) {
       result.notice = Protocol::Notice(response);
@@ -249,8 +271,8 @@
     result.response = {.status = response.status,
                        .header_block = ToBlock(response.headers),
                        .body = std::move(response.body)};
-    if (written_ && clean_ && buffer_.empty() && response.keep_alive &&
-        socket_.is_open()) {
+    if (written_ && stray_answers_ == 0 && buffer_.empty() &&
+        response.keep_alive && !carried_.full() && socket_.is_open()) {
       max_idle_ = IdleTime(response.keep_alive_header);
       FinishAndKeep(std::move(result));
     } else {
@@ -289,6 +311,7 @@
   }
 
   void FinishAndKeep(run_result result) {
+    AddOrigin(&result);
     timer_.cancel();
     auto done = std::exchange(done_, nullptr);
     const auto on_reusable = std::exchange(on_reusable_, nullptr);
@@ -297,6 +320,7 @@
   }
 
   void FinishAndClose(run_result result) {
+    AddOrigin(&result);
     Close();
     connected_ = false;
     auto done = std::exchange(done_, nullptr);
@@ -304,6 +328,11 @@
     done(std::move(result));
   }
 
+  void AddOrigin(run_result* result) const {
+    result->connection = number_;
+    result->stray_answers = stray_answers_;
+  }
+
   void CloseWhileIdle() {
     Close();
     if (const auto on_closed = std::exchange(on_closed_, nullptr)) {
@@ -315,6 +344,8 @@
   boost::asio::steady_timer timer_;  // Expires at the run's deadline.
   const endpoint target_;
   const read_limits limits_;
+  const std::uint64_t number_;
+  carried_ids carried_;
 
   target_run run_;
   callback done_;         // Set only while a request is in progress.
@@ -326,9 +357,10 @@
   std::array<char, 16384> chunk_{};
   time_point idle_since_;
   milliseconds max_idle_ = kDefaultIdleTimeout;
+  std::uint32_t stray_answers_ = 0;  // Answers of other requests, in this run.
+  bool first_run_ = true;            // No other request was sent before.
   bool connected_ = false;
   bool response_begun_ = false;  // Bytes were received for this request.
-  bool clean_ = true;            // Nothing unexpected was received.
   bool written_ = false;         // The whole request was sent.
 };
 
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -10,10 +10,12 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 
+#include "include/base/random_bits.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "src/forward/target_connection.h"
@@ -24,6 +26,8 @@
 struct target_pool_counters {
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
+  // Idle connections not used for a request, since they had carried its id.
+  std::uint64_t passed_over = 0;
 };
 
 // Used on its context's thread only. Owns the idle connections; a busy one is
@@ -46,13 +50,14 @@
 
   // Calls `done` exactly once, never from within Run().
   handle Run(target_run run, callback done) {
-    auto chosen = TakeIdle();
-    const bool reused = chosen != nullptr;
-    if (!reused) {
-      chosen = std::make_shared<connection>(shared_->context, shared_->target,
-                                            shared_->limits);
+    auto chosen = TakeIdle(run.request_id);
+    if (chosen != nullptr) {
+      ++shared_->counters.reused;
+    } else {
+      chosen = std::make_shared<connection>(
+          shared_->context, shared_->target, shared_->limits,
+          ++shared_->counters.opened, shared_->seed);
     }
-    ++(reused ? shared_->counters.reused : shared_->counters.opened);
     chosen->Run(std::move(run), std::move(done),
                 [pool = std::weak_ptr<shared>(shared_)](
                     const std::shared_ptr<connection>& free) {
@@ -87,20 +92,29 @@
     boost::asio::io_context& context;
     endpoint target;
     read_limits limits;
+    const std::uint64_t seed = RandomBits64();
     std::list<std::shared_ptr<connection>> idle;  // Most recently used first.
     target_pool_counters counters;
   };
 
-  // Takes the most recently used connection: the others reach their idle limit
-  // and are closed, so that the pool shrinks with the load.
-  std::shared_ptr<connection> TakeIdle() {
-    while (!shared_->idle.empty()) {
-      auto front = shared_->idle.front();
-      shared_->idle.pop_front();
-      if (front->IsUsable(monotonic_clock::now())) {
-        return front;
+  // Takes the most recently used connection that may carry the id: the others
+  // reach their idle limit and are closed, so that the pool shrinks with the
+  // load.
+  std::shared_ptr<connection> TakeIdle(std::string_view id) {
+    auto& idle = shared_->idle;
+    const time_point now = monotonic_clock::now();
+    for (auto at = idle.begin(); at != idle.end();) {
+      const auto candidate = *at;
+      if (!candidate->IsUsable(now)) {
+        at = idle.erase(at);
+        candidate->Close();
+      } else if (!candidate->MayCarry(id)) {
+        ++shared_->counters.passed_over;
+        ++at;
+      } else {
+        idle.erase(at);
+        return candidate;
       }
-      front->Close();
     }
     return nullptr;
   }
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -52,6 +52,10 @@
   bool closing = false;
   // With kAnswered and kNotExecuted: what the target says about itself.
   target_notice notice;
+  // The connection's number; answers to other requests that came on it before
+  // this run ended.
+  std::uint64_t connection = 0;
+  std::uint32_t stray_answers = 0;
 };
 
 // Classification of a response on a target's connection.
@@ -60,16 +64,20 @@
   kNotExecuted,   // Same, and the request hasn't run.
   kWrongTarget,   // Same, because another target was addressed.
   kOtherRequest,  // A late or duplicate response to an earlier request.
+  // May be a response to this request or to an earlier one.
+  kUnattributable,
 };
 
 // A platform's protocol towards targets, over HTTP/1.1.
 template <typename Protocol>
 concept target_protocol = requires(const target_run& run,
                                    milliseconds left,
-                                   const read_response& r) {
+                                   const read_response& r,
+                                   bool first) {
   // Headers to add to the caller's own, as a block.
   { Protocol::Headers(run, left) } -> std::same_as<std::string>;
-  { Protocol::Classify(run, r) } -> std::same_as<target_answer>;
+  // `first` if the connection has carried no other request.
+  { Protocol::Classify(run, r, first) } -> std::same_as<target_answer>;
   // What the target says about itself in a response.
   { Protocol::Notice(r) } -> std::same_as<target_notice>;
 };
