http_reader: bound the framing of bodies in chunks

What callers saw: targets whose answers don't end in a chunk's size, its extension or the trailers took their daemons far above memory_mb, and ordinary requests beside them were refused.

Cause: Beast's parser bounds heads and bodies, and takes a chunk's size or the trailers once they are complete; owners of readers kept the bytes until then.

Change: a reader refuses a message of which it hasn't taken more than a head's length, or whose framing is larger than that and eight bytes for each of the body. Buffers of Beast's own readers have a bound as well. run_ended says why a response was refused.

--- a/src/fleet/http_exchange.cc
+++ b/src/fleet/http_exchange.cc
@@ -12,6 +12,7 @@
 #include <optional>
 
 #include "src/daemon/peer_paths.h"
+#include "src/net/http_message.h"
 
 namespace pistachioweir {
 namespace {
@@ -107,7 +108,7 @@
   }
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
   const milliseconds timeout_;
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -556,6 +556,8 @@
       id, served.call.request_id, "run_ended",
       {{.name = "end", .value = std::string(kRunEndNames.Name(result.end))},
        {.name = "status", .value = std::to_string(result.response.status)},
+       {.name = "problem",
+        .value = std::string(kReadProblemNames.Name(result.problem))},
        {.name = "connection", .value = std::to_string(result.connection)},
        {.name = "stray_answers", .value = std::to_string(result.stray_answers)},
        {.name = "served_us",
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -224,7 +224,7 @@
         return true;
       }
       if (state == read_state::kFailed) {
-        FinishAndClose({.end = run_end::kLost});
+        FinishAndClose({.end = run_end::kLost, .problem = reader_->problem()});
         return false;
       }
       if (OnMessage(reader_->Take())) {
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -48,6 +48,8 @@
   // The connection ended before any byte of a response, as all connections of
   // a target do when its process ends.
   bool interrupted = false;
+  // With kLost: why the response was refused; kNone if it was cut.
+  read_problem problem = read_problem::kNone;
   // With kAnswered: the target closes the connection after its response.
   bool closing = false;
   // With kAnswered and kNotExecuted: what the target says about itself.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -256,7 +256,7 @@
   std::unique_ptr<beast::tcp_stream> stream_;
   http::request<http::string_body> message_;
   http::response_parser<http::string_body> parser_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   bool sent_ = false;
 };
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -2,6 +2,7 @@
 // the HTTP library.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,11 @@
 
 namespace pistachioweir {
 
+// Bytes that a parser may leave unread in a buffer, beyond which the message is
+// refused. Beast's parsers have no bound of their own for the framing of a body
+// in chunks. Above their limit of a head.
+inline constexpr std::size_t kMaxUnparsedBytes = 64 << 10;
+
 struct http_header {
   std::string name;
   std::string value;
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -64,28 +64,63 @@
   return read_problem::kMalformed;
 }
 
+// Framing bytes allowed for each byte of a body. A chunk of one byte has five.
+constexpr std::size_t kMaxFramingPerByte = 8;
+
+// The framing of the body that is being read. Beast's parser has limits for
+// heads and bodies only, and takes a chunk's size with its extensions, or the
+// trailers, once they are complete.
+struct framing_state {
+  std::size_t taken = 0;  // Bytes of framing that the parser took.
+
+  [[nodiscard]] bool IsTooLarge(std::size_t untaken,
+                                std::size_t body,
+                                const read_limits& limits) const {
+    return untaken > limits.max_head_bytes ||
+           taken > limits.max_head_bytes + kMaxFramingPerByte * body;
+  }
+};
+
+template <typename Parser>
+struct reader_state {
+  Parser parser;
+  read_limits limits;
+  framing_state framing;
+  read_problem problem = read_problem::kNone;
+};
+
 // Feeds as long as the parser takes something: it stops behind the head and
 // behind each chunk.
 template <typename Parser>
-read_state FeedAll(Parser& parser,
+read_state FeedAll(reader_state<Parser>& state,
                    std::string_view bytes,
-                   std::size_t* taken,
-                   read_problem* problem) {
+                   std::size_t* taken) {
+  Parser& parser = state.parser;
+  const std::string& body = parser.get().body();
   *taken = 0;
   while (!parser.is_done()) {
+    const bool in_body = parser.is_header_done();
+    const std::size_t body_before = body.size();
     error_code error;
     const std::size_t used = parser.put(
         boost::asio::buffer(bytes.data() + *taken, bytes.size() - *taken),
         error);
     *taken += used;
-    if (error == http::error::need_more) {
-      return read_state::kMore;
-    }
-    if (error) {
-      *problem = ProblemOf(error);
+    const bool needs_more = error == http::error::need_more;
+    if (error && !needs_more) {
+      state.problem = ProblemOf(error);
       return read_state::kFailed;
     }
-    if (used == 0 && !parser.is_done()) {
+    if (in_body) {
+      state.framing.taken += used - (body.size() - body_before);
+      if (!parser.is_done() &&
+          state.framing.IsTooLarge(needs_more ? bytes.size() - *taken : 0,
+                                   body.size(), state.limits)) {
+        state.problem = read_problem::kFramingTooLarge;
+        return read_state::kFailed;
+      }
+    }
+    if (needs_more || (used == 0 && !parser.is_done())) {
       return read_state::kMore;
     }
   }
@@ -93,10 +128,11 @@
 }
 
 template <typename Parser>
-void Prepare(Parser& parser, const read_limits& limits) {
-  parser.eager(true);
-  parser.header_limit(static_cast<std::uint32_t>(limits.max_head_bytes));
-  parser.body_limit(limits.max_body_bytes);
+void Prepare(reader_state<Parser>& state, const read_limits& limits) {
+  state.limits = limits;
+  state.parser.eager(true);
+  state.parser.header_limit(static_cast<std::uint32_t>(limits.max_head_bytes));
+  state.parser.body_limit(limits.max_body_bytes);
 }
 
 }  // namespace
@@ -115,14 +151,12 @@
   return block;
 }
 
-struct request_reader::state {
-  http::request_parser<http::string_body> parser;
-  read_problem problem = read_problem::kNone;
-};
+struct request_reader::state
+    : reader_state<http::request_parser<http::string_body>> {};
 
 request_reader::request_reader(const read_limits& limits)
     : state_(std::make_unique<state>()) {
-  Prepare(state_->parser, limits);
+  Prepare(*state_, limits);
 }
 
 request_reader::~request_reader() = default;
@@ -130,7 +164,7 @@
 request_reader& request_reader::operator=(request_reader&&) noexcept = default;
 
 read_state request_reader::Feed(std::string_view bytes, std::size_t* taken) {
-  return FeedAll(state_->parser, bytes, taken, &state_->problem);
+  return FeedAll(*state_, bytes, taken);
 }
 
 read_problem request_reader::problem() const {
@@ -157,14 +191,12 @@
   return request;
 }
 
-struct response_reader::state {
-  http::response_parser<http::string_body> parser;
-  read_problem problem = read_problem::kNone;
-};
+struct response_reader::state
+    : reader_state<http::response_parser<http::string_body>> {};
 
 response_reader::response_reader(const read_limits& limits, bool to_head)
     : state_(std::make_unique<state>()) {
-  Prepare(state_->parser, limits);
+  Prepare(*state_, limits);
   state_->parser.skip(to_head);
 }
 
@@ -174,7 +206,7 @@
     default;
 
 read_state response_reader::Feed(std::string_view bytes, std::size_t* taken) {
-  return FeedAll(state_->parser, bytes, taken, &state_->problem);
+  return FeedAll(*state_, bytes, taken);
 }
 
 read_state response_reader::FeedEnd() {
@@ -187,6 +219,10 @@
                                             : read_state::kFailed;
 }
 
+read_problem response_reader::problem() const {
+  return state_->problem;
+}
+
 bool response_reader::begun() const {
   return state_->parser.got_some();
 }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -28,12 +28,19 @@
   kMalformed,
   kHeadTooLarge,
   kBodyTooLarge,
+  // More than a head's length between the bytes of a body in chunks.
+  kFramingTooLarge,
 };
 
-inline constexpr enum_table<read_problem, 4> kReadProblemNames(
-    {"none", "malformed", "head_too_large", "body_too_large"});
+inline constexpr enum_table<read_problem, 5> kReadProblemNames(
+    {"none", "malformed", "head_too_large", "body_too_large",
+     "framing_too_large"});
 
+// A reader leaves untaken at most max_head_bytes beyond what one Feed() adds,
+// and takes at most a fixed multiple of max_body_bytes, whatever part of the
+// message has no end.
 struct read_limits {
+  // Also of the framing of a body in chunks: sizes, extensions and trailers.
   std::size_t max_head_bytes = 16384;
   std::size_t max_body_bytes = 1 << 20;
 };
@@ -92,6 +99,7 @@
   read_state Feed(std::string_view bytes, std::size_t* taken);
   // The stream has ended in good order. kDone if the message may end so.
   read_state FeedEnd();
+  [[nodiscard]] read_problem problem() const;
   // Bytes of the message have come.
   [[nodiscard]] bool begun() const;
   // Once, after kDone.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -60,7 +60,8 @@
 }
 
 int StatusOf(const error_code& error) {
-  if (error == http::error::body_limit || error == http::error::header_limit) {
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return 413;
   }
   return 400;
@@ -270,7 +271,7 @@
   beast::tcp_stream stream_;
   const std::size_t worker_;
   std::string peer_ip_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> message_;
   http_request request_;
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -111,6 +111,102 @@
   EXPECT_EQ(outcome.problem, read_problem::kBodyTooLarge);
 }
 
+// A message one part of which is repeated and never ends.
+struct endless_message {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+  read_problem problem = read_problem::kNone;
+};
+
+std::vector<endless_message> EndlessMessages(const std::string& first_line) {
+  using enum read_problem;
+  const std::string chunked = first_line + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"header", first_line + "X: ", "y", kHeadTooLarge},
+      {"headers", first_line, "X: y\r\n", kHeadTooLarge},
+      {"chunk size", chunked, "0", kFramingTooLarge},
+      {"chunk extension", chunked + "5;", "x", kFramingTooLarge},
+      {"chunk extensions", chunked, "1;" + std::string(90, 'x') + "\r\ny\r\n",
+       kFramingTooLarge},
+      {"trailer", chunked + "0\r\nX: ", "y", kFramingTooLarge},
+      {"trailers", chunked + "0\r\n", "X: y\r\n", kFramingTooLarge},
+      {"chunks", chunked, "1\r\ny\r\n", kBodyTooLarge},
+      {"chunk", chunked + "fffffff\r\n", "y", kBodyTooLarge},
+  };
+}
+
+// Feeds the message in pieces until the reader refuses it; expects that little
+// of it was read and kept until then.
+template <typename Reader>
+void ExpectRefused(const endless_message& message,
+                   const read_limits& limits,
+                   Reader reader) {
+  constexpr std::size_t kPiece = 4096;
+  const std::size_t max_bytes =
+      2 * limits.max_head_bytes + 9 * limits.max_body_bytes + 2 * kPiece;
+  std::string kept;
+  std::string next = message.begin;
+  std::size_t fed = 0;
+  read_state state = read_state::kMore;
+  while (state == read_state::kMore && fed <= max_bytes) {
+    while (next.size() < kPiece) {
+      next += message.repeated;
+    }
+    kept += next.substr(0, kPiece);
+    next.erase(0, kPiece);
+    fed += kPiece;
+    std::size_t taken = 0;
+    state = reader.Feed(kept, &taken);
+    kept.erase(0, taken);
+    ASSERT_LE(kept.size(), limits.max_head_bytes + kPiece) << message.name;
+  }
+  EXPECT_EQ(state, read_state::kFailed) << message.name;
+  EXPECT_EQ(reader.problem(), message.problem) << message.name;
+}
+
+// Guards against memory and time that are used up by a target, a caller or a
+// store whose message has a part without an end.
+TEST(HttpReaderTest, RefusesMessagesOfWhichAnyPartHasNoEnd) {
+  const read_limits limits{.max_head_bytes = 8192, .max_body_bytes = 20000};
+  for (const auto& each : EndlessMessages("HTTP/1.1 200 OK\r\n")) {
+    ExpectRefused(each, limits, response_reader(limits, false));
+  }
+  for (const auto& each : EndlessMessages("POST / HTTP/1.1\r\n")) {
+    ExpectRefused(each, limits, request_reader(limits));
+  }
+  ExpectRefused({"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "y",
+                 read_problem::kBodyTooLarge},
+                limits, response_reader(limits, false));
+  ExpectRefused({"reason", "HTTP/1.1 200 ", "y", read_problem::kHeadTooLarge},
+                limits, response_reader(limits, false));
+}
+
+// Guards against a bound that refuses what encoders send: small chunks, and
+// signatures of chunks as extensions.
+TEST(HttpReaderTest, ReadsBodiesInManyChunks) {
+  const read_limits limits{.max_head_bytes = 1000, .max_body_bytes = 20000};
+  const std::string head =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string single_bytes = head;
+  std::string with_signatures = head;
+  for (int i = 0; i < 1000; ++i) {
+    single_bytes += "1\r\ny\r\n";
+  }
+  for (int i = 0; i < 100; ++i) {
+    with_signatures +=
+        "10;signature=" + std::string(64, 'a') + "\r\n0123456789abcdef\r\n";
+  }
+  for (const std::size_t step : {7, 4096}) {
+    EXPECT_EQ(Read(single_bytes + "0\r\nX: y\r\n\r\n", step, limits)
+                  .request.body.size(),
+              1000U);
+    EXPECT_EQ(
+        Read(with_signatures + "0\r\n\r\n", step, limits).request.body.size(),
+        1600U);
+  }
+}
+
 TEST(HttpReaderTest, ACutRequestIsNeverWhole) {
   const std::string text =
       "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
