http_reader: refuse announced lengths above the limit

Cause: for responses Beast's parser reports an announced length above the limit and, if bytes of the body came together with the head, clears the error and reads the body without any limit. Found by the test for parts without an end.

Change: readers take the head by itself, and so do the clients of the own interface.

Measured: without the change http_reader_test reads a body of 99,999,999 bytes at a limit of 20,000; endless_test on refuses ordinary requests beside such answers. Both pass with it.

--- a/src/fleet/http_exchange.cc
+++ b/src/fleet/http_exchange.cc
@@ -77,6 +77,20 @@
   }
 
   void OnWrite(beast::error_code error) {
+    if (error) {
+      Finish({});
+      return;
+    }
+    // The head by itself: read together with the body, an announced length
+    // above the limit goes unnoticed.
+    http::async_read_header(
+        stream_, buffer_, parser_,
+        [self = shared_from_this()](beast::error_code failed, std::size_t) {
+          self->OnHead(failed);
+        });
+  }
+
+  void OnHead(beast::error_code error) {
     if (error) {
       Finish({});
       return;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -200,6 +200,20 @@
       return;
     }
     parser_.body_limit(pool_->options.max_body_bytes);
+    // The head by itself: read together with the body, an announced length
+    // above the limit goes unnoticed.
+    http::async_read_header(*stream_, buffer_, parser_,
+                            [self = shared_from_this()](error_code read_error,
+                                                        std::size_t /*bytes*/) {
+                              self->OnHead(read_error);
+                            });
+  }
+
+  void OnHead(error_code error) {
+    if (done_ == nullptr || error) {
+      OnRead(error);
+      return;
+    }
     http::async_read(*stream_, buffer_, parser_,
                      [self = shared_from_this()](error_code read_error,
                                                  std::size_t /*bytes*/) {
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -111,7 +111,9 @@
       state.problem = ProblemOf(error);
       return read_state::kFailed;
     }
-    if (in_body) {
+    if (!in_body) {
+      parser.eager(parser.is_header_done());
+    } else {
       state.framing.taken += used - (body.size() - body_before);
       if (!parser.is_done() &&
           state.framing.IsTooLarge(needs_more ? bytes.size() - *taken : 0,
@@ -130,7 +132,9 @@
 template <typename Parser>
 void Prepare(reader_state<Parser>& state, const read_limits& limits) {
   state.limits = limits;
-  state.parser.eager(true);
+  // Once it goes on into the body within one call, Beast's parser forgets that
+  // the announced length of a response is above the limit.
+  state.parser.eager(false);
   state.parser.header_limit(static_cast<std::uint32_t>(limits.max_head_bytes));
   state.parser.body_limit(limits.max_body_bytes);
 }
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -133,6 +133,8 @@
       {"trailers", chunked + "0\r\n", "X: y\r\n", kFramingTooLarge},
       {"chunks", chunked, "1\r\ny\r\n", kBodyTooLarge},
       {"chunk", chunked + "fffffff\r\n", "y", kBodyTooLarge},
+      {"body", first_line + "Content-Length: 99999999\r\n\r\n", "y",
+       kBodyTooLarge},
   };
 }
 
--- a/tools/soaking/endless_test.py
+++ b/tools/soaking/endless_test.py
@@ -29,6 +29,7 @@
     "chunk-extension": (CHUNKED + b"\r\n5;", b"x", SMALL, 8),
     "trailer": (CHUNKED + b"\r\n0\r\nX: ", b"y", SMALL, 8),
     "trailers": (CHUNKED + b"\r\n0\r\n", b"X: y\r\n", SMALL, 8),
+    "announced": (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n", b"y", SMALL, 8),
     "chunks": (CHUNKED + b"\r\n", b"10\r\n0123456789abcdef\r\n", BODY, 1),
     "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"y", BODY, 1),
 }
