--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -18,7 +18,7 @@
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
                "store_for_some", "store_for_none", "leave", "leave_at_return",
-               "lapse", "limit", "limits", "say_leaving")
+               "lapse", "limit", "limits", "say_leaving", "cut_kill")
 # Where targets make calls.
 NESTED_KINDS = ("reject_all", "kill_parent")
 # Lines that name whom a daemon reports to.
@@ -54,6 +54,41 @@
         await asyncio.sleep(dice.uniform(0.05, 1.0))
         await daemon.start()
 
+    async def cut_kill(self, dice):
+        """A daemon that doesn't watch the store is cut off from it, the entry of its target
+        runs out, and it is killed while others still use that target."""
+        watching = set(self.world.store.readers())
+        chosen = [one for one in self.world.daemons
+                  if one.index not in watching and not one.stopping and
+                  self.world.targets[one.index - 1] not in self.world.busy_targets]
+        if not chosen:
+            return
+        one = dice.choice(chosen)
+        beside = self.world.targets[one.index - 1]
+        self.world.busy_targets.add(beside)
+        beside.history.end(time.monotonic())
+        beside.registered_at = float("inf")  # Not to be counted on meanwhile.
+        entry = beside.entry()
+        await self.world.cut_from_store(one)
+        await self._disturb_for(one, dice.uniform(3.0, 4.5))
+        await self.world.store.remove("servers/" + beside.id)
+        await self._disturb_for(one, dice.uniform(0.2, 1.0))
+        await self.kill(dice, one)
+        await self._disturb_for(one, dice.uniform(0.2, 1.0))
+        await self.world.connect_to_store(one)
+        await asyncio.sleep(dice.uniform(0.0, 1.5))
+        await self.world.store.put("servers/" + beside.id, entry)
+        beside.registered_at = time.monotonic()
+        self.world.busy_targets.discard(beside)
+
+    async def _disturb_for(self, one, seconds):
+        """The daemon has no way to the store meanwhile."""
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            one.note_fault()
+            one.store_way.disturb(time.monotonic())
+            await asyncio.sleep(min(left, 0.2))
+
     async def kill_all(self, dice):
         """All daemons that run are killed at one moment, and are back within a second."""
         running = [one for one in self.world.daemons if not one.stopping]
--- a/tools/soaking/platform_store.py
+++ b/tools/soaking/platform_store.py
@@ -22,6 +22,7 @@
         # are lost, and nothing more comes on their connections).
         self.mode = "up"
         self.turned_away = set()  # Indices of daemons that get 503.
+        self.writers = {}  # By index of a daemon: its open connections.
         self.watched_at = {}  # By index of a daemon: when it last watched.
 
     async def put(self, key, value):
@@ -80,7 +81,13 @@
         now = time.monotonic()
         return sorted(i for i, at in self.watched_at.items() if now - at < WATCHES)
 
+    def reset(self, index):
+        """The connections of one daemon end."""
+        for writer in list(self.writers.get(index, ())):
+            writer.transport.abort()
+
     async def serve(self, reader, writer, index):
+        self.writers.setdefault(index, set()).add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -112,6 +119,7 @@
         except asyncio.CancelledError:
             pass  # The end of the soak.
         finally:
+            self.writers[index].discard(writer)
             writer.close()
 
     async def _answer(self, path, query):
