Callers' connections: tell who ended them and what that dropped

caller_gone stood for callers that left and for requests that the daemon itself dropped. caller_requests_dropped names the cause of the end of a connection, the requests that were open or answered but unwritten on it, and a deferred one; a counter by cause, a gauge of lingering connections, which the line 'ending' has too. target_bytes_unsolicited tells of late copies of answers on idle connections. No decision is changed.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -4,6 +4,7 @@
 // order of their arrival.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "include/base/enum_table.h"
 #include "include/base/log.h"
 #include "include/base/recent_extreme.h"
 #include "include/base/time.h"
@@ -30,6 +32,20 @@
 
 namespace pistachioweir {
 
+// Why a connection of a caller ended.
+enum class caller_end : std::uint8_t {
+  kCallerLeft,   // It closed its side, or the connection was reset.
+  kReadTooLate,  // It had left before its request was read.
+  kWriteFailed,
+  kTimeout,     // Nothing was read from it, or written to it, for too long.
+  kLastAnswer,  // The daemon closed it behind a response.
+  kStop,        // Idle when the daemon stopped.
+};
+
+inline constexpr enum_table<caller_end, 6> kCallerEndNames(
+    {"caller_left", "read_too_late", "write_failed", "timeout", "last_answer",
+     "stop"});
+
 // State shared by all sessions of one port.
 struct caller_port_state {
   origin& calls;
@@ -45,6 +61,11 @@
   std::uint64_t malformed = 0;
   // Requests read only after their callers had disconnected; not forwarded.
   std::uint64_t read_too_late = 0;
+  // Requests without a written response when their connection ended.
+  std::array<std::uint64_t, kCallerEndNames.size()> dropped{};
+  // Connections that have had their last response, and that their callers
+  // haven't closed yet.
+  std::size_t lingering = 0;
   recent_maximum max_write_time;  // Of responses.
   bool draining = false;  // Each connection closes after its next response.
   bool refusing = false;  // Requests are refused without being run.
@@ -74,7 +95,10 @@
     ++state_->sessions;
   }
 
-  ~caller_session() { --state_->sessions; }
+  ~caller_session() {
+    --state_->sessions;
+    state_->lingering -= lingering_ ? 1 : 0;
+  }
   caller_session(const caller_session&) = delete;
   caller_session& operator=(const caller_session&) = delete;
 
@@ -89,7 +113,7 @@
   // Closes the connection if nothing is in progress on it.
   void CloseIfIdle() {
     if (exchanges_.empty() && !writing_ && received_.empty()) {
-      Close();
+      Close(caller_end::kStop);
     }
   }
 
@@ -98,6 +122,7 @@
 
   // One request and its response.
   struct exchange {
+    std::string id;
     origin::call_id call = 0;
     std::size_t held = 0;  // Bytes counted in held_bytes.
     bool safe = false;     // Further requests may be served concurrently.
@@ -129,7 +154,7 @@
     if (error) {
       // The caller disconnected or shut down its sending side: responses
       // that it still waits for can't be delivered.
-      Close();
+      Close(caller_end::kCallerLeft);
       return;
     }
     if (received_.empty() || (reader_ && reader_->has_head())) {
@@ -214,6 +239,7 @@
     RecordProgress();
     relayed_call call =
         Protocol::Decode(std::move(request), monotonic_clock::now());
+    begun->id = call.id;
     // If the event loop is late, the caller may have given up before its
     // request is read. The end of its connection would be read only after the
     // request has been sent to a target.
@@ -222,7 +248,7 @@
       LogEvent("caller_gone",
                {{.name = "why", .value = "its request was read too late"},
                 {.name = "request", .value = call.id}});
-      Close();
+      Close(caller_end::kReadTooLate);
       return;
     }
     if (state_->held_bytes > state_->max_held_bytes) {
@@ -326,7 +352,7 @@
       return;
     }
     if (error) {
-      Close();
+      Close(caller_end::kWriteFailed);
       return;
     }
     RecordProgress();
@@ -354,8 +380,9 @@
   void CloseGracefully() {
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    AbandonAll();
+    AbandonAll(caller_end::kLastAnswer);
     lingering_ = true;
+    ++state_->lingering;
     received_.clear();
     RecordProgress();
     Linger();
@@ -371,14 +398,15 @@
         [self = this->shared_from_this()](error_code error, std::size_t) {
           self->reading_ = false;
           if (error) {
-            self->Close();
+            self->Close(caller_end::kCallerLeft);
           } else {
             self->Linger();
           }
         });
   }
 
-  void AbandonAll() {
+  void AbandonAll(caller_end why) {
+    LogDropped(why);
     for (const exchange_ptr& open : std::exchange(exchanges_, {})) {
       if (!open->answered && open->call != 0) {
         state_->calls.Abandon(open->call);
@@ -387,11 +415,29 @@
     }
   }
 
-  void Close() {
+  // Tells who ended the connection, and what that left without a response.
+  void LogDropped(caller_end why) {
+    if (exchanges_.empty() && !deferred_) {
+      return;
+    }
+    state_->dropped[static_cast<std::size_t>(why)] += exchanges_.size();
+    const auto unwritten = std::ranges::count_if(
+        exchanges_, [](const exchange_ptr& open) { return open->answered; });
+    LogEvent("caller_requests_dropped",
+             {{.name = "why", .value = std::string(kCallerEndNames.Name(why))},
+              {.name = "open", .value = std::to_string(exchanges_.size())},
+              {.name = "answered", .value = std::to_string(unwritten)},
+              {.name = "deferred", .value = deferred_ ? "yes" : "no"},
+              {.name = "draining", .value = state_->draining ? "yes" : "no"},
+              {.name = "request",
+               .value = exchanges_.empty() ? "" : exchanges_.front()->id}});
+  }
+
+  void Close(caller_end why) {
     if (std::exchange(closed_, true)) {
       return;
     }
-    AbandonAll();
+    AbandonAll(why);
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
@@ -437,7 +483,7 @@
   void OnTimeout() {
     const bool unfinished = reader_.has_value() && exchanges_.empty();
     if (!unfinished || lingering_) {
-      Close();
+      Close(caller_end::kTimeout);
       return;
     }
     // An incomplete request has not run.
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -555,6 +555,8 @@
         {{.name = "requests",
           .value = std::to_string(callers_.state().open_requests)},
          {.name = "runs", .value = std::to_string(executor_.in_progress())},
+         {.name = "connections_lingering",
+          .value = std::to_string(callers_.state().lingering)},
          {.name = "requests_unfinished",
           .value = std::to_string(origin_.counters().ended_by_stop)},
          {.name = "runs_unfinished",
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -225,6 +225,25 @@
           sharing.unreadable);
 }
 
+void AddDropped(const caller_port_state& callers,
+                std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_caller_requests_dropped";
+  family.help =
+      "Requests without a written response when their connection ended, by the "
+      "cause of its end";
+  family.type = MetricType::Counter;
+  for (std::size_t i = 0; i < callers.dropped.size(); ++i) {
+    ClientMetric metric;
+    metric.label = {{.name = "why",
+                     .value = std::string(
+                         kCallerEndNames.Name(static_cast<caller_end>(i)))}};
+    metric.counter.value = static_cast<double>(callers.dropped[i]);
+    family.metric.push_back(std::move(metric));
+  }
+  families->push_back(std::move(family));
+}
+
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -287,6 +306,7 @@
   counter("caller_read_too_late",
           "Requests read after their callers had disconnected",
           sources.callers.read_too_late);
+  AddDropped(sources.callers, &families);
   counter("log_lines_dropped",
           "Log lines dropped because the reader was too slow",
           DroppedLogLines());
@@ -305,6 +325,10 @@
         sources.runs.recent_starts(monotonic_clock::now()));
   gauge("caller_connections", "Connections of callers",
         static_cast<double>(sources.callers.sessions));
+  gauge(
+      "caller_connections_lingering",
+      "Connections that their callers haven't closed behind the last response",
+      static_cast<double>(sources.callers.lingering));
   gauge("view_revision", "Newest revision of the store in the view",
         static_cast<double>(sources.view.revision));
   AddLoad(sources.load, &families);
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -18,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "include/base/log.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
 #include "src/forward/carried_ids.h"
@@ -200,6 +201,12 @@
   void OnRead(error_code error, std::size_t bytes) {
     if (!done_) {
       // The target closed the idle connection or sent unsolicited bytes.
+      if (!error) {
+        LogEvent("target_bytes_unsolicited",
+                 {{.name = "connection", .value = std::to_string(number_)},
+                  {.name = "last_request", .value = run_.request_id},
+                  {.name = "bytes", .value = std::to_string(bytes)}});
+      }
       CloseWhileIdle();
       return;
     }
