caller_session: close behind the last request that was begun

What callers saw: around a planned stop, requests of a connection that had several ended without an answer, also where a target had answered them; and an unsafe request could run although its caller had been told that it was unread, and had sent it again.

Cause: when a connection closes was kept on one request. While the daemon drained, SetAnswer() marked whichever request was answered as the last one, and the connection closed behind it and dropped the others. A deferred unsafe request survived that, and the pending read began it with the next bytes.

Change: request_pipeline, without I/O, holds the invariant for the connection: each request that is begun is answered and written unless the connection ends before; it closes behind the last one, and only that response, whose head is made when its writing begins, announces it. A draining daemon begins nothing behind others. A lingering session reads only to drop, and isn't closed early.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -6,9 +6,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +27,7 @@
 #include "include/forward/service_view.h"
 #include "src/forward/caller_protocol_concept.h"
 #include "src/forward/origin.h"
+#include "src/forward/request_pipeline.h"
 #include "src/net/connection_end.h"
 #include "src/net/http_reader.h"
 
@@ -67,13 +68,10 @@
   // haven't closed yet.
   std::size_t lingering = 0;
   recent_maximum max_write_time;  // Of responses.
-  bool draining = false;  // Each connection closes after its next response.
-  bool refusing = false;  // Requests are refused without being run.
+  bool draining = false;          // Connections close as soon as they may.
+  bool refusing = false;          // Requests are refused without being run.
 };
 
-// Maximum of requests of one connection that are served concurrently. Further
-// ones wait in the socket.
-inline constexpr std::size_t kMaxPipelined = 32;
 // Retry delay if too many bytes of bodies are held: requests end within about
 // that time.
 inline constexpr milliseconds kBodyLimitRetryAfter{1000};
@@ -110,9 +108,10 @@
     Read();
   }
 
-  // Closes the connection if nothing is in progress on it.
+  // Closes the connection if nothing is in progress on it, which includes
+  // waiting for the caller's end behind the last response.
   void CloseIfIdle() {
-    if (exchanges_.empty() && !writing_ && received_.empty()) {
+    if (pipeline_.empty() && !lingering_ && !reader_ && received_.empty()) {
       Close(caller_end::kStop);
     }
   }
@@ -125,14 +124,12 @@
     std::string id;
     origin::call_id call = 0;
     std::size_t held = 0;  // Bytes counted in held_bytes.
-    bool safe = false;     // Further requests may be served concurrently.
-    bool answered = false;
-    bool close = false;  // The connection closes after the response.
-    std::string head;    // Of the response, as is the body.
-    std::string body;
+    relayed_response response;
+    std::string head;  // Of the response.
   };
 
-  using exchange_ptr = std::shared_ptr<exchange>;
+  using pipeline = request_pipeline<exchange>;
+  using entry_ptr = typename pipeline::entry_ptr;
 
   void Read() {
     if (reading_ || closed_) {
@@ -157,6 +154,10 @@
       Close(caller_end::kCallerLeft);
       return;
     }
+    if (lingering_) {
+      Read();  // Requests that cross the end of the connection are unread.
+      return;
+    }
     if (received_.empty() || (reader_ && reader_->has_head())) {
       RecordProgress();
     }
@@ -164,18 +165,17 @@
     ProcessReceived();
   }
 
-  [[nodiscard]] bool CanAcceptMore() const {
-    return !last_request_ && !deferred_ && exchanges_.size() < kMaxPipelined &&
-           (exchanges_.empty() || exchanges_.back()->safe);
+  [[nodiscard]] bool CanBegin(bool safe) const {
+    return pipeline_.CanBegin(safe, state_->draining);
   }
 
   // Parses as many requests from the received bytes as may be served now. A
   // read stays pending in any case, to detect that the caller disconnects.
   void ProcessReceived() {
-    if (deferred_ && exchanges_.empty()) {
+    if (deferred_ && CanBegin(IsSafe(*deferred_))) {
       Begin(*std::exchange(deferred_, std::nullopt));
     }
-    while (!closed_ && !received_.empty() && CanAcceptMore()) {
+    while (!closed_ && !received_.empty() && !deferred_ && CanBegin(true)) {
       if (!reader_) {
         reader_.emplace(
             read_limits{.max_head_bytes = state_->limits.max_head_bytes,
@@ -196,10 +196,7 @@
       read_request request = reader_->Take();
       reader_.reset();
       continue_sent_ = false;
-      // A request that may run only once is not begun while others precede it:
-      // if an earlier response closes the connection, the caller assumes that
-      // this request was not read and sends it again.
-      if (!IsSafe(request) && !exchanges_.empty()) {
+      if (!CanBegin(IsSafe(request))) {
         deferred_ = std::move(request);
         break;
       }
@@ -211,7 +208,7 @@
   }
 
   void SendContinueIfExpected() {
-    if (continue_sent_ || !reader_->expects_continue() || !exchanges_.empty()) {
+    if (continue_sent_ || !reader_->expects_continue() || !pipeline_.empty()) {
       return;
     }
     continue_sent_ = true;
@@ -227,19 +224,14 @@
   }
 
   void Begin(read_request request) {
-    auto begun = std::make_shared<exchange>();
-    begun->safe = IsSafe(request);
-    begun->close = !request.keep_alive;
-    begun->held = request.body.size();
-    last_request_ = begun->close;
-    exchanges_.push_back(begun);
+    const pipelined_request how{.safe = IsSafe(request),
+                                .last = !request.keep_alive};
+    const std::size_t held = request.body.size();
     ++state_->requests;
-    ++state_->open_requests;
-    state_->held_bytes += begun->held;
     RecordProgress();
     relayed_call call =
         Protocol::Decode(std::move(request), monotonic_clock::now());
-    begun->id = call.id;
+    const entry_ptr begun = Open({.id = call.id, .held = held}, how);
     // If the event loop is late, the caller may have given up before its
     // request is read. The end of its connection would be read only after the
     // request has been sent to a target.
@@ -264,11 +256,17 @@
         [self = this->shared_from_this(), begun](relayed_result result) {
           self->Answer(begun, std::move(result));
         });
-    begun->call = id;
+    begun->exchange.call = id;
+  }
+
+  entry_ptr Open(exchange opened, const pipelined_request& how) {
+    ++state_->open_requests;
+    state_->held_bytes += opened.held;
+    return pipeline_.Begin(std::move(opened), how);
   }
 
   // Refuses the request without forwarding anything of it.
-  void Refuse(const exchange_ptr& refused,
+  void Refuse(const entry_ptr& refused,
               std::string_view id,
               reason why,
               milliseconds after) {
@@ -288,11 +286,7 @@
     LogWarning("caller_unreadable",
                {{.name = "problem",
                  .value = std::string(kReadProblemNames.Name(problem))}});
-    auto refused = std::make_shared<exchange>();
-    refused->close = true;
-    last_request_ = true;
-    exchanges_.push_back(refused);
-    ++state_->open_requests;
+    const entry_ptr refused = Open({}, {.last = true});
     received_.clear();
     const reason why = problem == read_problem::kMalformed ? reason::kBadRequest
                                                            : reason::kTooLarge;
@@ -305,9 +299,9 @@
     SetAnswer(refused, std::move(response));
   }
 
-  void Answer(const exchange_ptr& answered, relayed_result result) {
+  void Answer(const entry_ptr& answered, relayed_result result) {
     if (closed_) {
-      Release(*answered);
+      Release(answered->exchange);
       return;
     }
     SetAnswer(answered, result.kind == outcome_kind::kCompleted
@@ -315,39 +309,35 @@
                             : Protocol::Encode(result));
   }
 
-  void SetAnswer(const exchange_ptr& answered, relayed_response&& response) {
-    const bool close = answered->close || state_->draining;
-    if (state_->draining && !answered->close) {
-      answered->close = true;
-      last_request_ = true;
-    }
-    answered->head = ResponseHead(response.status, response.header_block,
-                                  response.body.size(), !close);
-    answered->body = std::move(response.body);
+  void SetAnswer(const entry_ptr& answered, relayed_response&& response) {
+    answered->exchange.response = std::move(response);
     answered->answered = true;
     WriteNext();
   }
 
   void WriteNext() {
-    if (writing_ || closed_ || exchanges_.empty() ||
-        !exchanges_.front()->answered) {
+    const entry_ptr next =
+        closed_ ? nullptr : pipeline_.StartWriting(state_->draining);
+    if (next == nullptr) {
       return;
     }
-    writing_ = true;
     RecordProgress();
     write_begun_ = last_progress_;
-    const exchange_ptr& front = exchanges_.front();
+    exchange& written = next->exchange;
+    written.head =
+        ResponseHead(written.response.status, written.response.header_block,
+                     written.response.body.size(), !pipeline_.closes());
     const std::array<boost::asio::const_buffer, 2> parts{
-        boost::asio::buffer(front->head), boost::asio::buffer(front->body)};
-    boost::asio::async_write(socket_, parts,
-                             [self = this->shared_from_this(), front](
-                                 error_code error, std::size_t) {
-                               self->writing_ = false;
-                               self->OnWritten(front, error);
-                             });
+        boost::asio::buffer(written.head),
+        boost::asio::buffer(written.response.body)};
+    boost::asio::async_write(
+        socket_, parts,
+        [self = this->shared_from_this(), next](error_code error, std::size_t) {
+          self->OnWritten(next, error);
+        });
   }
 
-  void OnWritten(const exchange_ptr& written, error_code error) {
+  void OnWritten(const entry_ptr& written, error_code error) {
     if (closed_) {
       return;
     }
@@ -357,9 +347,9 @@
     }
     RecordProgress();
     state_->max_write_time.Add(last_progress_ - write_begun_, last_progress_);
-    exchanges_.pop_front();
-    Release(*written);
-    if (written->close) {
+    const bool closes = pipeline_.FinishWriting();
+    Release(written->exchange);
+    if (closes) {
       CloseGracefully();
       return;
     }
@@ -378,66 +368,49 @@
   // Closes without losing the response if the caller has sent more: closing a
   // socket with unread bytes resets it, and the reset overtakes the response.
   void CloseGracefully() {
+    assert(pipeline_.empty());
+    LogDropped(caller_end::kLastAnswer);
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    AbandonAll(caller_end::kLastAnswer);
     lingering_ = true;
     ++state_->lingering;
+    deferred_.reset();
+    reader_.reset();
     received_.clear();
     RecordProgress();
-    Linger();
-  }
-
-  void Linger() {
-    if (reading_ || closed_) {
-      return;
-    }
-    reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(chunk_),
-        [self = this->shared_from_this()](error_code error, std::size_t) {
-          self->reading_ = false;
-          if (error) {
-            self->Close(caller_end::kCallerLeft);
-          } else {
-            self->Linger();
-          }
-        });
-  }
-
-  void AbandonAll(caller_end why) {
-    LogDropped(why);
-    for (const exchange_ptr& open : std::exchange(exchanges_, {})) {
-      if (!open->answered && open->call != 0) {
-        state_->calls.Abandon(open->call);
-      }
-      Release(*open);
-    }
+    Read();
   }
 
   // Tells who ended the connection, and what that left without a response.
   void LogDropped(caller_end why) {
-    if (exchanges_.empty() && !deferred_) {
+    const auto& open = pipeline_.open();
+    if (open.empty() && !deferred_) {
       return;
     }
-    state_->dropped[static_cast<std::size_t>(why)] += exchanges_.size();
+    state_->dropped[static_cast<std::size_t>(why)] += open.size();
     const auto unwritten = std::ranges::count_if(
-        exchanges_, [](const exchange_ptr& open) { return open->answered; });
+        open, [](const entry_ptr& each) { return each->answered; });
     LogEvent("caller_requests_dropped",
              {{.name = "why", .value = std::string(kCallerEndNames.Name(why))},
-              {.name = "open", .value = std::to_string(exchanges_.size())},
+              {.name = "open", .value = std::to_string(open.size())},
               {.name = "answered", .value = std::to_string(unwritten)},
               {.name = "deferred", .value = deferred_ ? "yes" : "no"},
               {.name = "draining", .value = state_->draining ? "yes" : "no"},
               {.name = "request",
-               .value = exchanges_.empty() ? "" : exchanges_.front()->id}});
+               .value = open.empty() ? "" : open.front()->exchange.id}});
   }
 
   void Close(caller_end why) {
     if (std::exchange(closed_, true)) {
       return;
     }
-    AbandonAll(why);
+    LogDropped(why);
+    for (const entry_ptr& open : pipeline_.TakeOpen()) {
+      if (!open->answered && open->exchange.call != 0) {
+        state_->calls.Abandon(open->exchange.call);
+      }
+      Release(open->exchange);
+    }
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
@@ -450,10 +423,10 @@
     if (lingering_) {
       return last_progress_ + kLingerTimeout;
     }
-    if (writing_) {
+    if (pipeline_.writing()) {
       return last_progress_ + kWriteTimeout;
     }
-    if (!exchanges_.empty()) {
+    if (!pipeline_.empty()) {
       return time_point::max();  // Its calls have deadlines of their own.
     }
     if (reader_ && !reader_->has_head()) {
@@ -481,17 +454,13 @@
   }
 
   void OnTimeout() {
-    const bool unfinished = reader_.has_value() && exchanges_.empty();
-    if (!unfinished || lingering_) {
+    const bool unfinished = reader_.has_value() && pipeline_.empty();
+    if (!unfinished) {
       Close(caller_end::kTimeout);
       return;
     }
     // An incomplete request has not run.
-    auto refused = std::make_shared<exchange>();
-    refused->close = true;
-    last_request_ = true;
-    exchanges_.push_back(refused);
-    ++state_->open_requests;
+    const entry_ptr refused = Open({}, {.last = true});
     relayed_response response = Protocol::Encode(
         {.kind = outcome_kind::kNotExecuted, .why = reason::kTimeout});
     SetAnswer(refused, std::move(response));
@@ -512,14 +481,14 @@
   std::optional<request_reader> reader_;  // Of an incomplete request.
   // A complete request that is begun once those before it are answered.
   std::optional<read_request> deferred_;
-  std::deque<exchange_ptr> exchanges_;  // In the order of the requests.
+  pipeline pipeline_;
   time_point last_progress_;
   time_point write_begun_;  // Of the last response.
   time_point head_begun_;
   bool reading_ = false;
-  bool writing_ = false;
   bool continue_sent_ = false;  // "100 Continue" was sent for this request.
-  bool last_request_ = false;   // No further request is accepted.
+  // The last response has been written; what the caller still sends is dropped
+  // until it closes.
   bool lingering_ = false;
   bool closed_ = false;
 };
