Soak: callers with several requests at once, rejections that come twice

What is behind the last response of a connection must not run: callers send it again. The kind reject_twice has targets send half of their rejections once more, ahead of the next answer on that connection.

--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -1,6 +1,7 @@
 """Callers beside a daemon. They keep using open connections until those end,
 and remember what they were told of each request."""
 import asyncio
+import collections
 import itertools
 import random
 import time
@@ -19,9 +20,11 @@
     daemon: int
     sent_at: float
     ended_at: float = 0.0
-    # A status, "closed" (no answer, or half of one) or "left" (by the caller).
     service: str = ""
+    # A status, "closed" (no answer, or half of one), "unread" (it was sent behind
+    # a response that closed its connection) or "left" (by the caller).
     end: object = None
+    turn_at: float = 0.0  # When the responses before it had come.
     reusable: bool = False  # The connection can carry another request.
     retry_after: bool = False
     poison: bool = False  # It crashes targets.
@@ -51,8 +54,10 @@
         self.roots = roots  # Kinds whose runs make calls, at the first host.
         self.ended = False
 
-    async def run(self, workers):
-        await asyncio.gather(*(self._work() for _ in range(workers)))
+    async def run(self, workers, pipelined=0, depth=1):
+        """`pipelined` further workers have up to `depth` requests on a connection."""
+        await asyncio.gather(*(self._work() for _ in range(workers)),
+                             *(self._work_pipelined(depth) for _ in range(pipelined)))
 
     async def _work(self):
         while not self.ended:
@@ -73,6 +78,45 @@
             finally:
                 writer.transport.abort()
 
+    async def _work_pipelined(self, depth):
+        while not self.ended:
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(*self.daemon.caller), 1)
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            waiting = collections.deque()
+            try:
+                await self._pipeline(reader, writer, waiting, depth)
+            finally:
+                self._end_pipeline(waiting)
+                writer.transport.abort()
+
+    async def _pipeline(self, reader, writer, waiting, depth):
+        """Keeps up to `depth` requests behind one another until the connection ends.
+        One that may run once is the last of them until it is answered."""
+        while waiting or not self.ended:
+            while (not self.ended and len(waiting) < depth
+                   and not (waiting and waiting[-1].kind == "sign")):
+                kind = "sign" if waiting and self.dice.random() < 0.1 else "look"
+                waiting.append(self._send(writer, kind, self.dice.choice(self.hosts),
+                                          verb="POST" if kind == "sign" else "GET"))
+            told = waiting.popleft()
+            told.turn_at = time.monotonic()
+            if not await self._receive(told, reader, 5.0):
+                for behind in waiting:
+                    behind.end = "unread" if isinstance(told.end, int) else told.end
+                return
+            if told.end in (429, 503) or self.dice.random() < 0.3:
+                await asyncio.sleep(0.1)
+
+    def _end_pipeline(self, waiting):
+        for told in waiting:
+            told.end = told.end or "left"
+            told.ended_at = time.monotonic()
+            told.during_stop |= self.daemon.planned_stop
+
     async def ask(self, reader, writer, kind=None, host=None, leaves=True, path=None,
                   key=None, request=None, seconds=4.0):
         """One request, and what this caller was told of it."""
@@ -80,6 +124,13 @@
             kind, host = self.dice.choice(self.roots), self.hosts[0]
         kind = kind or ("sign" if self.dice.random() < 0.4 else "look")
         host = host or self.dice.choice(self.hosts)
+        told = self._send(writer, kind, host, path, key, request, seconds)
+        patience = 0.05 if leaves and self.dice.random() < 0.03 else seconds + 1.0
+        await self._receive(told, reader, patience)
+        return told
+
+    def _send(self, writer, kind, host, path=None, key=None, request=None, seconds=4.0,
+              verb="POST"):
         number = next(self.ledger.numbers)
         request = request or f"r{self.daemon.index}-{number}"
         told = Told(request, kind, self.daemon.index, time.monotonic(),
@@ -93,13 +144,17 @@
         shown = "" if key is None else (
             f"Authorization: Token {key}\r\nTenant: somebody\r\n")
         body = b"b" * (self.dice.randrange(2000) if path is None else 10)
+        body = body if verb == "POST" else b""
         if self.alike and path is None and self.dice.random() < self.alike:
             path, body = f"/{kind}/same", b""
         writer.write(
-            f"POST {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
+            f"{verb} {path or f'/{kind}/{number}'} HTTP/1.1\r\nHost: {host}\r\n"
             f"Request-Id: {request}\r\nDeadline-Ms: {int(seconds * 1000)}\r\n{shown}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        patience = 0.05 if leaves and self.dice.random() < 0.03 else seconds + 1.0
+        return told
+
+    async def _receive(self, told, reader, patience):
+        """Whether the connection can carry another request."""
         try:
             told.reusable = await asyncio.wait_for(
                 self._answer(told, reader), patience)
@@ -111,7 +166,7 @@
             told.ended_at = time.monotonic()
             told.during_stop |= self.daemon.planned_stop
             told.calm = self.daemon.undisturbed_for() > 4
-        return told
+        return told.reusable
 
     async def _answer(self, told, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/tools/soaking/checks.py
+++ b/tools/soaking/checks.py
@@ -27,9 +27,16 @@
 
 
 def answered_in_time(told, timeout):
-    return [f"{t.request}: held {t.ended_at - t.sent_at:.2f} s at a calm daemon"
+    return [f"{t.request}: held {held:.2f} s at a calm daemon"
             for t in told if t.calm and t.end != "left"
-            and t.ended_at - t.sent_at > timeout + HELD]
+            and (held := t.ended_at - max(t.sent_at, t.turn_at)) > timeout + HELD]
+
+
+def nothing_unread_runs(told, runs):
+    """Callers send a request again that was behind the last response of its
+    connection."""
+    return [f"{t.request}: behind the last response of its connection, but ran "
+            f"{runs[t.request]}" for t in told if t.end == "unread" and t.request in runs]
 
 
 def stops_cut_nothing(told, runs):
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -18,7 +18,7 @@
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
                "store_for_some", "store_for_none", "leave", "leave_at_return",
-               "lapse", "limit", "limits", "say_leaving", "cut_kill")
+               "lapse", "limit", "limits", "say_leaving", "cut_kill", "reject_twice")
 # Where targets make calls.
 NESTED_KINDS = ("reject_all", "kill_parent")
 # Lines that name whom a daemon reports to.
@@ -466,10 +466,21 @@
         await asyncio.sleep(dice.uniform(0.5, 3.0))
         target.lose_answers = 0.0
 
-    async def reject_all(self, dice):
-        """All targets of a service reject many requests without running them."""
+    async def reject_twice(self, dice):
+        """As reject_all, and half of the rejections come again later, ahead of the
+        next answer on their connection."""
         service = dice.choice(self.world.services)
         rejecting = [each for each in self.world.targets if each.home == service]
+        for each in rejecting:
+            each.repeat = 0.5
+        await self.reject_all(dice, service)
+        for each in rejecting:
+            each.repeat = 0.0
+
+    async def reject_all(self, dice, service=None):
+        """All targets of a service reject many requests without running them."""
+        service = service or dice.choice(self.world.services)
+        rejecting = [each for each in self.world.targets if each.home == service]
         for each in rejecting:
             each.history.end(time.monotonic())
             each.reject = REJECTED
--- a/tools/soaking/target.py
+++ b/tools/soaking/target.py
@@ -34,6 +34,7 @@
         self.registered_at = 0.0
         self.lose_answers = 0.0
         self.reject = 0.0  # Part of the requests that it rejects unrun.
+        self.repeat = 0.0  # Part of its rejections that it sends once more, late.
         self.running = 0
         self.server = None
         self.writers = set()
@@ -72,6 +73,7 @@
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         start = self.id
+        late = []  # Rejections that come again ahead of the next answer.
         try:
             while start == self.id:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -81,7 +83,7 @@
                 headers = {k.lower(): v for k, v in headers.items()}
                 path = head.split(b" ", 2)[1].decode()
                 await reader.readexactly(int(headers.get("content-length", 0)))
-                await self._run(headers, path, writer, start)
+                await self._run(headers, path, writer, start, late)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         except asyncio.CancelledError:
@@ -90,17 +92,22 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def _run(self, headers, path, writer, start):
+    async def _run(self, headers, path, writer, start, late):
         request = headers["request-id"]
         if headers.get("expected-instance") not in (None, self.id):
             self._send(writer, 421, request, b"", "Not-Executed: 1\r\n")
             return
         if self.nested is not None:
             self.nested.arrived(self, request)
+        copies = b"".join(late)
+        late.clear()
+        writer.write(copies)
         if self.running >= self.slots + 4 or (
                 self.reject and self.dice.random() < self.reject):
             self.limits.arrived(self, request)
             self._send(writer, 503, request, b"", "Not-Executed: 1\r\n" + self.says())
+            if self.repeat and self.dice.random() < self.repeat:
+                late.append(self._bytes(503, request, b"", "Not-Executed: 1\r\n"))
             return
         self.limits.arrived(self, request)
         self.runs.setdefault(request, []).append((self.id, time.monotonic()))
@@ -135,5 +142,9 @@
             writer.close()
 
     def _send(self, writer, status, request, body, extra):
-        writer.write(f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\n{extra}"
-                     f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        writer.write(self._bytes(status, request, body, extra))
+
+    @staticmethod
+    def _bytes(status, request, body, extra):
+        return (f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\n{extra}"
+                f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
