http_server: read on behind the last answer of a connection

What callers saw: an answer of the own interface cut off by a reset, where bytes of a later request crossed the close, as at a stop or a refusal of a large body. It shuts down its side and reads away what comes, for a second at most, as sessions of `serve` do.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -256,17 +256,44 @@
     message_.reset();
     if (again) {
       Read();
-    } else {
+    } else if (error) {
       Close();
+    } else {
+      Linger();
     }
   }
 
+  // Reads what the other side still sends until it closes: closing a socket
+  // with unread bytes resets it, and the reset overtakes the answer.
+  void Linger() {
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    buffer_.clear();
+    stream_.expires_after(kLingerTimeout);
+    ReadAway();
+  }
+
+  void ReadAway() {
+    stream_.async_read_some(
+        buffer_.prepare(kReadAwayBytes),
+        [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+          if (error) {
+            self->Close();
+          } else {
+            self->ReadAway();
+          }
+        });
+  }
+
   void Close() {
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.close();
   }
 
+  static constexpr milliseconds kLingerTimeout{1000};
+  static constexpr std::size_t kReadAwayBytes = 8192;
+
   std::shared_ptr<state> shared_;
   beast::tcp_stream stream_;
   const std::size_t worker_;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -114,6 +114,28 @@
   EXPECT_EQ(server_->connections(), 1U);
 }
 
+// Guards against answers that are cut off by a reset, since the server closes
+// their connection with bytes of a later request unread.
+TEST_F(http_test, AnAnswerSurvivesBytesThatCrossItsClose) {
+  constexpr std::size_t kBody = 1 << 20;
+  Serve([](const exchange_ptr& exchange) {
+    exchange->Respond(
+        {.status = 200, .body = std::string(kBody, 'x'), .close = true});
+  });
+  tcp::socket socket = Connect();
+  asio::write(socket,
+              asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+  std::string answer(1, '\0');
+  asio::read(socket, asio::buffer(answer));
+  asio::write(socket, asio::buffer(std::string(100000, 'y')));
+  ASSERT_TRUE(EventuallyIdle());
+  std::this_thread::sleep_for(milliseconds(100));
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  EXPECT_EQ(error, asio::error::eof);
+  EXPECT_GT(answer.size(), kBody);
+}
+
 // Nothing listens any more where a VM was replaced. The caller may be told that
 // its request did not run, since no byte of it left.
 TEST_F(http_test, RefusedConnectionIsNotSent) {
