stop_plan: wait for callers' connections that linger

A process that ends with bytes of a caller unread resets the connection, and loses what the kernel hasn't sent of the last response.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -501,6 +501,7 @@
         .calls_read = peers_.calls_read(),
         .open_requests = callers_.state().open_requests,
         .runs = executor_.in_progress(),
+        .lingering = callers_.state().lingering,
         .max_request_time =
             std::max(origin_.MaxRequestTime(now) + callers_.MaxWriteTime(now),
                      executor_.MaxRequestTime(now))};
--- a/src/forward/stop_plan.h
+++ b/src/forward/stop_plan.h
@@ -16,6 +16,10 @@
   std::uint64_t calls_read = 0;     // From other daemons, since the start.
   std::size_t open_requests = 0;    // From callers, unanswered.
   std::size_t runs = 0;             // At the target.
+  // Callers' connections that have had their last response and aren't closed.
+  // What of it the kernel hasn't sent yet is lost if the process ends while
+  // bytes of the caller are unread.
+  std::size_t lingering = 0;
   // Recent maximum of a request's or a run's time, excluding time lost to
   // broken connections.
   duration max_request_time{0};
@@ -95,7 +99,7 @@
       return true;
     }
     if (progress.open_requests > 0 || progress.runs > 0 ||
-        now - stop_started_ < kMinLinger) {
+        progress.lingering > 0 || now - stop_started_ < kMinLinger) {
       return false;
     }
     const bool callers_idle = now - last_request_ >= kIdlePeriod ||
--- a/tests/stop_plan_test.cc
+++ b/tests/stop_plan_test.cc
@@ -27,6 +27,16 @@
   EXPECT_TRUE(plan.IsOver({.runs = 1}, kStart + milliseconds(5700)));
 }
 
+// Guards against an exit that resets a connection whose last response is on its
+// way.
+TEST(StopPlanTest, WaitsForConnectionsThatLinger) {
+  stop_plan plan;
+  plan.Begin(kStart, kTimeout);
+  EXPECT_FALSE(plan.IsOver({.lingering = 1}, kStart + seconds(3)));
+  EXPECT_TRUE(plan.IsOver({}, kStart + seconds(3)));
+  EXPECT_TRUE(plan.IsOver({.lingering = 1}, kStart + milliseconds(5700)));
+}
+
 TEST(StopPlanTest, EndsOnceNoRequestsArrive) {
   stop_plan plan;
   plan.Begin(kStart, kTimeout);
