executor: a stopping daemon refuses calls that may outlive it

Cause of the larger part: beside the target, calls of other daemons were taken from the signal on whatever they may need, up to one recent maximum over all kinds before the end, and broken off there.

stop_feasibility decides by the call's deadline and, within it, by the tail of its kind's times and twice the longest recent one, at arrival and at the start of the run; what is refused hasn't run and goes to another target. Lines and a counter: runs_too_long in 'ending', runs_too_long_for_stop.

--- a/include/admit/service_time.h
+++ b/include/admit/service_time.h
@@ -18,6 +18,9 @@
   [[nodiscard]] duration LastMean() const;
   // Mean plus mean deviation; most requests stay within it.
   [[nodiscard]] duration UpperEstimate(time_point now) const;
+  // What one request of a thousand exceeds if their times have an exponential
+  // distribution, and fewer if they vary less. Not halved without samples.
+  [[nodiscard]] duration TailEstimate() const;
 
  private:
   [[nodiscard]] int Halvings(time_point now) const;
--- a/src/admit/service_time.cc
+++ b/src/admit/service_time.cc
@@ -14,6 +14,8 @@
 // The estimate is halved for each such period without a sample.
 constexpr milliseconds kHalvingPeriod{100};
 constexpr int kMaxHalvings = 40;
+// The mean deviation of an exponential distribution is 2/e of its mean.
+constexpr double kTailDeviations = 8;
 
 }  // namespace
 
@@ -50,6 +52,11 @@
       static_cast<duration::rep>(std::ldexp(mean_, -Halvings(now))));
 }
 
+duration service_time::TailEstimate() const {
+  return duration(
+      static_cast<duration::rep>(mean_ + kTailDeviations * deviation_));
+}
+
 duration service_time::UpperEstimate(time_point now) const {
   if (!measured_) {
     return duration(0);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -232,6 +232,17 @@
   return std::min(wanted, served.start_by);
 }
 
+reason executor::StartRefusalOf(const served_call& served, time_point now) {
+  if (HasTargetLeft(served.call.target_id, now)) {
+    return reason::kWrongTarget;
+  }
+  if (run_times_.MayOutlive(served.kind, served.deadline, end_by_, now)) {
+    ++counters_.too_long_for_stop;
+    return reason::kDraining;
+  }
+  return reason::kNone;
+}
+
 // Why the call is refused regardless of free slots; kNone if it isn't.
 reason executor::RefusalOf(served_call& served, time_point now) {
   if (draining_) {
@@ -240,8 +251,9 @@
   if (!slots_known_ || IsTargetDown(now)) {
     return reason::kNotReady;
   }
-  if (HasTargetLeft(served.call.target_id, now)) {
-    return reason::kWrongTarget;
+  const reason refusal = StartRefusalOf(served, now);
+  if (refusal != reason::kNone) {
+    return refusal;
   }
   if (served.deadline <= now) {
     return reason::kDeadlinePassed;
@@ -381,13 +393,14 @@
 
 void executor::StartScheduled() {
   for (const std::uint64_t id : std::exchange(starting_, {})) {
-    if (!HasTargetLeft(calls_.at(id).call.target_id, monotonic_clock::now())) {
+    const time_point now = monotonic_clock::now();
+    const reason refusal = StartRefusalOf(calls_.at(id), now);
+    if (refusal == reason::kNone) {
       Start(id);
       continue;
     }
-    admission_.Finish(calls_.at(id).admitted, {.answered = false},
-                      monotonic_clock::now());
-    Refuse(id, reason::kWrongTarget, RetryAfterOf(reason::kWrongTarget));
+    admission_.Finish(calls_.at(id).admitted, {.answered = false}, now);
+    Refuse(id, refusal, RetryAfterOf(refusal));
   }
   ProcessAdmissionEvents();
 }
@@ -539,6 +552,7 @@
                     {.answered = answered,
                      .target_refused = result.end == run_end::kNotExecuted},
                     now);
+  run_times_.OnEnded(served.kind, now - served.started, now);
   UpdateTargetState(result, now);
   UpdateSuspects(served, result, now);
   if (answered || result.end == run_end::kNotExecuted) {
--- a/src/forward/executor.h
+++ b/src/forward/executor.h
@@ -19,6 +19,7 @@
 
 #include "include/admit/adaptive_throttle.h"
 #include "include/admit/admission_controller.h"
+#include "include/admit/stop_feasibility.h"
 #include "include/base/ids.h"
 #include "include/base/recent_extreme.h"
 #include "include/base/time.h"
@@ -53,7 +54,9 @@
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  // Not executed, for any reason.
   std::uint64_t unknown = 0;
-  std::uint64_t ended_by_stop = 0;        // While the target was running them.
+  std::uint64_t ended_by_stop = 0;  // While the target was running them.
+  // Refused because they might not have ended before the stopping daemon.
+  std::uint64_t too_long_for_stop = 0;
   std::uint64_t lineages_unreadable = 0;  // See call_frame.
 };
 
@@ -207,8 +210,12 @@
   void OnConnectionEnd(std::uint64_t id);
 
   // Announces that the daemon is stopping: other daemons then send calls here
-  // only if no other target can accept them. Such calls are served.
-  void Leave() { leaving_ = true; }
+  // only if no other target can accept them. Such calls are served unless they
+  // may still run at `end_by`, when the owner calls EndOpenRuns().
+  void Leave(time_point end_by) {
+    leaving_ = true;
+    end_by_ = end_by;
+  }
   // Refuses new calls from now on; those in progress continue.
   void Drain();
   // Refuses all calls from now on, and answers those in progress: not executed
@@ -325,6 +332,9 @@
   [[nodiscard]] bool HasTargetLeft(const std::string& target,
                                    time_point now) const;
   [[nodiscard]] bool IsTargetDown(time_point now) const;
+  // Why a call mustn't reach the target now; kNone if it may.
+  [[nodiscard]] reason StartRefusalOf(const served_call& served,
+                                      time_point now);
 
   const target_runner run_;
   call_log& log_;
@@ -335,6 +345,7 @@
   std::array<kind_state, kind_index::kMaxKinds> by_kind_;
   std::unordered_map<std::string, downstream_service> downstream_;
   downstream_failure_rate downstream_failures_;
+  stop_feasibility run_times_;  // Of the target's runs.
   call_map calls_;
   std::uint64_t next_id_ = 1;
   // Calls that hold a slot and start with the next StartScheduled(), which is
@@ -360,7 +371,8 @@
   bool notice_pending_ = false;  // Published by the next Tick().
   bool slots_known_ = false;
   bool leaving_ = false;
-  bool draining_ = false;  // Implies leaving_.
+  bool draining_ = false;                  // Implies leaving_.
+  time_point end_by_ = time_point::max();  // Finite while stopping.
   recent_maximum max_request_time_;
   executor_counters counters_;
 };
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -487,7 +487,7 @@
         {{.name = "requests",
           .value = std::to_string(callers_.state().open_requests)},
          {.name = "runs", .value = std::to_string(executor_.in_progress())}});
-    executor_.Leave();
+    executor_.Leave(stop_plan_.answer_by());
     origin_.SetAnswerBy(stop_plan_.answer_by());
     peers_.Drain();
     callers_.Drain();
@@ -558,6 +558,8 @@
          {.name = "runs", .value = std::to_string(executor_.in_progress())},
          {.name = "connections_lingering",
           .value = std::to_string(callers_.state().lingering)},
+         {.name = "runs_too_long",
+          .value = std::to_string(executor_.counters().too_long_for_stop)},
          {.name = "requests_unfinished",
           .value = std::to_string(origin_.counters().ended_by_stop)},
          {.name = "runs_unfinished",
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -291,6 +291,9 @@
   counter("runs_unknown", "Runs without an answer", runs.unknown);
   counter("runs_ended_by_stop", "Runs unfinished when the daemon stopped",
           runs.ended_by_stop);
+  counter("runs_too_long_for_stop",
+          "Calls refused since they might outlive the daemon",
+          runs.too_long_for_stop);
   counter("target_connections_opened", "Connections opened to the target",
           sources.target_connections_opened);
   counter("target_connections_reused", "Runs on a reused connection",
