executor: rejections tell nothing of run times

What callers would see: a target that rejects requests made their kind look short, so a stopping daemon took a run of which nothing is known and broke it off at its end. Cause: run_times_ took each end of a run, rejections, failed connections and cancelled runs among them; eight rejections made a kind known. Only answers and deadlines that were reached count now.

stopping_daemon_test, RejectionsTellNothingOfRunTimes: failed before (0 calls refused), passes.

--- a/include/admit/stop_feasibility.h
+++ b/include/admit/stop_feasibility.h
@@ -24,14 +24,15 @@
 // the longest recent one: service times with a long tail exceed the maximum of
 // n others in one of n + 1 cases.
 //
-// Pure logic; the owner has one for each service.
+// Pure logic; the executor has one for its target.
 class stop_feasibility {
  public:
   static constexpr int kLongestFactor = 2;
   // Fewer don't tell how much the times of a kind vary.
   static constexpr std::uint32_t kMinRequests = 8;
 
-  // A request of the kind ended after `took`, with or without an answer.
+  // A request of the kind was answered, or reached its deadline, after `took`.
+  // Rejections and requests that were cut short tell nothing.
   void OnEnded(std::uint32_t kind, duration took, time_point now) {
     known_times& times = by_kind_[kind];
     times.longest.Add(took, now);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -552,7 +552,10 @@
                     {.answered = answered,
                      .target_refused = result.end == run_end::kNotExecuted},
                     now);
-  run_times_.OnEnded(served.kind, now - served.started, now);
+  // Other ends cut a run short or come without one.
+  if (answered || result.end == run_end::kTimedOut) {
+    run_times_.OnEnded(served.kind, now - served.started, now);
+  }
   UpdateTargetState(result, now);
   UpdateSuspects(served, result, now);
   if (answered || result.end == run_end::kNotExecuted) {
--- a/tests/stopping_daemon_test.cc
+++ b/tests/stopping_daemon_test.cc
@@ -52,5 +52,21 @@
   EXPECT_EQ(path_.target.requests.size(), stop_feasibility::kMinRequests + 1);
 }
 
+// Guards against rejections that count as short runs, so that runs of which
+// nothing is known are taken late and broken off.
+TEST_F(stopping_daemon_test, RejectionsTellNothingOfRunTimes) {
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(
+        fake_http_target::Answer(request, "full", 503, "Not-Executed: 1\r\n"));
+  };
+  for (std::uint32_t i = 0; i < stop_feasibility::kMinRequests; ++i) {
+    EXPECT_EQ(Ask("POST", "/sign/1"), 503);
+  }
+  path_.target_side.Leave(End());
+  EXPECT_EQ(Ask("POST", "/sign/2"), 503);
+  EXPECT_GE(path_.target_side.counters().too_long_for_stop, 1U);
+}
+
 }  // namespace
 }  // namespace pistachioweir
