--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -5,6 +5,9 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <optional>
@@ -12,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "include/base/enum_table.h"
 #include "include/base/log.h"
 #include "src/forward/caller_session.h"
 #include "src/forward/executor.h"
@@ -150,19 +154,22 @@
         load.answer_bytes);
 }
 
-void AddLineage(const executor::lineage_counts& counts,
-                std::vector<MetricFamily>* families) {
+// One counter with a value for each name of an enum.
+template <typename Enum, std::size_t kCount>
+void AddByName(std::string_view name,
+               std::string_view help,
+               std::string_view label,
+               const enum_table<Enum, kCount>& names,
+               const std::array<std::uint64_t, kCount>& counts,
+               std::vector<MetricFamily>* families) {
   MetricFamily family;
-  family.name = "pistachioweir_forward_lineage_calls";
-  family.help =
-      "Requests of local callers and calls of the target, by the evidence of "
-      "the request that they are made for";
+  family.name = "pistachioweir_forward_" + std::string(name);
+  family.help = std::string(help);
   family.type = MetricType::Counter;
-  for (std::size_t i = 0; i < counts.size(); ++i) {
+  for (std::size_t i = 0; i < kCount; ++i) {
     ClientMetric metric;
-    metric.label = {{.name = "evidence",
-                     .value = std::string(kLineageEvidenceNames.Name(
-                         static_cast<lineage_evidence>(i)))}};
+    metric.label = {{.name = std::string(label),
+                     .value = std::string(names.Name(static_cast<Enum>(i)))}};
     metric.counter.value = static_cast<double>(counts[i]);
     family.metric.push_back(std::move(metric));
   }
@@ -225,25 +232,6 @@
           sharing.unreadable);
 }
 
-void AddDropped(const caller_port_state& callers,
-                std::vector<MetricFamily>* families) {
-  MetricFamily family;
-  family.name = "pistachioweir_forward_caller_requests_dropped";
-  family.help =
-      "Requests without a written response when their connection ended, by the "
-      "cause of its end";
-  family.type = MetricType::Counter;
-  for (std::size_t i = 0; i < callers.dropped.size(); ++i) {
-    ClientMetric metric;
-    metric.label = {{.name = "why",
-                     .value = std::string(
-                         kCallerEndNames.Name(static_cast<caller_end>(i)))}};
-    metric.counter.value = static_cast<double>(callers.dropped[i]);
-    family.metric.push_back(std::move(metric));
-  }
-  families->push_back(std::move(family));
-}
-
 std::string MetricsText(const forward_page_sources& sources) {
   std::vector<MetricFamily> families;
   const auto counter = [&](std::string_view name, std::string_view help,
@@ -270,7 +258,11 @@
   counter("calls_ended_with_parent",
           "Calls of the target cancelled because its run was lost",
           calls.ended_with_parent);
-  AddLineage(sources.runs.lineages(), &families);
+  AddByName(
+      "lineage_calls",
+      "Requests of local callers and calls of the target, by the evidence of "
+      "the request that they are made for",
+      "evidence", kLineageEvidenceNames, sources.runs.lineages(), &families);
   if (sources.runs.entrance() != nullptr) {
     AddEntranceShares(*sources.runs.entrance(), &families);
   }
@@ -309,7 +301,10 @@
   counter("caller_read_too_late",
           "Requests read after their callers had disconnected",
           sources.callers.read_too_late);
-  AddDropped(sources.callers, &families);
+  AddByName("caller_requests_dropped",
+            "Requests without a written response when their connection ended, "
+            "by the cause of its end",
+            "why", kCallerEndNames, sources.callers.dropped, &families);
   counter("log_lines_dropped",
           "Log lines dropped because the reader was too slow",
           DroppedLogLines());
--- a/tests/caller_session_end_test.cc
+++ b/tests/caller_session_end_test.cc
@@ -120,5 +120,17 @@
   EXPECT_FALSE(client.NextResponse().keep_alive);
 }
 
+// Guards against a stop that closes a connection as idle while a request is
+// being read from it.
+TEST_F(caller_session_end_test, ARequestThatIsBeingReadIsRefusedNotCut) {
+  caller client(path_);
+  client.Send("GET /look/1 HTTP/1.1\r\n");
+  path_.RunFor(kSettle);
+  path_.server.Drain();
+  path_.server.RefuseNew();
+  client.Send("Host: a.example\r\nRequest-Id: id-1\r\n\r\n");
+  EXPECT_EQ(client.NextResponse().status, 503);
+}
+
 }  // namespace
 }  // namespace pistachioweir
--- a/tools/soaking/callers.py
+++ b/tools/soaking/callers.py
@@ -59,14 +59,20 @@
         await asyncio.gather(*(self._work() for _ in range(workers)),
                              *(self._work_pipelined(depth) for _ in range(pipelined)))
 
+    async def _connect(self):
+        try:
+            return await asyncio.wait_for(
+                asyncio.open_connection(*self.daemon.caller), 1)
+        except (OSError, asyncio.TimeoutError):
+            await asyncio.sleep(0.1)
+            return None
+
     async def _work(self):
         while not self.ended:
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(*self.daemon.caller), 1)
-            except (OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.1)
+            connection = await self._connect()
+            if connection is None:
                 continue
+            reader, writer = connection
             try:
                 while not self.ended:
                     told = await self.ask(reader, writer)
@@ -80,12 +86,10 @@
 
     async def _work_pipelined(self, depth):
         while not self.ended:
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(*self.daemon.caller), 1)
-            except (OSError, asyncio.TimeoutError):
-                await asyncio.sleep(0.1)
+            connection = await self._connect()
+            if connection is None:
                 continue
+            reader, writer = connection
             waiting = collections.deque()
             try:
                 await self._pipeline(reader, writer, waiting, depth)
