--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -470,6 +470,22 @@
   EXPECT_EQ(views_.state().revision, 0U);
 }
 
+// Guards against an entry of another writer that is called as a target, or takes
+// the place of the target at its address.
+TEST_F(paged_store_views_test, ANameThatIsNoIdNamesNoTarget) {
+  Put("servers/i-1", TargetEntry("10.0.0.1:8301"));
+  for (const std::string& name :
+       {"", "a b", "a&b", "a+b", "a#b", "a%b", "a\nb", "a\r\nHost: x", "a/b",
+        "a\x7f", "a\xc3\xa9"}) {
+    items_["servers/" + name] =
+        Item("servers/" + name, TargetEntry("10.0.0.1:8301"), 5);
+  }
+  views_.Start();
+  ASSERT_TRUE(RunUntil([&] { return view_ != nullptr; }));
+  EXPECT_TRUE(Lists("i-1"));
+  EXPECT_EQ(view_->targets.size(), 1U);
+}
+
 // Guards against a watch whose answers bring the same changes without end.
 TEST_F(store_views_test, AWatchThatDoesNotAdvanceHasFailed) {
   views_.Start();
--- a/tools/soaking/odd_entries_test.py
+++ b/tools/soaking/odd_entries_test.py
@@ -34,6 +34,14 @@
                 await self.check_served_beside(
                     {f"servers/0{name}{i:04}": {"note": "no target"} for i in range(ENTRIES)})
 
+    # Guards against requests that are sent to what another writer calls a target.
+    async def test_names_of_no_target_with_values_of_one(self):
+        nobody = self.entry(f"127.{self.network}.9.9", 9)
+        for name in NAMES:
+            with self.subTest(name=name):
+                await self.check_served_beside(
+                    {f"servers/0{name}{i}": nobody for i in range(20)})
+
 
 if __name__ == "__main__":
     unittest.main()
