--- a/tools/soaking/odd_entries_test.py
+++ b/tools/soaking/odd_entries_test.py
@@ -1,5 +1,6 @@
 """Entries of another writer among those of the targets, which stand there when a
 daemon starts: python3 -m unittest soaking.odd_entries_test, in tools."""
+import json
 import unittest
 
 from . import one_daemon
@@ -42,6 +43,38 @@
                 await self.check_served_beside(
                     {f"servers/0{name}{i}": nobody for i in range(20)})
 
+    # Guards against a daemon that ends, or stops reading, at one value.
+    async def test_values_of_any_shape(self):
+        well = self.entry(f"127.{self.network}.1.1", one_daemon.PORTS["target"])
+        nested = json.loads("[" * 900 + "]" * 900)
+        odd = {
+            "nested": nested, "nested-info": well | {"info": nested}, "text": "x",
+            "number": 10 ** 40, "nothing": None, "list": [],
+            "slots": well | {"info": well["info"] | {"slots": 10 ** 40}},
+            "slots-below": well | {"info": well["info"] | {"slots": -1}},
+            "slots-part": well | {"info": well["info"] | {"slots": 0.5}},
+            "born": well | {"born": 1e300}, "born-text": well | {"born": "soon"},
+            "port": well | {"address": "10.0.0.1:70000"},
+            "port-below": well | {"address": "10.0.0.1:-1"},
+            "ip": well | {"address": "999.0.0.1:80"},
+            "warmup": well | {"status": well["status"] | {"warmup-left": "9" * 40 + "s"}},
+            "state": well | {"status": well["status"] | {"state": ["ready"]}},
+            "zone": well | {"info": well["info"] | {"zone": {"a": 1}}},
+            "large": {"note": "x" * 900_000}}
+        await self.check_served_beside(
+            {f"servers/0-{name}": value for name, value in odd.items()})
+        await self.check_served_beside(
+            {f"servers/0-{i}": odd["large"] for i in range(60)})
+
+    # As above, with bytes that are no JSON.
+    async def test_values_that_cannot_be_read(self):
+        raw = {"deep": "[" * 100_000, "deep-objects": '{"a":' * 3000, "open": '{"info":',
+               "twice": '{"info":1,"info":2}', "float": '{"info":1e999999}',
+               "zero": "\0", "control": '{"info":"\u0001"}'}
+        for name, value in raw.items():
+            await self.store.put_raw(f"servers/0-{name}", value)
+        await self.check_served_beside({"servers/0": {}})
+
 
 if __name__ == "__main__":
     unittest.main()
