log: escape control bytes in values

A value with a carriage return, an escape or a zero byte went into a line as it is: readers that end lines there saw lines that no daemon wrote. Values come from callers, targets and the store. All lines pass AppendValue(), which now writes control bytes as \n and \xNN, in quotes.

--- a/include/base/log.h
+++ b/include/base/log.h
@@ -33,7 +33,8 @@
 void FlushLogAtCrash();
 
 // Writes one line: "time=... level=... event=NAME field=value ...". Values with
-// spaces or quotes are quoted. Thread-safe.
+// spaces, quotes or control bytes are quoted, and control bytes written as "\n"
+// and "\xNN". Thread-safe.
 void LogEvent(std::string_view event,
               std::initializer_list<log_field> fields = {});
 void LogWarning(std::string_view event,
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -6,6 +6,7 @@
 #include <easylogging++.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -36,17 +37,37 @@
   return schedule;
 }
 
+constexpr bool IsControl(char c) {
+  constexpr char kDelete = 0x7f;
+  return static_cast<unsigned char>(c) < ' ' || c == kDelete;
+}
+
+// Values come from callers, targets and the store. A control byte in one would
+// end a line, or be obeyed by the terminal that shows it.
+void AppendControl(std::string* line, char c) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  if (c == '\n') {
+    line->append("\\n");
+    return;
+  }
+  const auto byte = static_cast<unsigned char>(c);
+  line->append("\\x");
+  line->push_back(kDigits[byte / kDigits.size()]);
+  line->push_back(kDigits[byte % kDigits.size()]);
+}
+
 void AppendValue(std::string* line, std::string_view value) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"\\=\n") == value.npos;
+  const bool plain = !value.empty() &&
+                     value.find_first_of(" \"\\=") == value.npos &&
+                     std::ranges::none_of(value, IsControl);
   if (plain) {
     line->append(value);
     return;
   }
   line->push_back('"');
   for (const char c : value) {
-    if (c == '\n') {
-      line->append("\\n");
+    if (IsControl(c)) {
+      AppendControl(line, c);
       continue;
     }
     if (c == '"' || c == '\\') {
