http_reader: refuse transfer codings other than chunks alone

Cause: Beast's parsers look for a last coding `chunked` and take anything else as none.

HasKnownFraming() is asked wherever heads are read: by http_reader (callers, targets, the store) and by the server and client of `run`.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -14,6 +14,8 @@
 #include <optional>
 #include <string>
 
+#include "src/net/http_framing.h"
+
 namespace pistachioweir {
 namespace {
 
@@ -214,6 +216,10 @@
       OnRead(error);
       return;
     }
+    if (!HasKnownFraming(parser_.get())) {
+      Finish(exchange_end::kLost);
+      return;
+    }
     http::async_read(*stream_, buffer_, parser_,
                      [self = shared_from_this()](error_code read_error,
                                                  std::size_t /*bytes*/) {
--- /dev/null
+++ b/src/net/http_framing.h
@@ -0,0 +1,30 @@
+// http_framing: what the standard asks of heads beyond what Beast's parsers
+// check.
+#pragma once
+
+#include <iterator>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/message.hpp>
+
+namespace pistachioweir {
+
+// Whether it can be told where the body ends. Chunks alone are understood, and
+// not in HTTP/1.0 (RFC 9112, section 6.1). Beast takes a message with another
+// coding as one that has none: a request's body would be read as the next
+// request, and an answer's body passed on without the coding's name.
+template <bool kIsRequest, typename Fields>
+[[nodiscard]] bool HasKnownFraming(
+    const boost::beast::http::header<kIsRequest, Fields>& head) {
+  constexpr unsigned kHttp11 = 11;
+  const auto [first, last] =
+      head.equal_range(boost::beast::http::field::transfer_encoding);
+  if (first == last) {
+    return true;
+  }
+  return std::next(first) == last && head.version() == kHttp11 &&
+         boost::beast::iequals(first->value(), "chunked");
+}
+
+}  // namespace pistachioweir
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 
+#include "src/net/http_framing.h"
+
 namespace pistachioweir {
 namespace {
 
@@ -89,6 +91,11 @@
   read_problem problem = read_problem::kNone;
 };
 
+template <bool kIsRequest, typename Fields>
+bool IsValidHead(const http::header<kIsRequest, Fields>& head) {
+  return HasKnownFraming(head);
+}
+
 // Feeds as long as the parser takes something: it stops behind the head and
 // behind each chunk.
 template <typename Parser>
@@ -106,6 +113,10 @@
         boost::asio::buffer(bytes.data() + *taken, bytes.size() - *taken),
         error);
     *taken += used;
+    if (!in_body && parser.is_header_done() && !IsValidHead(parser.get())) {
+      state.problem = read_problem::kMalformed;
+      return read_state::kFailed;
+    }
     const bool needs_more = error == http::error::need_more;
     if (error && !needs_more) {
       state.problem = ProblemOf(error);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 
+#include "src/net/http_framing.h"
 #include "src/net/tcp_listener.h"
 #include "src/net/worker_pool.h"
 
@@ -162,6 +163,10 @@
       Refuse(StatusOf(error));
       return;
     }
+    if (!HasKnownFraming(parser_->get())) {
+      Refuse(StatusOf(error));
+      return;
+    }
     keep_alive_ = parser_->keep_alive();
     request_ = ToRequest(parser_->release());
     // The time of the answer is the handler's business.
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -87,6 +87,31 @@
   }
 }
 
+// Codings of a body other than chunks alone.
+const std::vector<std::string> kOtherCodings = {
+    "gzip",           "xchunked",         "identity", "chunked, gzip",
+    "gzip, chunked",  "chunked, chunked", "chunked,", "",
+    "chunked;q=1",    "chunked\r\nTransfer-Encoding: chunked",
+    "chunked\r\nTransfer-Encoding: identity",
+};
+
+// Guards against a request whose body is taken for further requests of its
+// connection: targets ran requests that no caller had sent.
+TEST(HttpReaderTest, RefusesRequestsWithOtherTransferCodings) {
+  const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (const std::string& coding : kOtherCodings) {
+    const auto outcome =
+        Read("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding +
+             "\r\n\r\n" + hidden);
+    EXPECT_EQ(outcome.state, read_state::kFailed) << coding;
+    EXPECT_EQ(outcome.problem, read_problem::kMalformed) << coding;
+  }
+  const auto old = Read(
+      "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n");
+  EXPECT_EQ(old.problem, read_problem::kMalformed);
+}
+
 // Bare line feeds between chunks end no line: the message is never whole, and
 // its sender runs out of time.
 TEST(HttpReaderTest, ChunksBehindBareLineFeedsAreNeverWhole) {
@@ -257,6 +282,19 @@
             read_state::kFailed);
 }
 
+// Guards against a body that is passed on in a coding that its head no longer
+// names.
+TEST(HttpReaderTest, RefusesAnswersWithOtherTransferCodings) {
+  read_response response;
+  for (const std::string& coding : kOtherCodings) {
+    EXPECT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                             "\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                         true, &response),
+              read_state::kFailed)
+        << coding;
+  }
+}
+
 TEST(HttpReaderTest, HeadsCarryTheLengthOfTheBody) {
   EXPECT_EQ(
       RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -245,5 +245,23 @@
   EXPECT_TRUE(EventuallyIdle());
 }
 
+// Guards against a request whose body, in a coding that isn't read, is served as
+// further requests.
+TEST_F(http_test, RequestsWithOtherTransferCodingsAreRefused) {
+  std::atomic<int> served{0};
+  Serve([&](const exchange_ptr& exchange) {
+    ++served;
+    Echo(exchange);
+  });
+  for (const std::string coding :
+       {"gzip", "identity", "chunked, gzip", "gzip, chunked", "xchunked"}) {
+    const std::string answer =
+        Exchange("POST /x HTTP/1.1\r\nTransfer-Encoding: " + coding +
+                 "\r\n\r\nGET /hidden HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << coding;
+  }
+  EXPECT_EQ(served, 0);
+}
+
 }  // namespace
 }  // namespace pistachioweir
