target_connection: an end during an upload is no end of an answer

Cause: the write under way is told of the reset, and the read behind it sees an end in order, which completes an answer without a length.

Such an answer is whole only if the whole request was written without an error.

Measured: target_pool_test, AnAnswerThatIsResetDuringAnUploadIsNotWhole: 20 of 20 runs told as answered before, 0 of 20 now (502). AnAnswerWithoutALengthEndsWithItsConnection passes before and after.

--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -246,8 +246,9 @@
 
   void OnReadError(error_code error) {
     // A response without a length ends with its connection, if that is closed
-    // in order; after a reset it is unknown how much is missing.
-    if (error == boost::asio::error::eof &&
+    // in order; after a reset it is unknown how much is missing. A write under
+    // way is told of the reset instead of the read, which then ends in order.
+    if (error == boost::asio::error::eof && written_ &&
         reader_->FeedEnd() == read_state::kDone && OnMessage(reader_->Take())) {
       return;
     }
--- a/tests/target_pool_test.cc
+++ b/tests/target_pool_test.cc
@@ -25,11 +25,12 @@
 class target_pool_test : public testing::Test {
  protected:
   // Runs a request and waits for its end.
-  run_result Run(const std::string& id) {
+  run_result Run(const std::string& id, std::string body = {}) {
     std::optional<run_result> ended;
     pool_.Run({.request = {.verb = "POST",
                            .target = "/sign/" + id,
-                           .header_block = "Request-Id: " + id + "\r\n"},
+                           .header_block = "Request-Id: " + id + "\r\n",
+                           .body = std::move(body)},
                .request_id = id,
                .target_id = "target-1",
                .deadline = monotonic_clock::now() + seconds(10)},
@@ -133,6 +134,34 @@
   EXPECT_EQ(target_.connections, 2);
 }
 
+// Guards against a part of an answer that is told as all of it: its connection
+// was reset while the request was still being written.
+TEST_F(target_pool_test, AnAnswerThatIsResetDuringAnUploadIsNotWhole) {
+  constexpr int kRuns = 20;
+  constexpr std::size_t kUploadBytes = 8 << 20;
+  target_.on_head = [](fake_http_target::connection& from) {
+    from.Send("HTTP/1.1 200 OK\r\n\r\npart");
+    from.Reset();
+  };
+  for (int i = 0; i < kRuns; ++i) {
+    EXPECT_EQ(
+        Run("id-" + std::to_string(i), std::string(kUploadBytes, 'x')).end,
+        run_end::kLost);
+  }
+}
+
+// Guards against answers that have no length and are refused though they are
+// whole.
+TEST_F(target_pool_test, AnAnswerWithoutALengthEndsWithItsConnection) {
+  target_.on_request = [](const read_request&, const connection_ptr& from) {
+    from->Send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    from->Close();
+  };
+  const run_result result = Run("id-1", std::string(8 << 20, 'x'));
+  EXPECT_EQ(result.end, run_end::kAnswered);
+  EXPECT_EQ(result.response.body, "whole");
+}
+
 // Guards against an answer of another request that bears no id.
 TEST_F(target_pool_test, AnAnswerWithoutAnIdIsTakenOnNewConnectionsOnly) {
   target_.on_request = [](const read_request&, const connection_ptr& from) {
