http_reader: refuse answers whose status is none

Cause: the parser takes any three digits. Below 200 they counted as interim answers, so that the request waited for its deadline; 101 switches to a protocol that nobody asked for.

An answer has a status from 100 to 599 other than 101, for http_reader and the client of `run`; others end their run at once (502).

RefusesAnswersWithOddFields (names with blanks or control bytes) passes before and after.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -216,7 +216,8 @@
       OnRead(error);
       return;
     }
-    if (!HasKnownFraming(parser_.get())) {
+    if (!IsAnswerStatus(parser_.get().result_int()) ||
+        !HasKnownFraming(parser_.get())) {
       Finish(exchange_end::kLost);
       return;
     }
--- a/src/net/http_framing.h
+++ b/src/net/http_framing.h
@@ -27,4 +27,13 @@
          boost::beast::iequals(first->value(), "chunked");
 }
 
+// Whether an answer to a request that asked for no upgrade may have this status
+// (RFC 9110, section 15). Behind 101 the connection speaks another protocol.
+[[nodiscard]] constexpr bool IsAnswerStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kEnd = 600;
+  return status >= kFirst && status < kEnd && status != kSwitchingProtocols;
+}
+
 }  // namespace pistachioweir
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -93,6 +93,11 @@
 
 template <bool kIsRequest, typename Fields>
 bool IsValidHead(const http::header<kIsRequest, Fields>& head) {
+  if constexpr (!kIsRequest) {
+    if (!IsAnswerStatus(head.result_int())) {
+      return false;
+    }
+  }
   return HasKnownFraming(head);
 }
 
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -295,6 +295,45 @@
   }
 }
 
+// Guards against an answer of a target in trouble that is passed on as one: its
+// status is none, or switches to another protocol unasked.
+TEST(HttpReaderTest, RefusesAnswersWhoseStatusIsNone) {
+  read_response response;
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "99", "2000", "-20", "2x0"}) {
+    EXPECT_EQ(ReadAnswer("HTTP/1.1 " + status +
+                             " X\r\nContent-Length: 5\r\n\r\nhello",
+                         true, &response),
+              read_state::kFailed)
+        << status;
+  }
+  for (const std::string status : {"100", "102", "199", "200", "299", "599"}) {
+    ASSERT_EQ(ReadAnswer("HTTP/1.1 " + status +
+                             " X\r\nContent-Length: 5\r\n\r\nhello",
+                         true, &response),
+              read_state::kDone)
+        << status;
+    EXPECT_EQ(std::to_string(response.status), status);
+  }
+}
+
+// Guards against an answer in whose head the name or value of a field holds
+// bytes that none may hold.
+TEST(HttpReaderTest, RefusesAnswersWithOddFields) {
+  using namespace std::string_literals;
+  read_response response;
+  for (const std::string& line :
+       {"A b: c"s, "A\tb: c"s, "A : c"s, " A: c"s, "A\x01: c"s, "A\x7f: c"s,
+        "A\0b: c"s, "A\rb: c"s, "A;b: c"s, "\xc3\xa9: c"s, ": c"s, ":"s, "A"s,
+        "A: b\0c"s, "A: b\x01"s, "A: b\x7f"s, "A: b\rc"s, "A: b\nc"s}) {
+    EXPECT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\n" + line +
+                             "\r\nContent-Length: 5\r\n\r\nhello",
+                         true, &response),
+              read_state::kFailed)
+        << line;
+  }
+}
+
 TEST(HttpReaderTest, HeadsCarryTheLengthOfTheBody) {
   EXPECT_EQ(
       RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
@@ -263,5 +264,28 @@
   EXPECT_EQ(served, 0);
 }
 
+// Guards against bytes that are no answer and are told as one.
+TEST_F(http_test, AnswersThatAreNoneAreLost) {
+  Serve(Echo);
+  for (const std::string head :
+       {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\n\r\n"}) {
+    tcp::acceptor acceptor(io_, tcp::endpoint(tcp::v4(), 0));
+    std::thread answering([&] {
+      tcp::socket socket = acceptor.accept();
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+      asio::write(socket, asio::buffer(head + "ok"));
+    });
+    const endpoint address{.ip = "127.0.0.1",
+                           .port = acceptor.local_endpoint().port()};
+    EXPECT_EQ(Send(address, {.path = "/x"}).end, exchange_end::kLost) << head;
+    answering.join();
+  }
+}
+
 }  // namespace
 }  // namespace pistachioweir
