http_reader: trailers are not fields of the head

The parser adds a body's trailers to the fields of the head, and those were looked at when the message was whole: Host and Deadline-Ms behind a request's body, Not-Executed and Request-Id behind an answer's passed for the head's. Found while testing what readers take.

The fields are taken when the head is complete (RFC 9110, section 6.5.1).

http_reader_test, TrailersAreNotPartOfTheHead: fails before, passes.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -86,6 +86,10 @@
 template <typename Parser>
 struct reader_state {
   Parser parser;
+  // Of the head. The parser adds a body's trailers to its own, which must not
+  // pass for fields of the head (RFC 9110, section 6.5.1).
+  http_headers headers;
+  std::string keep_alive_header;
   read_limits limits;
   framing_state framing;
   read_problem problem = read_problem::kNone;
@@ -118,9 +122,14 @@
         boost::asio::buffer(bytes.data() + *taken, bytes.size() - *taken),
         error);
     *taken += used;
-    if (!in_body && parser.is_header_done() && !IsValidHead(parser.get())) {
-      state.problem = read_problem::kMalformed;
-      return read_state::kFailed;
+    if (!in_body && parser.is_header_done()) {
+      if (!IsValidHead(parser.get())) {
+        state.problem = read_problem::kMalformed;
+        return read_state::kFailed;
+      }
+      state.headers = EndToEnd(parser.get());
+      state.keep_alive_header =
+          ToString(parser.get()[http::field::keep_alive]);
     }
     const bool needs_more = error == http::error::need_more;
     if (error && !needs_more) {
@@ -205,7 +214,7 @@
   read_request request;
   request.verb = ToString(message.method_string());
   request.target = ToString(message.target());
-  request.headers = EndToEnd(message);
+  request.headers = std::move(state_->headers);
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
   return request;
@@ -251,8 +260,8 @@
   auto& message = state_->parser.get();
   read_response response;
   response.status = static_cast<int>(message.result_int());
-  response.headers = EndToEnd(message);
-  response.keep_alive_header = ToString(message[http::field::keep_alive]);
+  response.headers = std::move(state_->headers);
+  response.keep_alive_header = std::move(state_->keep_alive_header);
   response.keep_alive = state_->parser.keep_alive();
   response.body = std::move(message.body());
   return response;
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -334,6 +334,26 @@
   }
 }
 
+// Guards against fields behind a body that pass for those of its head, which
+// decide where a request goes and what an answer says.
+TEST(HttpReaderTest, TrailersAreNotPartOfTheHead) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string body = "5\r\nhello\r\n0\r\n";
+  const auto outcome = Read("POST / HTTP/1.1\r\nHost: x\r\n" + chunked + body +
+                            "Host: y\r\nDeadline-Ms: 9\r\n\r\n");
+  ASSERT_EQ(outcome.state, read_state::kDone);
+  EXPECT_EQ(outcome.request.body, "hello");
+  EXPECT_EQ(ToBlock(outcome.request.headers), "Host: x\r\n");
+  read_response response;
+  ASSERT_EQ(ReadAnswer("HTTP/1.1 200 OK\r\nA: b\r\n" + chunked + body +
+                           "Not-Executed: 1\r\nKeep-Alive: timeout=9\r\n\r\n",
+                       false, &response),
+            read_state::kDone);
+  EXPECT_EQ(response.body, "hello");
+  EXPECT_EQ(ToBlock(response.headers), "A: b\r\n");
+  EXPECT_EQ(response.keep_alive_header, "");
+}
+
 TEST(HttpReaderTest, HeadsCarryTheLengthOfTheBody) {
   EXPECT_EQ(
       RequestHead({.verb = "GET", .target = "/", .header_block = "A: b\r\n"},
