--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -54,8 +54,8 @@
     std::string_view query,
     std::string_view name);
 
-// `text` as a value in a query: bytes that have a meaning there are encoded (RFC
-// 3986, sections 2.1 and 3.4).
+// `text` as a value in a query: bytes that have a meaning there are encoded
+// (RFC 3986, sections 2.1 and 3.4).
 [[nodiscard]] std::string EncodeQueryValue(std::string_view text);
 
 // A whole decimal number without sign, or nothing.
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -128,8 +128,7 @@
         return read_state::kFailed;
       }
       state.headers = EndToEnd(parser.get());
-      state.keep_alive_header =
-          ToString(parser.get()[http::field::keep_alive]);
+      state.keep_alive_header = ToString(parser.get()[http::field::keep_alive]);
     }
     const bool needs_more = error == http::error::need_more;
     if (error && !needs_more) {
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -6,8 +6,8 @@
 // alone): a request hidden in another one's body would reach a target that
 // nobody meant to ask. An answer whose status is none, or 101, is refused: no
 // request asks for another protocol. A folded line is read as one with a blank
-// in place of the fold (RFC 9112, section 5.2); HTTP/1.0 is read, and closes its
-// connection unless it says otherwise.
+// in place of the fold (RFC 9112, section 5.2); HTTP/1.0 is read, and closes
+// its connection unless it says otherwise.
 #pragma once
 
 #include <cstddef>
--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -89,9 +89,16 @@
 
 // Codings of a body other than chunks alone.
 const std::vector<std::string> kOtherCodings = {
-    "gzip",           "xchunked",         "identity", "chunked, gzip",
-    "gzip, chunked",  "chunked, chunked", "chunked,", "",
-    "chunked;q=1",    "chunked\r\nTransfer-Encoding: chunked",
+    "gzip",
+    "xchunked",
+    "identity",
+    "chunked, gzip",
+    "gzip, chunked",
+    "chunked, chunked",
+    "chunked,",
+    "",
+    "chunked;q=1",
+    "chunked\r\nTransfer-Encoding: chunked",
     "chunked\r\nTransfer-Encoding: identity",
 };
 
@@ -301,16 +308,16 @@
   read_response response;
   for (const std::string status :
        {"000", "001", "099", "101", "600", "999", "99", "2000", "-20", "2x0"}) {
-    EXPECT_EQ(ReadAnswer("HTTP/1.1 " + status +
-                             " X\r\nContent-Length: 5\r\n\r\nhello",
-                         true, &response),
+    EXPECT_EQ(ReadAnswer(
+                  "HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nhello",
+                  true, &response),
               read_state::kFailed)
         << status;
   }
   for (const std::string status : {"100", "102", "199", "200", "299", "599"}) {
-    ASSERT_EQ(ReadAnswer("HTTP/1.1 " + status +
-                             " X\r\nContent-Length: 5\r\n\r\nhello",
-                         true, &response),
+    ASSERT_EQ(ReadAnswer(
+                  "HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nhello",
+                  true, &response),
               read_state::kDone)
         << status;
     EXPECT_EQ(std::to_string(response.status), status);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -246,8 +246,8 @@
   EXPECT_TRUE(EventuallyIdle());
 }
 
-// Guards against a request whose body, in a coding that isn't read, is served as
-// further requests.
+// Guards against a request whose body, in a coding that isn't read, is served
+// as further requests.
 TEST_F(http_test, RequestsWithOtherTransferCodingsAreRefused) {
   std::atomic<int> served{0};
   Serve([&](const exchange_ptr& exchange) {
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -22,8 +22,8 @@
   EXPECT_EQ(LineOf("a=\"b\\"), "event=told field=\"a=\\\"b\\\\\"\n");
 }
 
-// Guards against lines that nobody wrote: a control byte of a value ends a line,
-// or changes what a terminal shows.
+// Guards against lines that nobody wrote: a control byte of a value ends a
+// line, or changes what a terminal shows.
 TEST(LogTest, AValueEndsNoLine) {
   using namespace std::string_literals;
   EXPECT_EQ(LineOf("a\nevent=b"), "event=told field=\"a\\nevent=b\"\n");
--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -470,8 +470,8 @@
   EXPECT_EQ(views_.state().revision, 0U);
 }
 
-// Guards against an entry of another writer that is called as a target, or takes
-// the place of the target at its address.
+// Guards against an entry of another writer that is called as a target, or
+// takes the place of the target at its address.
 TEST_F(paged_store_views_test, ANameThatIsNoIdNamesNoTarget) {
   Put("servers/i-1", TargetEntry("10.0.0.1:8301"));
   for (const std::string& name :
@@ -508,8 +508,8 @@
   ASSERT_TRUE(RunUntil([&] { return Lists("i-1"); }));
   views_.NoteStaleTarget();
   ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
-  watcher_->Send(fake_http_target::Answer(
-      watch_, R"({"events":[],"store-revision":3})"));
+  watcher_->Send(
+      fake_http_target::Answer(watch_, R"({"events":[],"store-revision":3})"));
   ASSERT_TRUE(RunUntil([&] { return watches_ == 3; }));
   EXPECT_TRUE(views_.state().lost_since.has_value());
 }
