--- a/tools/soaking/one_daemon.py
+++ b/tools/soaking/one_daemon.py
@@ -51,9 +51,9 @@
 
     async def asyncSetUp(self):
         self.network = 64 + os.getpid() % 128
-        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.daemon = daemon.Daemon(str(BINARY), folder, 1, self.network, "registry", "a",
-                                    PORTS, timed=False, proxied=False,
+        self.folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.daemon = daemon.Daemon(str(BINARY), self.folder, 1, self.network, "registry",
+                                    "a", PORTS, timed=False, proxied=False,
                                     more={"memory_mb": self.memory_mb})
         self.asked = 0
         self.store = platform_store.Store(random.Random(1))
@@ -114,9 +114,10 @@
             writer.transport.abort()
         return int(line.split()[1]) if line else None
 
-    def peak_mb(self):
-        """Of the daemon's memory, since it started."""
-        status = pathlib.Path(f"/proc/{self.daemon.process.pid}/status").read_text()
+    def peak_mb(self, one=None):
+        """Of the memory of a daemon, this one if none is named, since it started."""
+        pid = (one or self.daemon).process.pid
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
         return int(status.split("VmHWM:")[1].split()[0]) / 1024
 
     def check_alive(self):
