frame_stream: a peer that takes bytes reads, however many wait

What callers saw: one request of 64 MB, inside all limits and in calm, was refused (503), with all other calls on its link. Cause: a connection ended as soon as any frame was sent while more than 16 MB waited, and one large body is more than that. Each body also had four copies on its way.

A connection ends if more than 16 MiB wait and the peer takes nothing for two seconds; a link isn't doubted while its peer takes a large body. Bodies are shared: frames are written from where the body lies, msgpack_reader refers to its bytes, and a frame is received into one piece of its announced length.

--- a/include/call/msgpack_reader.h
+++ b/include/call/msgpack_reader.h
@@ -10,7 +10,7 @@
 
 namespace pistachioweir {
 
-// Owns the decoded message. A field that is missing, of another type or out of
+// Refers to `bytes`, which have to outlive it. A field that is missing, of another type or out of
 // range reads as a zero value and clears ok(), which stays cleared; so a caller
 // reads all fields and asks once.
 class msgpack_reader {
--- a/src/call/msgpack_reader.cc
+++ b/src/call/msgpack_reader.cc
@@ -23,7 +23,10 @@
   const msgpack::unpack_limit limit(max, 0, bytes.size(), bytes.size(), 0, 2);
   try {
     std::size_t offset = 0;
-    handle_ = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr,
+    const auto refer = [](msgpack::type::object_type, std::size_t, void*) {
+      return true;
+    };
+    handle_ = msgpack::unpack(bytes.data(), bytes.size(), offset, refer,
                               nullptr, limit);
     ok_ = offset == bytes.size() && handle_.get().type == msgpack::type::ARRAY;
   } catch (const std::exception&) {
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -46,7 +46,7 @@
                                   const relayed_request& request) {
   return Fingerprint({.service = {},
                       .method = request.target,
-                      .body = request.body,
+                      .body = request.body.str(),
                       .label = route});
 }
 
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -178,7 +178,8 @@
     }
     head_ = RequestHead(run_.request, Protocol::Headers(run_, left));
     const std::array<boost::asio::const_buffer, 2> parts{
-        boost::asio::buffer(head_), boost::asio::buffer(run_.request.body)};
+        boost::asio::buffer(head_),
+        boost::asio::buffer(run_.request.body.str())};
     boost::asio::async_write(
         socket_, parts,
         [self = this->shared_from_this()](error_code error, std::size_t) {
--- a/src/net/relayed_message.h
+++ b/src/net/relayed_message.h
@@ -5,13 +5,15 @@
 #include <string>
 #include <string_view>
 
+#include "src/net/shared_bytes.h"
+
 namespace pistachioweir {
 
 struct relayed_request {
   std::string verb;
   std::string target;        // Path and query, as they came.
   std::string header_block;  // "Name: value\r\n" each; end-to-end ones only.
-  std::string body;          // Whole, without transfer coding.
+  shared_bytes body;         // Whole, without transfer coding.
 };
 
 struct relayed_response {
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -2,10 +2,12 @@
 #include "src/peer/frame_stream.h"
 
 #include <utility>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
+
+#include <algorithm>
 
 namespace pistachioweir {
 
@@ -13,7 +15,9 @@
 using boost::system::error_code;
 
 frame_stream::frame_stream(asio::ip::tcp::socket socket)
-    : socket_(std::move(socket)), last_heard_(monotonic_clock::now()) {}
+    : socket_(std::move(socket)),
+      last_taken_(monotonic_clock::now()),
+      last_heard_(last_taken_) {}
 
 void frame_stream::Start(on_frame frame, on_end end) {
   on_frame_ = std::move(frame);
@@ -70,9 +74,16 @@
     on_frame_(frame);
     used += frame.bytes;
   }
-  if (open_) {
-    received_.erase(0, used);
+  if (!open_) {
+    return;
+  }
+  if (used == received_.size() && received_.capacity() > kMaxReadBytes) {
+    received_ = std::string();  // A large frame's room isn't kept.
+    return;
   }
+  received_.erase(0, used);
+  // Doubled step by step, it would take up to three times the frame.
+  received_.reserve(std::min(FrameLength(received_), kMaxFrameBytes));
 }
 
 void frame_stream::Send(std::string bytes) {
@@ -80,60 +91,105 @@
 }
 
 void frame_stream::Send(std::shared_ptr<const std::string> bytes) {
-  if (!open_ || overfull_) {
-    return;
+  if (MayQueue()) {
+    Queue({.bytes = std::move(bytes)});
+    Write();
   }
-  if (unsent_bytes_ > kMaxUnsentBytes) {
-    overfull_ = true;
-    // Later: the sender may be in the middle of a list of connections.
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      if (self->open_) {
-        self->End("peer does not read");
-      }
-    });
+}
+
+void frame_stream::Send(frame_parts parts) {
+  if (!MayQueue()) {
     return;
   }
-  unsent_bytes_ += bytes->size();
-  unsent_.push_back(std::move(bytes));
-  if (sending_.empty()) {
-    Write();
+  Queue({.bytes = std::make_shared<const std::string>(std::move(parts.head))});
+  if (!parts.body.empty()) {
+    Queue({.bytes = parts.body.shared()});
+    Queue(
+        {.bytes = std::make_shared<const std::string>(std::move(parts.tail))});
   }
+  Write();
 }
 
 bool frame_stream::SendNews(std::shared_ptr<const std::string> bytes) {
-  if (unsent_news_ + sending_news_ + bytes->size() > kMostUnreadBytes) {
+  if (unsent_news_ + bytes->size() > kMostUnreadBytes) {
     return false;
   }
-  unsent_news_ += bytes->size();
-  Send(std::move(bytes));
+  if (MayQueue()) {
+    unsent_news_ += bytes->size();
+    Queue({.bytes = std::move(bytes), .is_news = true});
+    Write();
+  }
   return true;
 }
 
+bool frame_stream::MayQueue() {
+  if (!open_ || overfull_) {
+    return false;
+  }
+  if (unsent_bytes_ <= kMaxUnsentBytes ||
+      monotonic_clock::now() - last_taken_ <= kPeerSilence) {
+    return true;
+  }
+  overfull_ = true;
+  // Later: the sender may be in the middle of a list of connections.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->open_) {
+      self->End("peer does not read");
+    }
+  });
+  return false;
+}
+
+void frame_stream::Queue(outgoing next) {
+  if (next.bytes->empty()) {
+    return;
+  }
+  if (unsent_.empty()) {
+    last_taken_ = monotonic_clock::now();
+  }
+  unsent_bytes_ += next.bytes->size();
+  unsent_.push_back(std::move(next));
+}
+
 void frame_stream::Write() {
-  sending_ = std::exchange(unsent_, {});
-  sending_news_ = std::exchange(unsent_news_, 0);
+  if (writing_ || unsent_.empty()) {
+    return;
+  }
+  writing_ = true;
+  constexpr std::size_t kMaxBuffers = 64;  // As many as one system call takes.
   std::vector<asio::const_buffer> buffers;
-  buffers.reserve(sending_.size());
-  for (const auto& bytes : sending_) {
-    buffers.push_back(asio::buffer(*bytes));
+  std::size_t taken = front_taken_;
+  for (const outgoing& each : unsent_) {
+    buffers.push_back(asio::buffer(*each.bytes) + std::exchange(taken, 0));
+    if (buffers.size() == kMaxBuffers) {
+      break;
+    }
   }
-  asio::async_write(
-      socket_, buffers,
-      [self = shared_from_this()](error_code error, std::size_t written) {
-        if (!self->open_) {
-          return;
-        }
-        if (error) {
-          self->End(error.message());
-          return;
-        }
-        self->unsent_bytes_ -= written;
-        self->sending_.clear();
-        self->sending_news_ = 0;
-        if (!self->unsent_.empty()) {
-          self->Write();
-        }
-      });
+  socket_.async_write_some(buffers, [self = shared_from_this()](
+                                        error_code error, std::size_t written) {
+    if (!self->open_) {
+      return;
+    }
+    if (error) {
+      self->End(error.message());
+      return;
+    }
+    self->OnWritten(written);
+  });
+}
+
+void frame_stream::OnWritten(std::size_t bytes) {
+  writing_ = false;
+  last_taken_ = monotonic_clock::now();
+  unsent_bytes_ -= bytes;
+  front_taken_ += bytes;
+  while (!unsent_.empty() && front_taken_ >= unsent_.front().bytes->size()) {
+    const outgoing& written = unsent_.front();
+    front_taken_ -= written.bytes->size();
+    unsent_news_ -= written.is_news ? written.bytes->size() : 0;
+    unsent_.pop_front();
+  }
+  Write();
 }
 
 void frame_stream::End(std::string_view why) {
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -3,11 +3,11 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -22,8 +22,9 @@
 // How long the kernel tries to bring bytes to a peer. Asking over another
 // connection comes long before; this clears what is left.
 inline constexpr milliseconds kPeerSilence{2000};
-// A peer that doesn't read would make this daemon keep all that it is sent.
-// Beyond this the connection ends; what was on it is asked for again.
+// A peer that doesn't read would make this daemon keep all that it is sent. If
+// more than this waits and the peer takes nothing for kPeerSilence, the
+// connection ends; what was on it is asked for again. One body may be larger.
 inline constexpr std::size_t kMaxUnsentBytes = 16 << 20;
 // Bytes that are read at a time before their frames are handled. Holds what a
 // peer sends within seconds, so that a daemon whose event loop is late sees a
@@ -47,6 +48,7 @@
   void Start(on_frame frame, on_end end);
   void Send(std::string bytes);
   void Send(std::shared_ptr<const std::string> bytes);
+  void Send(frame_parts parts);
   // False if the peer has not taken news of kMostUnreadBytes yet: nothing is
   // sent. Bodies that are under way don't count.
   bool SendNews(std::shared_ptr<const std::string> bytes);
@@ -63,13 +65,25 @@
   }
   // When the last bytes came.
   [[nodiscard]] time_point last_heard() const { return last_heard_; }
+  // When the peer last took bytes, or the oldest that wait were sent.
+  [[nodiscard]] time_point last_taken() const { return last_taken_; }
 
  private:
+  struct outgoing {
+    std::shared_ptr<const std::string> bytes;
+    bool is_news = false;
+  };
+
   void Read();
   // Appends what else is ready, if the last read filled the buffer.
   void ReadRest(std::size_t last_read);
   void Digest();
+  // Whether more may be queued. Ends the connection of a peer that doesn't
+  // read.
+  bool MayQueue();
+  void Queue(outgoing next);
   void Write();
+  void OnWritten(std::size_t bytes);
   void End(std::string_view why);
 
   boost::asio::ip::tcp::socket socket_;
@@ -77,11 +91,12 @@
   on_end on_end_;
   std::array<char, 16384> chunk_{};
   std::string received_;  // Without the frames that were handed over.
-  std::vector<std::shared_ptr<const std::string>> unsent_;
-  std::vector<std::shared_ptr<const std::string>> sending_;
-  std::size_t unsent_bytes_ = 0;  // Of both.
+  std::deque<outgoing> unsent_;
+  std::size_t front_taken_ = 0;   // Bytes of the first that were written.
+  std::size_t unsent_bytes_ = 0;  // Without these.
   std::size_t unsent_news_ = 0;   // Bytes of SendNews() in unsent_.
-  std::size_t sending_news_ = 0;  // Likewise in sending_.
+  bool writing_ = false;
+  time_point last_taken_;
   time_point last_heard_;
   bool overfull_ = false;  // About to end; what is sent is dropped.
   bool open_ = true;
--- a/src/peer/frame_writer.h
+++ b/src/peer/frame_writer.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "include/base/time.h"
 #include "src/peer/peer_frame.h"
@@ -27,6 +28,18 @@
     return *this;
   }
 
+  // A large body isn't copied; Finish() then gives it as a part of its own.
+  frame_writer& PutBody(const shared_bytes& body) {
+    constexpr std::size_t kMinApart = 64 << 10;
+    if (body.size() < kMinApart) {
+      return Put(body.str());
+    }
+    packer_.pack_str(static_cast<std::uint32_t>(body.size()));
+    body_ = body;
+    body_at_ = buffer_.size();
+    return *this;
+  }
+
   // No time before now.
   frame_writer& Put(milliseconds time) { return PutCount(time.count()); }
   frame_writer& Put(microseconds time) { return PutCount(time.count()); }
@@ -54,14 +67,25 @@
   }
 
   [[nodiscard]] std::string Finish(frame_kind kind) const {
-    std::string bytes(buffer_.data(), buffer_.size());
-    const auto length = static_cast<std::uint32_t>(bytes.size());
+    return Join(FinishParts(kind));
+  }
+
+  [[nodiscard]] frame_parts FinishParts(frame_kind kind) const {
+    const std::string_view all(buffer_.data(), buffer_.size());
+    frame_parts parts{.head = std::string(all.substr(0, body_at_)),
+                      .body = body_};
+    if (!body_.empty()) {
+      parts.tail = all.substr(body_at_);
+    }
+    std::string& bytes = parts.head;
+    const auto length =
+        static_cast<std::uint32_t>(buffer_.size() + body_.size());
     for (int i = 0; i < 4; ++i) {
       bytes[static_cast<std::size_t>(i)] =
           static_cast<char>(length >> (8 * (3 - i)));
     }
     bytes[4] = static_cast<char>(kind);
-    return bytes;
+    return parts;
   }
 
  private:
@@ -71,6 +95,8 @@
 
   msgpack::sbuffer buffer_;
   msgpack::packer<msgpack::sbuffer> packer_;
+  shared_bytes body_;  // Of PutBody(), if it is a part of its own.
+  std::size_t body_at_ = std::string_view::npos;  // Where it stands in buffer_.
 };
 
 }  // namespace pistachioweir
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -152,7 +152,18 @@
       .Finish(frame_kind::kWelcome);
 }
 
+std::string Join(const frame_parts& parts) {
+  std::string bytes;
+  bytes.reserve(parts.head.size() + parts.body.size() + parts.tail.size());
+  bytes.append(parts.head).append(parts.body.str()).append(parts.tail);
+  return bytes;
+}
+
 std::string Encode(const call_frame& frame) {
+  return Join(EncodeParts(frame));
+}
+
+frame_parts EncodeParts(const call_frame& frame) {
   const bool timed = frame.sent > milliseconds(0);
   const bool with_lineage = timed && frame.lineage;
   frame_writer writer(with_lineage ? kCallFieldsWithLineage
@@ -176,7 +187,7 @@
       .Put(frame.request.verb)
       .Put(frame.request.target)
       .Put(frame.request.header_block)
-      .Put(frame.request.body);
+      .PutBody(frame.request.body);
   if (timed) {
     writer.Put(frame.sent);
   }
@@ -186,7 +197,7 @@
         .Put(frame.lineage->in_repeat)
         .Put(std::max(1U, ShareUnits(frame.lineage->admitted_share)));
   }
-  return writer.Finish(frame_kind::kCall);
+  return writer.FinishParts(frame_kind::kCall);
 }
 
 std::string Encode(const answer_frame& frame) {
@@ -480,16 +491,24 @@
   return notice;
 }
 
-frame_state NextFrame(std::string_view bytes,
-                      std::size_t max_bytes,
-                      frame_view* frame) {
+std::size_t FrameLength(std::string_view bytes) {
   if (bytes.size() < kFrameHeadBytes) {
-    return frame_state::kMore;
+    return 0;
   }
   std::size_t length = 0;
   for (std::size_t i = 0; i < 4; ++i) {
     length = length << 8 | static_cast<unsigned char>(bytes[i]);
   }
+  return length;
+}
+
+frame_state NextFrame(std::string_view bytes,
+                      std::size_t max_bytes,
+                      frame_view* frame) {
+  if (bytes.size() < kFrameHeadBytes) {
+    return frame_state::kMore;
+  }
+  const std::size_t length = FrameLength(bytes);
   const auto kind = decltype(kFrameKindNames)::FromNumber(
       static_cast<unsigned char>(bytes[4]));
   if (length < kFrameHeadBytes || length > max_bytes || !kind) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -199,6 +199,17 @@
   }
 };
 
+// One frame; its bytes are those of the parts in a row.
+struct frame_parts {
+  std::string head;
+  shared_bytes body;  // Empty unless the frame has a large one.
+  std::string tail;   // Likewise.
+};
+
+[[nodiscard]] std::string Join(const frame_parts& parts);
+// As Encode(), without a copy of a large body.
+[[nodiscard]] frame_parts EncodeParts(const call_frame& frame);
+
 [[nodiscard]] std::string Encode(const hello_frame& frame);
 [[nodiscard]] std::string Encode(const welcome_frame& frame);
 [[nodiscard]] std::string Encode(const call_frame& frame);
@@ -251,6 +262,9 @@
 
 enum class frame_state : std::uint8_t { kMore, kWhole, kBroken };
 
+// Length of the frame that `bytes` begin with; zero before its head is whole.
+[[nodiscard]] std::size_t FrameLength(std::string_view bytes);
+
 // kBroken for an unknown kind or more than `max_bytes`: whatever follows can't
 // be told apart any more.
 [[nodiscard]] frame_state NextFrame(std::string_view bytes,
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -74,12 +74,18 @@
 }
 
 time_point peer_link::DoubtedSince() const {
-  const time_point silent = last_asked_ > current_->last_heard()
-                                ? last_asked_ + options_.silence
-                                : time_point::max();
-  const time_point deaf = unconfirmed_since_ == time_point::max()
-                              ? time_point::max()
-                              : unconfirmed_since_ + kDeafInterval;
+  // What is asked behind a large body arrives once the peer has taken that.
+  const time_point taken = current_->unsent_bytes() > kMostUnreadBytes
+                               ? current_->last_taken()
+                               : time_point::min();
+  const time_point silent =
+      last_asked_ > current_->last_heard()
+          ? std::max(last_asked_, taken) + options_.silence
+          : time_point::max();
+  const time_point deaf =
+      unconfirmed_since_ == time_point::max()
+          ? time_point::max()
+          : std::max(unconfirmed_since_, taken) + kDeafInterval;
   return std::min(silent, deaf);
 }
 
@@ -153,7 +159,7 @@
   record.call.settled_below = SettledBelow();
   record.sent_to = receiver_;
   record.sent_at = now;
-  current_->Send(Encode(record.call));
+  current_->Send(EncodeParts(record.call));
   if (unread) {
     unread.swap(record.call.lineage);
   }
