Callers' bodies are reserved before they are read

What operators saw: clients that send bodies of legal size and stop short of their end took a daemon to several times its memory, and it ended. Cause: a body counted only when its request had been read whole; what is being read counted nowhere, and each connection had a bound of its own.

memory_budget is one account for the process, from memory_mb less what a daemon in calm needs. An announced length is reserved at the head, a body in chunks as it comes. What doesn't fit is refused unread (503 with Retry-After, it hasn't run), and of those that make no progress for a second the one that holds most gives way. A reservation is movable and goes with the last copy of its bytes.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -1,16 +1,21 @@
 // caller_server: accepts callers' connections.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <list>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
+#include "include/base/log.h"
 #include "include/config/settings.h"
 #include "include/forward/service_view.h"
+#include "include/memory/memory_budget.h"
 #include "src/forward/caller_session.h"
 #include "src/forward/origin.h"
 #include "src/net/tcp_listener.h"
@@ -20,7 +25,9 @@
 struct caller_server_options {
   endpoint address;
   std::size_t max_connections = 4096;
-  std::size_t max_held_bytes = 64 << 20;
+  // What all parts of the daemon may hold together.
+  std::shared_ptr<memory_budget> memory =
+      std::make_shared<memory_budget>(memory_budget_options());
 };
 
 // Owns the listening socket; sessions own themselves. Used on its context's
@@ -36,11 +43,17 @@
         acceptor_(Listen(context, options.address)),
         state_(std::make_shared<caller_port_state>(
             caller_port_state{.calls = calls,
-                              .max_held_bytes = options.max_held_bytes,
+                              .memory = options.memory,
                               .max_write_time = recent_maximum()})) {
+    state_->memory->OnShortage(
+        [this](std::size_t missing) { ScheduleMakingRoom(missing); });
     Accept();
   }
 
+  ~caller_server() { state_->memory->OnShortage(nullptr); }
+  caller_server(const caller_server&) = delete;
+  caller_server& operator=(const caller_server&) = delete;
+
   void SetLimits(const caller_limits& limits) { state_->limits = limits; }
 
   // Closes each connection after its next response; still accepts new ones.
@@ -89,6 +102,42 @@
     }
   }
 
+  // Later: whoever needs the room may be in the middle of a session's work.
+  void ScheduleMakingRoom(std::size_t missing) {
+    missing_ = std::max(missing_, missing);
+    if (!std::exchange(making_room_, true)) {
+      boost::asio::post(acceptor_.get_executor(), [this] { MakeRoom(); });
+    }
+  }
+
+  // Sessions that make no progress give way, so that the next bytes fit.
+  void MakeRoom() {
+    making_room_ = false;
+    std::vector<std::shared_ptr<session>> open;
+    std::vector<memory_holder> holders;
+    for (const auto& weak : sessions_) {
+      if (auto each = weak.lock()) {
+        holders.push_back(each->Holder());
+        open.push_back(std::move(each));
+      }
+    }
+    const time_point now = monotonic_clock::now();
+    std::size_t freed = 0;
+    while (freed < missing_) {
+      const auto chosen = ChooseToGiveWay(holders, now);
+      if (!chosen) {
+        break;
+      }
+      LogEvent(
+          "caller_gives_way",
+          {{.name = "bytes", .value = std::to_string(holders[*chosen].bytes)},
+           {.name = "missing", .value = std::to_string(missing_)}});
+      freed += std::exchange(holders[*chosen].bytes, 0);
+      open[*chosen]->GiveWay();
+    }
+    missing_ = 0;
+  }
+
   void Accept() {
     acceptor_.async_accept(
         [this](boost::system::error_code error, tcp::socket socket) {
@@ -121,6 +170,8 @@
   const caller_server_options options_;
   tcp::acceptor acceptor_;
   bool listening_ = true;
+  bool making_room_ = false;  // MakeRoom() is about to run.
+  std::size_t missing_ = 0;   // Bytes for which it makes room.
   std::shared_ptr<caller_port_state> state_;
   std::list<std::weak_ptr<session>> sessions_;
 };
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -25,6 +25,7 @@
 #include "include/base/recent_extreme.h"
 #include "include/base/time.h"
 #include "include/forward/service_view.h"
+#include "include/memory/memory_budget.h"
 #include "src/forward/caller_protocol_concept.h"
 #include "src/forward/origin.h"
 #include "src/forward/request_pipeline.h"
@@ -41,20 +42,19 @@
   kTimeout,     // Nothing was read from it, or written to it, for too long.
   kLastAnswer,  // The daemon closed it behind a response.
   kStop,        // Idle when the daemon stopped.
+  kGaveWay,     // It made no progress and held bytes that others need.
 };
 
-inline constexpr enum_table<caller_end, 6> kCallerEndNames(
+inline constexpr enum_table<caller_end, 7> kCallerEndNames(
     {"caller_left", "read_too_late", "write_failed", "timeout", "last_answer",
-     "stop"});
+     "stop", "gave_way"});
 
 // State shared by all sessions of one port.
 struct caller_port_state {
   origin& calls;
   caller_limits limits;
-  // Maximum bytes of request bodies held for all callers together; beyond it
-  // requests are refused until some have ended.
-  std::size_t max_held_bytes = 64 << 20;
-  std::size_t held_bytes = 0;
+  // Of all callers; requests whose bodies don't fit are refused unread.
+  std::shared_ptr<memory_budget> memory;
   std::size_t sessions = 0;
   // Requests that were read and are not yet answered.
   std::size_t open_requests = 0;
@@ -72,8 +72,8 @@
   bool refusing = false;          // Requests are refused without being run.
 };
 
-// Retry delay if too many bytes of bodies are held: requests end within about
-// that time.
+// Retry delay if there is no room for a body: requests end within about that
+// time.
 inline constexpr milliseconds kBodyLimitRetryAfter{1000};
 // A caller that reads nothing of its response for this long is disconnected.
 inline constexpr milliseconds kWriteTimeout{15000};
@@ -108,6 +108,22 @@
     Read();
   }
 
+  // What it holds that it could give back: a body that is being read, if no
+  // other request is open, so that it hasn't run.
+  [[nodiscard]] memory_holder Holder() const {
+    if (!closed_ && reader_ && pipeline_.empty()) {
+      return {.bytes = incoming_.bytes(), .last_progress = last_progress_};
+    }
+    return {};
+  }
+
+  // Gives back what Holder() tells.
+  void GiveWay() {
+    if (reader_ && pipeline_.empty()) {
+      RefuseUnread();
+    }
+  }
+
   // Closes the connection if nothing is in progress on it, which includes
   // waiting for the caller's end behind the last response.
   void CloseIfIdle() {
@@ -123,7 +139,7 @@
   struct exchange {
     std::string id;
     origin::call_id call = 0;
-    std::size_t held = 0;  // Bytes counted in held_bytes.
+    bool open = true;  // Counted in open_requests.
     relayed_response response;
     std::string head;  // Of the response.
   };
@@ -189,6 +205,10 @@
         RefuseUnreadable(reader_->problem());
         return;
       }
+      if (!ReserveIncoming()) {
+        RefuseUnread();
+        return;
+      }
       if (state == read_state::kMore) {
         SendContinueIfExpected();
         break;
@@ -207,6 +227,14 @@
     }
   }
 
+  [[nodiscard]] bool ReserveIncoming() {
+    const std::size_t bytes = reader_->body_bytes();
+    if (incoming_.bytes() == 0 && bytes > 0) {
+      incoming_ = state_->memory->Open(memory_use::kRequests);
+    }
+    return incoming_.Resize(bytes);
+  }
+
   void SendContinueIfExpected() {
     if (continue_sent_ || !reader_->expects_continue() || !pipeline_.empty()) {
       return;
@@ -226,12 +254,14 @@
   void Begin(read_request request) {
     const pipelined_request how{.safe = IsSafe(request),
                                 .last = !request.keep_alive};
-    const std::size_t held = request.body.size();
+    std::string body = std::exchange(request.body, {});
     ++state_->requests;
     RecordProgress();
     relayed_call call =
         Protocol::Decode(std::move(request), monotonic_clock::now());
-    const entry_ptr begun = Open({.id = call.id, .held = held}, how);
+    call.request.body = shared_bytes::Reserved(
+        std::move(body), std::exchange(incoming_, memory_reservation()));
+    const entry_ptr begun = Open({.id = call.id}, how);
     // If the event loop is late, the caller may have given up before its
     // request is read. The end of its connection would be read only after the
     // request has been sent to a target.
@@ -243,10 +273,6 @@
       Close(caller_end::kReadTooLate);
       return;
     }
-    if (state_->held_bytes > state_->max_held_bytes) {
-      Refuse(begun, call.id, reason::kTableFull, kBodyLimitRetryAfter);
-      return;
-    }
     if (state_->refusing) {
       Refuse(begun, call.id, reason::kDraining, kDrainingRetryAfter);
       return;
@@ -261,7 +287,6 @@
 
   entry_ptr Open(exchange opened, const pipelined_request& how) {
     ++state_->open_requests;
-    state_->held_bytes += opened.held;
     return pipeline_.Begin(std::move(opened), how);
   }
 
@@ -274,13 +299,23 @@
         "refused_at_entrance",
         {{.name = "why", .value = std::string(kReasonNames.Name(why))},
          {.name = "retry_after_ms", .value = std::to_string(after.count())},
-         {.name = "held_bytes", .value = std::to_string(state_->held_bytes)},
+         {.name = "held_bytes",
+          .value = std::to_string(state_->memory->held())},
          {.name = "request", .value = std::string(id)}});
     Answer(
         refused,
         {.kind = outcome_kind::kNotExecuted, .why = why, .retry_after = after});
   }
 
+  // Refuses the request that is being read; what still comes of it is dropped.
+  void RefuseUnread() {
+    reader_.reset();
+    received_.clear();
+    incoming_.Release();
+    Refuse(Open({}, {.last = true}), {}, reason::kTableFull,
+           kBodyLimitRetryAfter);
+  }
+
   void RefuseUnreadable(read_problem problem) {
     ++state_->malformed;
     LogWarning("caller_unreadable",
@@ -288,6 +323,7 @@
                  .value = std::string(kReadProblemNames.Name(problem))}});
     const entry_ptr refused = Open({}, {.last = true});
     received_.clear();
+    incoming_.Release();
     const reason why = problem == read_problem::kMalformed ? reason::kBadRequest
                                                            : reason::kTooLarge;
     relayed_response response =
@@ -358,10 +394,8 @@
   }
 
   void Release(exchange& ended) {
-    if (ended.held != kReleased) {
-      state_->held_bytes -= ended.held;
+    if (std::exchange(ended.open, false)) {
       --state_->open_requests;
-      ended.held = kReleased;
     }
   }
 
@@ -377,6 +411,7 @@
     deferred_.reset();
     reader_.reset();
     received_.clear();
+    incoming_.Release();
     RecordProgress();
     Read();
   }
@@ -467,7 +502,6 @@
     ArmTimer();
   }
 
-  static constexpr std::size_t kReleased = SIZE_MAX;
   // Bytes that are read ahead while no request may be begun.
   static constexpr std::size_t kMaxReadAhead = 64 << 10;
   static constexpr milliseconds kTimerInterval{500};
@@ -479,6 +513,8 @@
   std::array<char, 8192> chunk_{};
   std::string received_;                  // Not consumed by the reader yet.
   std::optional<request_reader> reader_;  // Of an incomplete request.
+  // For the body of the request in `reader_` or `deferred_`.
+  memory_reservation incoming_;
   // A complete request that is begun once those before it are answered.
   std::optional<read_request> deferred_;
   pipeline pipeline_;
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -98,6 +98,8 @@
         workers_(1),
         context_(workers_.context(0)),
         incarnation_(NewIncarnation()),
+        memory_(std::make_shared<memory_budget>(BudgetOptions(
+            static_cast<std::size_t>(settings.memory_mb * kBytesPerMb)))),
         targets_(context_,
                  settings.target,
                  {.max_head_bytes = kMaxResponseHead,
@@ -141,8 +143,7 @@
         callers_(context_,
                  {.address = settings.caller,
                   .max_connections = settings.max_descriptors / 2,
-                  .max_held_bytes = static_cast<std::size_t>(
-                      settings.memory_mb * kHeldBytesPerMb)},
+                  .memory = memory_},
                  origin_),
         views_(context_,
                settings_,
@@ -237,8 +238,7 @@
 
   // Limit of a response's head; the maximum that servers commonly send.
   static constexpr std::size_t kMaxResponseHead = 64 << 10;
-  // Up to a quarter of the memory may hold request bodies.
-  static constexpr double kHeldBytesPerMb = 256.0 * 1024;
+  static constexpr double kBytesPerMb = 1 << 20;
   static constexpr milliseconds kTickInterval{1000};
   // Log lines are batched: flushed this long after the first.
   static constexpr milliseconds kFlushDelay{50};
@@ -605,7 +605,7 @@
             .links = origin_.link_load(),
             .sessions = peers_.load(),
             .callers = callers_.state().sessions,
-            .caller_bytes = callers_.state().held_bytes,
+            .caller_bytes = memory_->held(memory_use::kRequests),
             .calls = origin_.in_progress(),
             .runs = executor_.in_progress(),
             .answer_bytes = peers_.answer_bytes()};
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -153,6 +153,16 @@
   return read_state::kDone;
 }
 
+template <typename Parser>
+std::size_t BodyBytes(const Parser& parser) {
+  if (!parser.is_header_done()) {
+    return 0;
+  }
+  const auto announced = parser.content_length();
+  return announced ? static_cast<std::size_t>(*announced)
+                   : parser.get().body().size();
+}
+
 template <typename Parser>
 void Prepare(reader_state<Parser>& state, const read_limits& limits) {
   state.limits = limits;
@@ -203,6 +213,10 @@
   return state_->parser.is_header_done();
 }
 
+std::size_t request_reader::body_bytes() const {
+  return BodyBytes(state_->parser);
+}
+
 bool request_reader::expects_continue() const {
   return has_head() && !state_->parser.is_done() &&
          Equals(state_->parser.get()[http::field::expect], "100-continue");
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -82,6 +82,9 @@
   [[nodiscard]] read_problem problem() const;
   // The head is complete.
   [[nodiscard]] bool has_head() const;
+  // Bytes that the body takes: announced, or else read so far. Zero before the
+  // head is complete.
+  [[nodiscard]] std::size_t body_bytes() const;
   // The client waits for "100 Continue" before it sends the body.
   [[nodiscard]] bool expects_continue() const;
   // Once, after kDone.
--- a/src/net/shared_bytes.h
+++ b/src/net/shared_bytes.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "include/memory/memory_budget.h"
+
 namespace pistachioweir {
 
 // Immutable. Copies share the bytes, which go with the last of them.
@@ -21,6 +23,22 @@
   // NOLINTNEXTLINE(google-explicit-constructor): likewise.
   shared_bytes(const char* text) : shared_bytes(std::string(text)) {}
 
+  // The same bytes; what was reserved for them goes with the last copy.
+  [[nodiscard]] static shared_bytes Reserved(std::string bytes,
+                                             memory_reservation reservation) {
+    struct reserved_bytes {
+      std::string bytes;
+      memory_reservation reservation;
+    };
+    shared_bytes made;
+    if (!bytes.empty()) {
+      const auto held = std::make_shared<const reserved_bytes>(
+          std::move(bytes), std::move(reservation));
+      made.bytes_ = {held, &held->bytes};
+    }
+    return made;
+  }
+
   [[nodiscard]] bool empty() const { return bytes_ == nullptr; }
   [[nodiscard]] std::size_t size() const { return str().size(); }
   [[nodiscard]] const std::string& str() const {
