Answers are reserved while they are read, kept and delivered

Answers that their callers don't read, and answers of a target that have no end, counted nowhere: 24 of 8 MB that nobody reads took a daemon to 272 MB with memory_mb 96, 24 without an end to 592 MB. Each was bounded by itself.

Bodies above 64 KiB are reserved where they are: read from the target (a run whose answer doesn't fit is lost, 502, it may have run), kept for the daemon that asked, and waiting for the caller. An answer that doesn't fit is told as 502 with a line. A caller that takes nothing of its answer for a second may have to give way; its connection is closed.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -108,10 +108,21 @@
     Read();
   }
 
-  // What it holds that it could give back: a body that is being read, if no
-  // other request is open, so that it hasn't run.
+  // What it holds that it could give back: answers that its caller doesn't
+  // read, or a body that is being read, if no other request is open, so that it
+  // hasn't run.
   [[nodiscard]] memory_holder Holder() const {
-    if (!closed_ && reader_ && pipeline_.empty()) {
+    if (closed_) {
+      return {};
+    }
+    if (pipeline_.writing()) {
+      memory_holder holder{.last_progress = write_progress_};
+      for (const entry_ptr& each : pipeline_.open()) {
+        holder.bytes += each->exchange.answer.bytes();
+      }
+      return holder;
+    }
+    if (reader_ && pipeline_.empty()) {
       return {.bytes = incoming_.bytes(), .last_progress = last_progress_};
     }
     return {};
@@ -119,7 +130,9 @@
 
   // Gives back what Holder() tells.
   void GiveWay() {
-    if (reader_ && pipeline_.empty()) {
+    if (pipeline_.writing()) {
+      Close(caller_end::kGaveWay);
+    } else if (!closed_ && reader_ && pipeline_.empty()) {
       RefuseUnread();
     }
   }
@@ -141,7 +154,8 @@
     origin::call_id call = 0;
     bool open = true;  // Counted in open_requests.
     relayed_response response;
-    std::string head;  // Of the response.
+    memory_reservation answer;  // For a large body in `response`.
+    std::string head;           // Of the response.
   };
 
   using pipeline = request_pipeline<exchange>;
@@ -340,11 +354,27 @@
       Release(answered->exchange);
       return;
     }
+    if (!ReserveAnswer(result.response.body.size(), &answered->exchange)) {
+      LogWarning("answer_dropped",
+                 {{.name = "why", .value = "no room"},
+                  {.name = "bytes",
+                   .value = std::to_string(result.response.body.size())},
+                  {.name = "request", .value = answered->exchange.id}});
+      result = {.kind = outcome_kind::kUnknown, .why = reason::kTableFull};
+    }
     SetAnswer(answered, result.kind == outcome_kind::kCompleted
                             ? std::move(result.response)
                             : Protocol::Encode(result));
   }
 
+  [[nodiscard]] bool ReserveAnswer(std::size_t bytes, exchange* answered) {
+    if (bytes <= kMaxSmallReservation) {
+      return true;
+    }
+    answered->answer = state_->memory->Open(memory_use::kAnswers);
+    return answered->answer.Resize(bytes);
+  }
+
   void SetAnswer(const entry_ptr& answered, relayed_response&& response) {
     answered->exchange.response = std::move(response);
     answered->answered = true;
@@ -368,6 +398,10 @@
         boost::asio::buffer(written.response.body)};
     boost::asio::async_write(
         socket_, parts,
+        [self = this->shared_from_this()](error_code error, std::size_t) {
+          self->write_progress_ = monotonic_clock::now();
+          return error ? 0 : kMaxWriteBytes;
+        },
         [self = this->shared_from_this(), next](error_code error, std::size_t) {
           self->OnWritten(next, error);
         });
@@ -397,6 +431,7 @@
     if (std::exchange(ended.open, false)) {
       --state_->open_requests;
     }
+    ended.answer.Release();
   }
 
   // Closes without losing the response if the caller has sent more: closing a
@@ -504,6 +539,8 @@
 
   // Bytes that are read ahead while no request may be begun.
   static constexpr std::size_t kMaxReadAhead = 64 << 10;
+  // Bytes of a response that are handed to the kernel at a time.
+  static constexpr std::size_t kMaxWriteBytes = 256 << 10;
   static constexpr milliseconds kTimerInterval{500};
   static constexpr milliseconds kLingerTimeout{1000};
 
@@ -519,7 +556,8 @@
   std::optional<read_request> deferred_;
   pipeline pipeline_;
   time_point last_progress_;
-  time_point write_begun_;  // Of the last response.
+  time_point write_begun_;     // Of the last response.
+  time_point write_progress_;  // When the caller last took bytes of it.
   time_point head_begun_;
   bool reading_ = false;
   bool continue_sent_ = false;  // "100 Continue" was sent for this request.
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -103,7 +103,8 @@
         targets_(context_,
                  settings.target,
                  {.max_head_bytes = kMaxResponseHead,
-                  .max_body_bytes = kMaxFrameBytes / 2}),
+                  .max_body_bytes = kMaxFrameBytes / 2},
+                 memory_),
         executor_(
             context_,
             [this](target_run run, std::function<void(run_result)> done) {
@@ -115,6 +116,7 @@
         peers_(context_,
                {.address = settings.peer,
                 .self = incarnation_,
+                .memory = memory_,
                 .on_suspects =
                     [this](const suspects_frame& suspects) {
                       return executor_.ImportSuspects(suspects);
@@ -648,6 +650,7 @@
   worker_pool workers_;
   boost::asio::io_context& context_;
   const incarnation_id incarnation_;
+  const std::shared_ptr<memory_budget> memory_;
   call_log origin_log_{{}};
   call_log executor_log_{{}};
   target_pool<typename Platform::targets> targets_;
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -21,6 +21,7 @@
 #include "include/base/log.h"
 #include "include/base/time.h"
 #include "include/config/settings.h"
+#include "include/memory/memory_budget.h"
 #include "src/forward/carried_ids.h"
 #include "src/forward/target_run.h"
 #include "src/net/http_message.h"
@@ -52,16 +53,19 @@
   using callback = std::function<void(run_result)>;
   using listener = std::function<void(const self_ptr&)>;
 
-  // `number` names the connection in logs; `seed` is that of carried_ids.
+  // Without `memory`, answers are bounded by the limits alone. `number` names
+  // the connection in logs; `seed` is that of carried_ids.
   target_connection(boost::asio::io_context& context,
                     const endpoint& target,
                     const read_limits& limits,
+                    std::shared_ptr<memory_budget> memory,
                     std::uint64_t number,
                     std::uint64_t seed)
       : socket_(context),
         timer_(context),
         target_(target),
         limits_(limits),
+        memory_(std::move(memory)),
         number_(number),
         carried_(seed) {}
 
@@ -228,13 +232,18 @@
       std::size_t taken = 0;
       const read_state state = reader_->Feed(buffer_, &taken);
       buffer_.erase(0, taken);
-      if (state == read_state::kMore) {
-        return true;
-      }
       if (state == read_state::kFailed) {
         FinishAndClose({.end = run_end::kLost, .problem = reader_->problem()});
         return false;
       }
+      if (!ReserveIncoming()) {
+        FinishAndClose(
+            {.end = run_end::kLost, .problem = read_problem::kNoRoom});
+        return false;
+      }
+      if (state == read_state::kMore) {
+        return true;
+      }
       if (OnMessage(reader_->Take())) {
         return connected_ && socket_.is_open();
       }
@@ -245,6 +254,15 @@
     }
   }
 
+  [[nodiscard]] bool ReserveIncoming() {
+    const std::size_t bytes = reader_->body_bytes();
+    if (memory_ != nullptr && incoming_.bytes() == 0 &&
+        bytes > kMaxSmallReservation) {
+      incoming_ = memory_->Open(memory_use::kRuns);
+    }
+    return bytes <= kMaxSmallReservation || incoming_.Resize(bytes);
+  }
+
   void OnReadError(error_code error) {
     // A response without a length ends with its connection, if that is closed
     // in order; after a reset it is unknown how much is missing. A write under
@@ -337,7 +355,8 @@
     done(std::move(result));
   }
 
-  void AddConnection(run_result* result) const {
+  void AddConnection(run_result* result) {
+    incoming_.Release();  // Whoever takes the answer reserves its bytes.
     result->connection = number_;
     result->stray_answers = stray_answers_;
   }
@@ -353,6 +372,7 @@
   boost::asio::steady_timer timer_;  // Expires at the run's deadline.
   const endpoint target_;
   const read_limits limits_;
+  const std::shared_ptr<memory_budget> memory_;
   const std::uint64_t number_;
   carried_ids carried_;
 
@@ -361,6 +381,7 @@
   listener on_reusable_;  // Likewise.
   listener on_closed_;    // Set only while idle.
   std::optional<response_reader> reader_;
+  memory_reservation incoming_;  // For a large body in reader_.
   std::string head_;
   std::string buffer_;  // Bytes that the reader has not consumed.
   std::array<char, 16384> chunk_{};
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -41,8 +41,12 @@
 
   target_pool(boost::asio::io_context& context,
               const endpoint& target,
-              const read_limits& limits)
-      : shared_(std::make_shared<shared>(context, target, limits)) {}
+              const read_limits& limits,
+              std::shared_ptr<memory_budget> memory = nullptr)
+      : shared_(std::make_shared<shared>(context,
+                                         target,
+                                         limits,
+                                         std::move(memory))) {}
 
   ~target_pool() { CloseIdle(); }
   target_pool(const target_pool&) = delete;
@@ -55,7 +59,7 @@
       ++shared_->counters.reused;
     } else {
       chosen = std::make_shared<connection>(
-          shared_->context, shared_->target, shared_->limits,
+          shared_->context, shared_->target, shared_->limits, shared_->memory,
           ++shared_->counters.opened, shared_->seed);
     }
     chosen->Run(std::move(run), std::move(done),
@@ -91,12 +95,16 @@
   static constexpr std::size_t kMaxPassedOver = 8;
 
   struct shared {
-    shared(boost::asio::io_context& c, const endpoint& t, const read_limits& l)
-        : context(c), target(t), limits(l) {}
+    shared(boost::asio::io_context& c,
+           const endpoint& t,
+           const read_limits& l,
+           std::shared_ptr<memory_budget> m)
+        : context(c), target(t), limits(l), memory(std::move(m)) {}
 
     boost::asio::io_context& context;
     endpoint target;
     read_limits limits;
+    const std::shared_ptr<memory_budget> memory;
     const std::uint64_t seed = RandomBits64();
     std::list<std::shared_ptr<connection>> idle;  // Most recently used first.
     target_pool_counters counters;
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -265,6 +265,10 @@
   return state_->problem;
 }
 
+std::size_t response_reader::body_bytes() const {
+  return BodyBytes(state_->parser);
+}
+
 bool response_reader::begun() const {
   return state_->parser.got_some();
 }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -34,11 +34,12 @@
   kBodyTooLarge,
   // More than a head's length between the bytes of a body in chunks.
   kFramingTooLarge,
+  kNoRoom,  // The reader's owner has no memory for the body.
 };
 
-inline constexpr enum_table<read_problem, 5> kReadProblemNames(
+inline constexpr enum_table<read_problem, 6> kReadProblemNames(
     {"none", "malformed", "head_too_large", "body_too_large",
-     "framing_too_large"});
+     "framing_too_large", "no_room"});
 
 // A reader leaves untaken at most max_head_bytes beyond what one Feed() adds,
 // and takes at most a fixed multiple of max_body_bytes, whatever part of the
@@ -107,6 +108,8 @@
   // The stream has ended in good order. kDone if the message may end so.
   read_state FeedEnd();
   [[nodiscard]] read_problem problem() const;
+  // As for requests.
+  [[nodiscard]] std::size_t body_bytes() const;
   // Bytes of the message have come.
   [[nodiscard]] bool begun() const;
   // Once, after kDone.
--- a/src/net/shared_bytes.h
+++ b/src/net/shared_bytes.h
@@ -24,17 +24,15 @@
   shared_bytes(const char* text) : shared_bytes(std::string(text)) {}
 
   // The same bytes; what was reserved for them goes with the last copy.
-  [[nodiscard]] static shared_bytes Reserved(std::string bytes,
+  [[nodiscard]] static shared_bytes Reserved(shared_bytes bytes,
                                              memory_reservation reservation) {
-    struct reserved_bytes {
-      std::string bytes;
-      memory_reservation reservation;
-    };
+    using reserved_bytes =
+        std::pair<std::shared_ptr<const std::string>, memory_reservation>;
     shared_bytes made;
     if (!bytes.empty()) {
       const auto held = std::make_shared<const reserved_bytes>(
-          std::move(bytes), std::move(reservation));
-      made.bytes_ = {held, &held->bytes};
+          std::move(bytes.bytes_), std::move(reservation));
+      made.bytes_ = {held, held->first.get()};
     }
     return made;
   }
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -395,9 +395,7 @@
     }
   }
   session* const to = Find(attempt.sender);
-  const auto bytes = std::make_shared<const std::string>(
-      to != nullptr && to->reads_notices() ? Encode(answer)
-                                           : EncodeForOlder(answer));
+  const auto bytes = EncodeToKeep(answer, to != nullptr && to->reads_notices());
   if (!attempts_.Finish(attempt, bytes)) {
     return;  // Its sender has given it up.
   }
@@ -406,6 +404,30 @@
   }
 }
 
+// An answer is kept until its sender settles it.
+std::shared_ptr<const std::string> peer_server::EncodeToKeep(
+    const answer_frame& answer,
+    bool reads_notices) const {
+  std::string bytes = reads_notices ? Encode(answer) : EncodeForOlder(answer);
+  if (options_.memory == nullptr || bytes.size() <= kMaxSmallReservation) {
+    return std::make_shared<const std::string>(std::move(bytes));
+  }
+  memory_reservation reservation = options_.memory->Open(memory_use::kAnswers);
+  if (reservation.Resize(bytes.size())) {
+    return shared_bytes::Reserved(std::move(bytes), std::move(reservation))
+        .shared();
+  }
+  LogWarning("answer_dropped",
+             {{.name = "why", .value = "no room"},
+              {.name = "bytes", .value = std::to_string(bytes.size())},
+              {.name = "number", .value = std::to_string(answer.number)}});
+  answer_frame without = answer;
+  without.kind = outcome_kind::kUnknown;
+  without.why = reason::kTableFull;
+  without.response = {};
+  return std::make_shared<const std::string>(Encode(without));
+}
+
 milliseconds peer_server::Transit(incarnation_id sender, milliseconds sent) {
   return transit_[KeyOf(sender)].OnMessage(sent, boot_clock::now());
 }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -19,6 +19,7 @@
 #include "include/config/settings.h"
 #include "include/forward/view_changes.h"
 #include "include/forward/view_freshness.h"
+#include "include/memory/memory_budget.h"
 #include "include/once/attempt_table.h"
 #include "src/peer/frame_stream.h"
 #include "src/peer/peer_frame.h"
@@ -34,6 +35,8 @@
 struct peer_server_options {
   endpoint address;
   incarnation_id self{};
+  // For large frames, bodies and answers; nullptr if they aren't bounded.
+  std::shared_ptr<memory_budget> memory;
   // Called with what another daemon told of requests that crash targets.
   // Returns what that one doesn't know.
   std::function<suspects_frame(const suspects_frame&)> on_suspects;
@@ -119,6 +122,10 @@
   milliseconds Transit(incarnation_id sender, milliseconds sent);
   void OnEnd(const std::shared_ptr<session>& ended);
   void OnAnswer(const attempt_key& attempt, const answer_frame& answer);
+  // The answer's bytes, or those of one without a body if it doesn't fit.
+  [[nodiscard]] std::shared_ptr<const std::string> EncodeToKeep(
+      const answer_frame& answer,
+      bool reads_notices) const;
   [[nodiscard]] pong_frame Pong() const;
   void SendRefusal(session& to, std::uint64_t number);
   bool TellChanges(session& to, std::uint64_t revision);
