Frames that come in part are reserved

A frame of up to 65 MB was gathered for each connection to another daemon, and the bodies in it counted nowhere at the receiver.

Calls and answers above 64 KiB are reserved by their announced length. What doesn't fit is passed over and refused by its number: a call hasn't run (503), an answer is told as 502. Other frames, the view's changes among them, are taken as before; no caller causes them.

--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -253,6 +253,7 @@
         .own_target = settings.target,
         .peer_port = settings.peer.port,
         .self = incarnation_,
+        .memory = memory_,
         .repeat_ratio = settings.repeat_ratio * kRatioShare,
         .repeat_reserve = settings.repeat_reserve,
         .repeat_window = settings.repeat_window,
--- a/src/forward/origin.h
+++ b/src/forward/origin.h
@@ -56,6 +56,7 @@
   endpoint own_target;
   std::uint16_t peer_port = 0;  // Port on which all daemons accept peers.
   incarnation_id self{};
+  std::shared_ptr<memory_budget> memory;  // See peer_link_options.
   // Limits for all daemons together, for each called service and window.
   double repeat_ratio = 0.1;
   double repeat_reserve = 10;
--- a/src/peer/frame_stream.cc
+++ b/src/peer/frame_stream.cc
@@ -14,14 +14,17 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-frame_stream::frame_stream(asio::ip::tcp::socket socket)
+frame_stream::frame_stream(asio::ip::tcp::socket socket,
+                           std::shared_ptr<memory_budget> memory)
     : socket_(std::move(socket)),
+      memory_(std::move(memory)),
       last_taken_(monotonic_clock::now()),
       last_heard_(last_taken_) {}
 
-void frame_stream::Start(on_frame frame, on_end end) {
+void frame_stream::Start(on_frame frame, on_end end, on_dropped dropped) {
   on_frame_ = std::move(frame);
   on_end_ = std::move(end);
+  on_dropped_ = std::move(dropped);
   error_code ignored;
   socket_.non_blocking(true, ignored);  // For ReadRest().
   Read();
@@ -59,7 +62,7 @@
 }
 
 void frame_stream::Digest() {
-  std::size_t used = 0;
+  std::size_t used = PassOver(received_.size());
   while (open_) {
     frame_view frame;
     const auto rest = std::string_view(received_).substr(used);
@@ -69,8 +72,13 @@
       return;
     }
     if (state == frame_state::kMore) {
-      break;
+      if (ReserveFrame(rest)) {
+        break;
+      }
+      used += PassOver(rest.size());
+      continue;
     }
+    incoming_.Release();  // Whoever takes the frame reserves what it keeps.
     on_frame_(frame);
     used += frame.bytes;
   }
@@ -86,6 +94,33 @@
   received_.reserve(std::min(FrameLength(received_), kMaxFrameBytes));
 }
 
+bool frame_stream::ReserveFrame(std::string_view rest) {
+  // Enough to hold a frame's head, and a number in front of its payload.
+  constexpr std::size_t kBegin = 32;
+  const std::size_t length = FrameLength(rest);
+  if (memory_ == nullptr || !on_dropped_ || length <= kMaxSmallReservation ||
+      rest.size() < kBegin || incoming_.bytes() == length) {
+    return true;
+  }
+  const auto number = LeadingNumber(rest);
+  if (!number) {
+    return true;  // Changes of the view, which no caller causes.
+  }
+  incoming_ = memory_->Open(memory_use::kFrames);
+  if (incoming_.Resize(length)) {
+    return true;
+  }
+  passed_over_ = length;
+  on_dropped_(number->first, number->second);
+  return false;
+}
+
+std::size_t frame_stream::PassOver(std::size_t rest) {
+  const std::size_t passed = std::min(rest, passed_over_);
+  passed_over_ -= passed;
+  return passed;
+}
+
 void frame_stream::Send(std::string bytes) {
   Send(std::make_shared<const std::string>(std::move(bytes)));
 }
@@ -210,6 +245,9 @@
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->on_frame_ = nullptr;
     self->on_end_ = nullptr;
+    self->on_dropped_ = nullptr;
+    self->received_ = std::string();
+    self->incoming_.Release();
   });
 }
 
--- a/src/peer/frame_stream.h
+++ b/src/peer/frame_stream.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -12,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "include/base/time.h"
+#include "include/memory/memory_budget.h"
 #include "src/peer/peer_frame.h"
 #include "src/peer/stream_load.h"
 
@@ -42,10 +44,15 @@
   using on_frame = std::function<void(const frame_view&)>;
   // The connection ended, or broke the protocol.
   using on_end = std::function<void(std::string_view why)>;
+  // There was no room for a call or an answer, which bears this number; its
+  // bytes are passed over.
+  using on_dropped = std::function<void(frame_kind kind, std::uint64_t number)>;
 
-  explicit frame_stream(boost::asio::ip::tcp::socket socket);
+  // Without `memory`, frames are bounded by kMaxFrameBytes alone.
+  explicit frame_stream(boost::asio::ip::tcp::socket socket,
+                        std::shared_ptr<memory_budget> memory = nullptr);
 
-  void Start(on_frame frame, on_end end);
+  void Start(on_frame frame, on_end end, on_dropped dropped = nullptr);
   void Send(std::string bytes);
   void Send(std::shared_ptr<const std::string> bytes);
   void Send(frame_parts parts);
@@ -78,6 +85,11 @@
   // Appends what else is ready, if the last read filled the buffer.
   void ReadRest(std::size_t last_read);
   void Digest();
+  // Reserves bytes for the large frame that `rest` begins with. False if they
+  // don't fit: the frame is then passed over.
+  bool ReserveFrame(std::string_view rest);
+  // Returns how many bytes of `rest` belong to the frame that is passed over.
+  std::size_t PassOver(std::size_t rest);
   // Whether more may be queued. Ends the connection of a peer that doesn't
   // read.
   bool MayQueue();
@@ -89,6 +101,10 @@
   boost::asio::ip::tcp::socket socket_;
   on_frame on_frame_;
   on_end on_end_;
+  on_dropped on_dropped_;
+  const std::shared_ptr<memory_budget> memory_;
+  memory_reservation incoming_;  // For a large frame in `received_`.
+  std::size_t passed_over_ = 0;  // Bytes of a frame that are still to come.
   std::array<char, 16384> chunk_{};
   std::string received_;  // Without the frames that were handed over.
   std::deque<outgoing> unsent_;
--- a/src/peer/peer_frame.cc
+++ b/src/peer/peer_frame.cc
@@ -502,6 +502,37 @@
   return length;
 }
 
+std::optional<std::pair<frame_kind, std::uint64_t>> LeadingNumber(
+    std::string_view bytes) {
+  // Of MessagePack: an array of 16 or more entries, and unsigned integers of
+  // one, two, four and eight bytes.
+  constexpr unsigned char kArray16 = 0xdc;
+  constexpr unsigned char kUnsigned8 = 0xcc;
+  constexpr unsigned char kUnsigned64 = 0xcf;
+  constexpr unsigned char kFirstNoInteger = 0x80;
+  const auto at = [&](std::size_t i) {
+    return i < bytes.size() ? static_cast<unsigned char>(bytes[i]) : 0xc1U;
+  };
+  const auto kind = decltype(kFrameKindNames)::FromNumber(at(4));
+  if (kind != frame_kind::kCall && kind != frame_kind::kAnswer) {
+    return std::nullopt;
+  }
+  std::size_t next =
+      kFrameHeadBytes + (at(kFrameHeadBytes) == kArray16 ? 3 : 1);
+  const auto first = at(next++);
+  if (first < kFirstNoInteger) {
+    return std::pair(*kind, std::uint64_t{first});
+  }
+  if (first < kUnsigned8 || first > kUnsigned64) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  for (int left = 1 << (first - kUnsigned8); left > 0; --left) {
+    number = number << 8 | at(next++);
+  }
+  return std::pair(*kind, number);
+}
+
 frame_state NextFrame(std::string_view bytes,
                       std::size_t max_bytes,
                       frame_view* frame) {
--- a/src/peer/peer_frame.h
+++ b/src/peer/peer_frame.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "include/admit/admission_controller.h"
@@ -265,6 +266,10 @@
 // Length of the frame that `bytes` begin with; zero before its head is whole.
 [[nodiscard]] std::size_t FrameLength(std::string_view bytes);
 
+// Of a call or an answer whose first bytes are here: its kind and number.
+[[nodiscard]] std::optional<std::pair<frame_kind, std::uint64_t>> LeadingNumber(
+    std::string_view bytes);
+
 // kBroken for an unknown kind or more than `max_bytes`: whatever follows can't
 // be told apart any more.
 [[nodiscard]] frame_state NextFrame(std::string_view bytes,
--- a/src/peer/peer_link.cc
+++ b/src/peer/peer_link.cc
@@ -339,7 +339,8 @@
 void peer_link::OnConnected(const socket_ptr& socket) {
   SetUpConnection(*socket, kPeerSilence);
   connecting_ = nullptr;
-  candidate_ = std::make_shared<frame_stream>(std::move(*socket));
+  candidate_ =
+      std::make_shared<frame_stream>(std::move(*socket), options_.memory);
   const std::weak_ptr<frame_stream> stream = candidate_;
   candidate_->Start(
       [self = weak_from_this(), stream](const frame_view& frame) {
@@ -355,6 +356,15 @@
         if (link != nullptr && ended != nullptr) {
           link->OnStreamEnd(ended, why);
         }
+      },
+      [self = weak_from_this()](frame_kind kind, std::uint64_t number) {
+        const auto link = self.lock();
+        if (link != nullptr && kind == frame_kind::kAnswer) {
+          LogWarning("answer_dropped",
+                     {{.name = "why", .value = "no room"},
+                      {.name = "number", .value = std::to_string(number)}});
+          link->EndCall(number, outcome_kind::kUnknown, reason::kTableFull);
+        }
       });
   candidate_->Send(
       Encode(hello_frame{.sender = options_.self, .vm = options_.vm}));
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -49,6 +49,8 @@
   // those of before, and answer them with what it had kept for those (guard
   // SHARED_NUMBERS in spec/peer_attempts.pml).
   std::shared_ptr<std::uint64_t> last_number;
+  // For large frames; nullptr if they aren't bounded.
+  std::shared_ptr<memory_budget> memory;
 };
 
 enum class link_state : std::uint8_t { kDown, kConnecting, kUp };
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -23,6 +23,10 @@
 // whole views.
 constexpr std::size_t kAskedAtOnce = 3;
 
+// Of a call for whose body there is no room: requests end within about that
+// time.
+constexpr milliseconds kNoRoomRetryAfter{1000};
+
 std::string RemoteIp(const tcp::socket& socket) {
   error_code ignored;  // A connection that has ended already has none.
   return socket.remote_endpoint(ignored).address().to_string();
@@ -51,7 +55,8 @@
   session(peer_server& server, tcp::socket socket)
       : server_(server),
         ip_(RemoteIp(socket)),
-        stream_(std::make_shared<frame_stream>(std::move(socket))) {}
+        stream_(std::make_shared<frame_stream>(std::move(socket),
+                                               server.options_.memory)) {}
 
   void Start() {
     const std::weak_ptr<session> self = weak_from_this();
@@ -68,6 +73,13 @@
                       {.name = "why", .value = std::string(why)}});
             found->server_.OnEnd(found);
           }
+        },
+        [self](frame_kind kind, std::uint64_t number) {
+          const auto found = self.lock();
+          if (found && kind == frame_kind::kCall &&
+              found->sender_ != incarnation_id{}) {
+            found->server_.OnDropped(*found, number);
+          }
         });
   }
 
@@ -373,6 +385,10 @@
       SendRefusal(from, call.number);
       return;
   }
+  if (!ReserveBody(&call)) {
+    RefuseForRoom(attempt);
+    return;
+  }
   // The executor may answer before Serve() returns.
   const auto answered = std::make_shared<bool>(false);
   const std::uint64_t id = calls_.Serve(
@@ -385,6 +401,40 @@
   }
 }
 
+bool peer_server::ReserveBody(call_frame* call) const {
+  shared_bytes& body = call->request.body;
+  if (options_.memory == nullptr || body.size() <= kMaxSmallReservation) {
+    return true;
+  }
+  memory_reservation reservation = options_.memory->Open(memory_use::kRequests);
+  if (!reservation.Resize(body.size())) {
+    return false;
+  }
+  body = shared_bytes::Reserved(std::move(body), std::move(reservation));
+  return true;
+}
+
+void peer_server::OnDropped(session& from, std::uint64_t number) {
+  const attempt_key attempt{.sender = from.sender(), .number = number};
+  if (attempts_.Begin(attempt) == attempt_verdict::kStart) {
+    RefuseForRoom(attempt);
+  }
+}
+
+void peer_server::RefuseForRoom(const attempt_key& attempt) {
+  LogWarning("call_dropped",
+             {{.name = "why", .value = "no room"},
+              {.name = "number", .value = std::to_string(attempt.number)}});
+  answer_frame answer;
+  answer.number = attempt.number;
+  answer.kind = outcome_kind::kNotExecuted;
+  answer.why = reason::kTableFull;
+  answer.retry_after = kNoRoomRetryAfter;
+  answer.load = calls_.Load();
+  answer.report = calls_.Report();
+  OnAnswer(attempt, answer);
+}
+
 void peer_server::OnAnswer(const attempt_key& attempt,
                            const answer_frame& answer) {
   const auto of_sender = running_.find(KeyOf(attempt.sender));
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -116,6 +116,10 @@
   void Accept();
   void OnHello(const std::shared_ptr<session>& from, const hello_frame& hello);
   void OnCall(session& from, call_frame call);
+  // There was no room for the frame of a call, or for its body.
+  void OnDropped(session& from, std::uint64_t number);
+  void RefuseForRoom(const attempt_key& attempt);
+  [[nodiscard]] bool ReserveBody(call_frame* call) const;
   void OnAsk(session& from, std::uint64_t number);
   void OnCancel(const session& from, std::uint64_t number);
   // Returns how long a message of `sender` waited that was sent at `sent`.
