caller_server: at the limit the longest idle connection makes room

What callers saw: while a crowd held all connections, sending nothing, each new connection was closed. Cause: at the limit the newcomer was dropped.

The connection that has been idle longest is closed in its place; an unfinished head counts as idle, a request in progress doesn't.

--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -102,6 +102,31 @@
     }
   }
 
+  // At the limit, newcomers take the place of the connection that has been idle
+  // longest. False if none is idle.
+  bool CloseLongestIdle() {
+    std::shared_ptr<session> longest;
+    time_point since = time_point::max();
+    for (const auto& weak : sessions_) {
+      auto each = weak.lock();
+      const auto idle = each ? each->IdleSince() : std::nullopt;
+      if (idle && *idle < since) {
+        since = *idle;
+        longest = std::move(each);
+      }
+    }
+    if (longest == nullptr) {
+      return false;
+    }
+    LogEvent("caller_gives_way",
+             {{.name = "why", .value = "connections"},
+              {.name = "idle_ms",
+               .value = std::to_string(
+                   ToMilliseconds(monotonic_clock::now() - since).count())}});
+    longest->CloseToMakeRoom();
+    return true;
+  }
+
   // Later: whoever needs the room may be in the middle of a session's work.
   void ScheduleMakingRoom(std::size_t missing) {
     missing_ = std::max(missing_, missing);
@@ -130,7 +155,8 @@
       }
       LogEvent(
           "caller_gives_way",
-          {{.name = "bytes", .value = std::to_string(holders[*chosen].bytes)},
+          {{.name = "why", .value = "memory"},
+           {.name = "bytes", .value = std::to_string(holders[*chosen].bytes)},
            {.name = "missing", .value = std::to_string(missing_)}});
       freed += std::exchange(holders[*chosen].bytes, 0);
       open[*chosen]->GiveWay();
@@ -139,22 +165,23 @@
   }
 
   void Accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, tcp::socket socket) {
-          // A connection that was accepted before the port was closed may be
-          // delivered here only afterwards, since several are accepted at a
-          // time. If served, its request would be in progress when the daemon
-          // ends.
-          if (error == boost::asio::error::operation_aborted || !listening_) {
-            return;
-          }
-          if (!error && state_->sessions < options_.max_connections) {
-            auto opened = std::make_shared<session>(state_, std::move(socket));
-            TrackSession(opened);
-            opened->Start();
-          }
-          Accept();
-        });
+    acceptor_.async_accept([this](boost::system::error_code error,
+                                  tcp::socket socket) {
+      // A connection that was accepted before the port was closed may be
+      // delivered here only afterwards, since several are accepted at a
+      // time. If served, its request would be in progress when the daemon
+      // ends.
+      if (error == boost::asio::error::operation_aborted || !listening_) {
+        return;
+      }
+      if (!error &&
+          (state_->sessions < options_.max_connections || CloseLongestIdle())) {
+        auto opened = std::make_shared<session>(state_, std::move(socket));
+        TrackSession(opened);
+        opened->Start();
+      }
+      Accept();
+    });
   }
 
   void TrackSession(const std::shared_ptr<session>& opened) {
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -137,6 +137,15 @@
     }
   }
 
+  // Since when nothing of a request has come, if none is in progress: an
+  // unfinished head is none yet.
+  [[nodiscard]] std::optional<time_point> IdleSince() const {
+    const bool idle = !closed_ && !lingering_ && !deferred_ &&
+                      pipeline_.empty() && !(reader_ && reader_->has_head());
+    return idle ? std::optional(last_progress_) : std::nullopt;
+  }
+  void CloseToMakeRoom() { Close(caller_end::kGaveWay); }
+
   // Closes the connection if nothing is in progress on it, which includes
   // waiting for the caller's end behind the last response.
   void CloseIfIdle() {
