Large blocks go back to the kernel when they are freed

The C library keeps blocks of sizes that were freed before: a daemon stayed as large as the bodies that it once held, up to 98.7 MB of 96 in soaking.memory_test.Crowds.test_answers_without_an_end. Gauges tell what is reserved by use.

--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -150,6 +150,13 @@
         load.sessions.unsent_bytes);
   gauge("caller_held_bytes", "Bytes of bodies of callers' requests",
         load.caller_bytes);
+  for (std::size_t i = 0; i < load.held.size(); ++i) {
+    gauge("held_" +
+              std::string(kMemoryUseNames.Name(static_cast<memory_use>(i))) +
+              "_bytes",
+          "Bytes reserved for bodies and frames of this use",
+          static_cast<double>(load.held[i]));
+  }
   gauge("answer_bytes", "Bytes of answers kept until their senders settle them",
         load.answer_bytes);
 }
--- a/src/forward/origin_links.cc
+++ b/src/forward/origin_links.cc
@@ -35,7 +35,8 @@
         peer_link_options{.address = {.ip = ip, .port = options_.peer_port},
                           .self = options_.self,
                           .vm = options_.vm,
-                          .last_number = last_number_},
+                          .last_number = last_number_,
+                          .memory = options_.memory},
         EventsOf(ip));
   }
   return link;
--- a/src/forward/process_load.cc
+++ b/src/forward/process_load.cc
@@ -22,6 +22,15 @@
   return info.uordblks + info.hblkhd;
 }
 
+void ReturnLargeBlocks() {
+  constexpr int kLargeBlock = 512 << 10;
+  // Of free memory at the end of the heap; 128 KB by default, once the first is
+  // set, would give it back and take it again for each burst.
+  constexpr int kMaxFreeAtEnd = 8 << 20;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeAtEnd);
+}
+
 bool ExceedsThresholds(const process_load& load) {
   return load.lag > kMaxLag || load.heap_bytes > kMaxHeapBytes;
 }
