memory_budget: those that hold little give way, too

Each pool has its own shortage, with an eighth of the pool given back beyond what is missing, and whoever holds bytes of it without progress gives way.

Formatting of two comments.

--- a/include/call/msgpack_reader.h
+++ b/include/call/msgpack_reader.h
@@ -10,9 +10,9 @@
 
 namespace pistachioweir {
 
-// Refers to `bytes`, which have to outlive it. A field that is missing, of another type or out of
-// range reads as a zero value and clears ok(), which stays cleared; so a caller
-// reads all fields and asks once.
+// Refers to `bytes`, which have to outlive it. A field that is missing, of
+// another type or out of range reads as a zero value and clears ok(), which
+// stays cleared; so a caller reads all fields and asks once.
 class msgpack_reader {
  public:
   // Expects an array of exactly `fields` entries and nothing after it.
--- a/include/memory/memory_budget.h
+++ b/include/memory/memory_budget.h
@@ -29,13 +29,23 @@
                                                             "answers",
                                                             "frames"});
 
-// Reservations of up to this many bytes have room of their own, so that a crowd
-// of large ones can't take that of ordinary callers.
+// Small reservations have room of their own, so that a crowd of large ones
+// can't take that of ordinary callers.
+enum class memory_pool : std::uint8_t { kSmall, kLarge };
+
+inline constexpr enum_table<memory_pool, 2> kMemoryPoolNames({"small",
+                                                              "large"});
+
 inline constexpr std::size_t kMaxSmallReservation = 64 << 10;
 
+[[nodiscard]] constexpr memory_pool PoolOf(std::size_t bytes) {
+  return bytes <= kMaxSmallReservation ? memory_pool::kSmall
+                                       : memory_pool::kLarge;
+}
+
 struct memory_budget_options {
-  std::size_t max_small_bytes = SIZE_MAX;  // Of all small reservations.
-  std::size_t max_large_bytes = SIZE_MAX;  // Of all others.
+  std::size_t max_small_bytes = SIZE_MAX;  // Of all reservations of this pool.
+  std::size_t max_large_bytes = SIZE_MAX;  // Likewise.
 };
 
 // Bounds for a process that may use `memory_bytes`.
@@ -46,9 +56,10 @@
 // Used on one thread.
 class memory_budget : public std::enable_shared_from_this<memory_budget> {
  public:
-  // Hears by how many bytes a reservation didn't fit. Must not change any
-  // reservation before it returns.
-  using shortage_listener = std::function<void(std::size_t missing)>;
+  // Hears that a reservation didn't fit, and how many bytes should be given
+  // back for the next ones. Must not change any reservation before it returns.
+  using shortage_listener =
+      std::function<void(memory_pool pool, std::size_t missing)>;
 
   explicit memory_budget(const memory_budget_options& options)
       : options_(options) {}
@@ -62,7 +73,7 @@
   [[nodiscard]] std::size_t held(memory_use use) const {
     return held_[static_cast<std::size_t>(use)];
   }
-  [[nodiscard]] std::size_t held() const { return small_ + large_; }
+  [[nodiscard]] std::size_t held() const { return pools_[0] + pools_[1]; }
   // Reservations that didn't fit, since the start.
   [[nodiscard]] std::uint64_t refused(memory_use use) const {
     return refused_[static_cast<std::size_t>(use)];
@@ -76,9 +87,9 @@
 
   const memory_budget_options options_;
   shortage_listener on_shortage_;
-  std::size_t small_ = 0;
-  std::size_t large_ = 0;
-  std::array<std::size_t, kMemoryUseNames.size()> held_{};  // Sum of both.
+  std::array<std::size_t, kMemoryPoolNames.size()> pools_{};  // Held in each.
+  // By use; their sum is that of the pools.
+  std::array<std::size_t, kMemoryUseNames.size()> held_{};
   std::array<std::uint64_t, kMemoryUseNames.size()> refused_{};
 };
 
@@ -110,17 +121,26 @@
 
 // One who could give bytes back before its work has ended.
 struct memory_holder {
-  std::size_t bytes = 0;
+  std::array<std::size_t, kMemoryPoolNames.size()> bytes{};  // By pool.
   time_point last_progress;
+
+  void Add(const memory_reservation& reservation) {
+    bytes[static_cast<std::size_t>(PoolOf(reservation.bytes()))] +=
+        reservation.bytes();
+  }
+  [[nodiscard]] std::size_t In(memory_pool pool) const {
+    return bytes[static_cast<std::size_t>(pool)];
+  }
 };
 
 // Whoever makes no progress for this long may have to give way.
 inline constexpr milliseconds kStalledHolder{1000};
 
 // Index of the one that gives way: of those that make no progress, the one that
-// holds most. Nothing if there is none; then newcomers are refused.
+// holds most of the pool. Nothing if there is none; then newcomers are refused.
 [[nodiscard]] std::optional<std::size_t> ChooseToGiveWay(
     std::span<const memory_holder> holders,
+    memory_pool pool,
     time_point now);
 
 }  // namespace pistachioweir
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <list>
 #include <memory>
@@ -45,8 +46,9 @@
             caller_port_state{.calls = calls,
                               .memory = options.memory,
                               .max_write_time = recent_maximum()})) {
-    state_->memory->OnShortage(
-        [this](std::size_t missing) { ScheduleMakingRoom(missing); });
+    state_->memory->OnShortage([this](memory_pool pool, std::size_t missing) {
+      ScheduleMakingRoom(pool, missing);
+    });
     Accept();
   }
 
@@ -128,16 +130,21 @@
   }
 
   // Later: whoever needs the room may be in the middle of a session's work.
-  void ScheduleMakingRoom(std::size_t missing) {
-    missing_ = std::max(missing_, missing);
+  void ScheduleMakingRoom(memory_pool pool, std::size_t missing) {
+    std::size_t& most = missing_[static_cast<std::size_t>(pool)];
+    most = std::max(most, missing);
     if (!std::exchange(making_room_, true)) {
-      boost::asio::post(acceptor_.get_executor(), [this] { MakeRoom(); });
+      boost::asio::post(acceptor_.get_executor(), [this] {
+        making_room_ = false;
+        for (std::size_t i = 0; i < missing_.size(); ++i) {
+          MakeRoom(static_cast<memory_pool>(i), std::exchange(missing_[i], 0));
+        }
+      });
     }
   }
 
   // Sessions that make no progress give way, so that the next bytes fit.
-  void MakeRoom() {
-    making_room_ = false;
+  void MakeRoom(memory_pool pool, std::size_t missing) {
     std::vector<std::shared_ptr<session>> open;
     std::vector<memory_holder> holders;
     for (const auto& weak : sessions_) {
@@ -148,20 +155,22 @@
     }
     const time_point now = monotonic_clock::now();
     std::size_t freed = 0;
-    while (freed < missing_) {
-      const auto chosen = ChooseToGiveWay(holders, now);
+    while (freed < missing) {
+      const auto chosen = ChooseToGiveWay(holders, pool, now);
       if (!chosen) {
         break;
       }
+      const std::size_t bytes = holders[*chosen].In(pool);
       LogEvent(
           "caller_gives_way",
           {{.name = "why", .value = "memory"},
-           {.name = "bytes", .value = std::to_string(holders[*chosen].bytes)},
-           {.name = "missing", .value = std::to_string(missing_)}});
-      freed += std::exchange(holders[*chosen].bytes, 0);
+           {.name = "pool", .value = std::string(kMemoryPoolNames.Name(pool))},
+           {.name = "bytes", .value = std::to_string(bytes)},
+           {.name = "missing", .value = std::to_string(missing)}});
+      freed += bytes;
+      holders[*chosen] = {};
       open[*chosen]->GiveWay();
     }
-    missing_ = 0;
   }
 
   void Accept() {
@@ -198,7 +207,8 @@
   tcp::acceptor acceptor_;
   bool listening_ = true;
   bool making_room_ = false;  // MakeRoom() is about to run.
-  std::size_t missing_ = 0;   // Bytes for which it makes room.
+  // Bytes for which it makes room, by pool.
+  std::array<std::size_t, kMemoryPoolNames.size()> missing_{};
   std::shared_ptr<caller_port_state> state_;
   std::list<std::weak_ptr<session>> sessions_;
 };
--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -118,14 +118,15 @@
     if (pipeline_.writing()) {
       memory_holder holder{.last_progress = write_progress_};
       for (const entry_ptr& each : pipeline_.open()) {
-        holder.bytes += each->exchange.answer.bytes();
+        holder.Add(each->exchange.answer);
       }
       return holder;
     }
+    memory_holder holder{.last_progress = last_progress_};
     if (reader_ && pipeline_.empty()) {
-      return {.bytes = incoming_.bytes(), .last_progress = last_progress_};
+      holder.Add(incoming_);
     }
-    return {};
+    return holder;
   }
 
   // Gives back what Holder() tells.
@@ -163,7 +164,7 @@
     origin::call_id call = 0;
     bool open = true;  // Counted in open_requests.
     relayed_response response;
-    memory_reservation answer;  // For a large body in `response`.
+    memory_reservation answer;  // For the body of `response`.
     std::string head;           // Of the response.
   };
 
@@ -245,7 +246,9 @@
       }
       Begin(std::move(request));
     }
-    if (!closed_ && received_.size() < kMaxReadAhead) {
+    const std::size_t max_ahead =
+        CanBegin(true) ? kMaxUnfinished : kMaxReadAhead;
+    if (!closed_ && received_.size() < max_ahead) {
       Read();
     }
   }
@@ -377,9 +380,6 @@
   }
 
   [[nodiscard]] bool ReserveAnswer(std::size_t bytes, exchange* answered) {
-    if (bytes <= kMaxSmallReservation) {
-      return true;
-    }
     answered->answer = state_->memory->Open(memory_use::kAnswers);
     return answered->answer.Resize(bytes);
   }
@@ -547,7 +547,9 @@
   }
 
   // Bytes that are read ahead while no request may be begun.
-  static constexpr std::size_t kMaxReadAhead = 64 << 10;
+  static constexpr std::size_t kMaxReadAhead = 16 << 10;
+  // Bytes of an unfinished head, which the reader bounds.
+  static constexpr std::size_t kMaxUnfinished = 64 << 10;
   // Bytes of a response that are handed to the kernel at a time.
   static constexpr std::size_t kMaxWriteBytes = 256 << 10;
   static constexpr milliseconds kTimerInterval{500};
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -186,7 +186,8 @@
         boost::asio::buffer(run_.request.body.str())};
     boost::asio::async_write(
         socket_, parts,
-        [self = this->shared_from_this()](error_code error, std::size_t) {
+        [self = this->shared_from_this(), body = run_.request.body](
+            error_code error, std::size_t) {
           // A write error shows on the read as well, where a response may
           // still precede it.
           self->written_ = !error;
@@ -356,7 +357,8 @@
   }
 
   void AddConnection(run_result* result) {
-    incoming_.Release();  // Whoever takes the answer reserves its bytes.
+    incoming_.Release();     // Whoever takes the answer reserves its bytes.
+    run_.request.body = {};  // Not kept while the connection is idle.
     result->connection = number_;
     result->stray_answers = stray_answers_;
   }
--- a/src/memory/memory_budget.cc
+++ b/src/memory/memory_budget.cc
@@ -27,19 +27,21 @@
 }
 
 bool memory_budget::Change(memory_use use, std::size_t from, std::size_t to) {
-  const auto is_small = [](std::size_t bytes) {
-    return bytes <= kMaxSmallReservation;
-  };
-  std::size_t& before = is_small(from) ? small_ : large_;
-  std::size_t& after = is_small(to) ? small_ : large_;
-  const std::size_t max =
-      is_small(to) ? options_.max_small_bytes : options_.max_large_bytes;
+  // Of a pool, given back beyond what is missing: a crowd that takes what is
+  // freed meets others that are refused as well.
+  constexpr std::size_t kSpareShare = 8;
+  const memory_pool pool = PoolOf(to);
+  std::size_t& before = pools_[static_cast<std::size_t>(PoolOf(from))];
+  std::size_t& after = pools_[static_cast<std::size_t>(pool)];
+  const std::size_t max = pool == memory_pool::kSmall
+                              ? options_.max_small_bytes
+                              : options_.max_large_bytes;
   const std::size_t others = after - (&before == &after ? from : 0);
   const auto index = static_cast<std::size_t>(use);
   if (to > from && (to > max || others > max - to)) {
     ++refused_[index];
     if (on_shortage_) {
-      on_shortage_(others + to - max);
+      on_shortage_(pool, others + to - max + max / kSpareShare);
     }
     return false;
   }
@@ -81,12 +83,14 @@
 
 std::optional<std::size_t> ChooseToGiveWay(
     std::span<const memory_holder> holders,
+    memory_pool pool,
     time_point now) {
   std::optional<std::size_t> chosen;
   for (std::size_t i = 0; i < holders.size(); ++i) {
-    const bool stalled = holders[i].bytes > kMaxSmallReservation &&
+    const bool stalled = holders[i].In(pool) > 0 &&
                          now - holders[i].last_progress >= kStalledHolder;
-    if (stalled && (!chosen || holders[i].bytes > holders[*chosen].bytes)) {
+    if (stalled &&
+        (!chosen || holders[i].In(pool) > holders[*chosen].In(pool))) {
       chosen = i;
     }
   }
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -844,8 +844,8 @@
   EXPECT_EQ(link_->load().unsent_bytes, held + told->size());
 }
 
-// Guards against a link that ends, with all calls on it, since a body larger than
-// what a peer may leave unread waits on it.
+// Guards against a link that ends, with all calls on it, since a body larger
+// than what a peer may leave unread waits on it.
 TEST_F(peer_link_test, ALargeBodyEndsNoLink) {
   constexpr std::size_t kBody = 2 * kMaxUnsentBytes;
   receiver far(context_, incarnation_id{9}, 0);
--- a/tools/soaking/memory_test.py
+++ b/tools/soaking/memory_test.py
@@ -11,6 +11,7 @@
 
 BODY = 8 << 20  # Largest body of a request.
 CROWD = 24
+SMALL = 60 << 10  # Of a body that is small to the daemon.
 PIECE = 64 << 10
 
 
@@ -136,6 +137,19 @@
         await self.settle()
         await self.check_well()
 
+    # Guards against a crowd that takes the room of ordinary small bodies.
+    async def test_unfinished_small_bodies(self):
+        for _ in range(self.max_descriptors * 3 // 8):
+            await self.begin("well", f"Content-Length: {SMALL}", b"x" * (SMALL - 1))
+        for _ in range(30):
+            reader = await self.begin("well", "Content-Length: 1024", b"x" * 1024)
+            if b" 200 " in await reader.readline():
+                break
+            await asyncio.sleep(0.5)
+        else:
+            self.fail("no request with a small body was answered in 30 tries")
+        await self.check_well()
+
     # Guards against whole bodies that wait for a target.
     async def test_bodies_at_a_target_that_does_not_answer(self):
         self.crowd("never", f"Content-Length: {BODY}", *[b"x" * PIECE] * (BODY // PIECE))
