--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -18,11 +18,15 @@
 EXTRA_KINDS = ("kill_all", "poisons", "readers_pause", "readers_kill", "readers_stop",
                "readers_cut", "readers_silence", "readers_busy", "keys", "hot",
                "store_for_some", "store_for_none", "leave", "leave_at_return",
-               "lapse", "limit", "limits", "say_leaving", "cut_kill", "reject_twice")
+               "lapse", "limit", "limits", "say_leaving", "cut_kill", "reject_twice",
+               "odd_entries")
 # Where targets make calls.
 NESTED_KINDS = ("reject_all", "kill_parent")
 # Lines that name whom a daemon reports to.
 REPORTS = re.compile(r"event=(?:quota|repeat)_reports .*\bto=\S+\.(\d+)\b")
+# Of entries of another writer: characters that have a meaning in calls and lines.
+ODD_NAMES = ("&after=", "&prefix=q", "#", "+", "%41", " ", "\n", "\r\nX: y")
+ODD_ENTRIES = 600  # More than a page of the store.
 REJECTED = 0.55  # Part of the requests, by all targets of a service.
 
 
@@ -89,6 +93,16 @@
             one.store_way.disturb(time.monotonic())
             await asyncio.sleep(min(left, 0.2))
 
+    async def odd_entries(self, dice):
+        """Another writer leaves entries among those of the targets for a while."""
+        name = dice.choice(ODD_NAMES)
+        keys = [f"servers/0{name}{i:04}" for i in range(ODD_ENTRIES)]
+        for key in keys:
+            await self.world.store.put(key, {"note": "no target"})
+        await asyncio.sleep(dice.uniform(0.5, 4.0))
+        for key in keys:
+            await self.world.store.remove(key)
+
     async def kill_all(self, dice):
         """All daemons that run are killed at one moment, and are back within a second."""
         running = [one for one in self.world.daemons if not one.stopping]
