Memory: a counter of what did not fit, and names from reading the diff

The gauges of what is reserved get a counter of reservations that didn't fit, by use. target_connection::EndRun() says what AddConnection() had come to do; the allocator's second threshold says why it is set. Lint: the name of a static, loops that bound references to temporaries.

--- a/include/memory/memory_budget.h
+++ b/include/memory/memory_budget.h
@@ -70,14 +70,16 @@
     on_shortage_ = std::move(listener);
   }
 
+  using bytes_by_use = std::array<std::size_t, kMemoryUseNames.size()>;
+  using counts_by_use = std::array<std::uint64_t, kMemoryUseNames.size()>;
+
+  [[nodiscard]] const bytes_by_use& held_by_use() const { return held_; }
   [[nodiscard]] std::size_t held(memory_use use) const {
     return held_[static_cast<std::size_t>(use)];
   }
   [[nodiscard]] std::size_t held() const { return pools_[0] + pools_[1]; }
   // Reservations that didn't fit, since the start.
-  [[nodiscard]] std::uint64_t refused(memory_use use) const {
-    return refused_[static_cast<std::size_t>(use)];
-  }
+  [[nodiscard]] const counts_by_use& refused() const { return refused_; }
 
  private:
   friend class memory_reservation;
@@ -89,8 +91,8 @@
   shortage_listener on_shortage_;
   std::array<std::size_t, kMemoryPoolNames.size()> pools_{};  // Held in each.
   // By use; their sum is that of the pools.
-  std::array<std::size_t, kMemoryUseNames.size()> held_{};
-  std::array<std::uint64_t, kMemoryUseNames.size()> refused_{};
+  bytes_by_use held_{};
+  counts_by_use refused_{};
 };
 
 // Gives its bytes back when it ends. One without a budget always fits.
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -145,6 +145,9 @@
 
   // Sessions that make no progress give way, so that the next bytes fit.
   void MakeRoom(memory_pool pool, std::size_t missing) {
+    if (missing == 0) {
+      return;
+    }
     std::vector<std::shared_ptr<session>> open;
     std::vector<memory_holder> holders;
     for (const auto& weak : sessions_) {
--- a/src/forward/forward_daemon.h
+++ b/src/forward/forward_daemon.h
@@ -610,21 +610,13 @@
             .sessions = peers_.load(),
             .callers = callers_.state().sessions,
             .caller_bytes = memory_->held(memory_use::kRequests),
-            .held = HeldBytes(),
+            .held = memory_->held_by_use(),
+            .no_room = memory_->refused(),
             .calls = origin_.in_progress(),
             .runs = executor_.in_progress(),
             .answer_bytes = peers_.answer_bytes()};
   }
 
-  [[nodiscard]] std::array<std::size_t, kMemoryUseNames.size()> HeldBytes()
-      const {
-    std::array<std::size_t, kMemoryUseNames.size()> held{};
-    for (std::size_t i = 0; i < held.size(); ++i) {
-      held[i] = memory_->held(static_cast<memory_use>(i));
-    }
-    return held;
-  }
-
   void Tick() {
     const time_point now = monotonic_clock::now();
     lag_ = std::max(duration(0), now - next_tick_);
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -131,6 +131,28 @@
   families->push_back(std::move(family));
 }
 
+// One counter with a value for each name of an enum.
+template <typename Enum, std::size_t kCount>
+void AddByName(std::string_view name,
+               std::string_view help,
+               std::string_view label,
+               const enum_table<Enum, kCount>& names,
+               const std::array<std::uint64_t, kCount>& counts,
+               std::vector<MetricFamily>* families) {
+  MetricFamily family;
+  family.name = "pistachioweir_forward_" + std::string(name);
+  family.help = std::string(help);
+  family.type = MetricType::Counter;
+  for (std::size_t i = 0; i < kCount; ++i) {
+    ClientMetric metric;
+    metric.label = {{.name = std::string(label),
+                     .value = std::string(names.Name(static_cast<Enum>(i)))}};
+    metric.counter.value = static_cast<double>(counts[i]);
+    family.metric.push_back(std::move(metric));
+  }
+  families->push_back(std::move(family));
+}
+
 void AddLoad(const process_load& load, std::vector<MetricFamily>* families) {
   const auto gauge = [&](std::string_view name, std::string_view help,
                          std::size_t value) {
@@ -159,28 +181,8 @@
   }
   gauge("answer_bytes", "Bytes of answers kept until their senders settle them",
         load.answer_bytes);
-}
-
-// One counter with a value for each name of an enum.
-template <typename Enum, std::size_t kCount>
-void AddByName(std::string_view name,
-               std::string_view help,
-               std::string_view label,
-               const enum_table<Enum, kCount>& names,
-               const std::array<std::uint64_t, kCount>& counts,
-               std::vector<MetricFamily>* families) {
-  MetricFamily family;
-  family.name = "pistachioweir_forward_" + std::string(name);
-  family.help = std::string(help);
-  family.type = MetricType::Counter;
-  for (std::size_t i = 0; i < kCount; ++i) {
-    ClientMetric metric;
-    metric.label = {{.name = std::string(label),
-                     .value = std::string(names.Name(static_cast<Enum>(i)))}};
-    metric.counter.value = static_cast<double>(counts[i]);
-    family.metric.push_back(std::move(metric));
-  }
-  families->push_back(std::move(family));
+  AddByName("no_room", "Reservations of memory that did not fit, by use", "use",
+            kMemoryUseNames, load.no_room, families);
 }
 
 void AddEntranceShares(const entrance_control& entrance,
--- a/src/forward/process_load.cc
+++ b/src/forward/process_load.cc
@@ -24,8 +24,8 @@
 
 void ReturnLargeBlocks() {
   constexpr int kLargeBlock = 512 << 10;
-  // Of free memory at the end of the heap; 128 KB by default, once the first is
-  // set, would give it back and take it again for each burst.
+  // Once the threshold is set, the allocator no longer adapts how much it keeps
+  // free at the end of the heap; its 128 KiB would be taken anew in each burst.
   constexpr int kMaxFreeAtEnd = 8 << 20;
   mallopt(M_MMAP_THRESHOLD, kLargeBlock);
   mallopt(M_TRIM_THRESHOLD, kMaxFreeAtEnd);
--- a/src/forward/process_load.h
+++ b/src/forward/process_load.h
@@ -1,7 +1,6 @@
 // process_load: memory, connections and event loop delay of the process.
 #pragma once
 
-#include <array>
 #include <cstddef>
 
 #include "include/base/time.h"
@@ -18,7 +17,9 @@
   std::size_t callers = 0;     // Connections.
   std::size_t caller_bytes = 0;
   // Held by use, of the memory_budget.
-  std::array<std::size_t, kMemoryUseNames.size()> held{};
+  memory_budget::bytes_by_use held{};
+  // Reservations that didn't fit, likewise.
+  memory_budget::counts_by_use no_room{};
   std::size_t calls = 0;         // Callers' requests in progress.
   std::size_t runs = 0;          // Calls at the target beside this daemon.
   std::size_t answer_bytes = 0;  // Kept until their senders settle them.
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -339,7 +339,7 @@
   }
 
   void FinishAndKeep(run_result result) {
-    AddConnection(&result);
+    EndRun(&result);
     timer_.cancel();
     auto done = std::exchange(done_, nullptr);
     const auto on_reusable = std::exchange(on_reusable_, nullptr);
@@ -348,7 +348,7 @@
   }
 
   void FinishAndClose(run_result result) {
-    AddConnection(&result);
+    EndRun(&result);
     Close();
     connected_ = false;
     auto done = std::exchange(done_, nullptr);
@@ -356,7 +356,7 @@
     done(std::move(result));
   }
 
-  void AddConnection(run_result* result) {
+  void EndRun(run_result* result) {
     incoming_.Release();     // Whoever takes the answer reserves its bytes.
     run_.request.body = {};  // Not kept while the connection is idle.
     result->connection = number_;
--- a/src/net/shared_bytes.h
+++ b/src/net/shared_bytes.h
@@ -40,8 +40,8 @@
   [[nodiscard]] bool empty() const { return bytes_ == nullptr; }
   [[nodiscard]] std::size_t size() const { return str().size(); }
   [[nodiscard]] const std::string& str() const {
-    static const std::string kNone;
-    return bytes_ == nullptr ? kNone : *bytes_;
+    static const std::string none;
+    return bytes_ == nullptr ? none : *bytes_;
   }
   // nullptr if empty.
   [[nodiscard]] const std::shared_ptr<const std::string>& shared() const {
--- a/tests/memory_budget_test.cc
+++ b/tests/memory_budget_test.cc
@@ -28,7 +28,7 @@
   EXPECT_FALSE(second.Resize(2 * kMb));
   EXPECT_EQ(missing, 3 * kMb);  // An eighth of the pool besides.
   EXPECT_EQ(second.bytes(), 0U);
-  EXPECT_EQ(budget->refused(memory_use::kAnswers), 1U);
+  EXPECT_EQ(budget->refused(), (memory_budget::counts_by_use{0, 0, 1, 0}));
   memory_reservation small = budget->Open(memory_use::kRequests);
   EXPECT_TRUE(small.Resize(kMaxSmallReservation));
   EXPECT_EQ(budget->held(memory_use::kRequests),
--- a/tests/store_views_test.cc
+++ b/tests/store_views_test.cc
@@ -424,7 +424,7 @@
 // Guards against a name in the store that changes the call for the next page:
 // the page came again without end, and no target was known.
 TEST_F(paged_store_views_test, ANameThatHasAMeaningInACallEndsAPage) {
-  for (const std::string& name :
+  for (const std::string name :
        {"&after=", "&prefix=q", "#", "a#b", "a+b", "a%41", "%", "a b", "a\nb",
         "a\r\nb", "a\x7f", "a\xc3\xa9", "?", "a=b", "a/b"}) {
     items_.clear();
@@ -474,9 +474,8 @@
 // takes the place of the target at its address.
 TEST_F(paged_store_views_test, ANameThatIsNoIdNamesNoTarget) {
   Put("servers/i-1", TargetEntry("10.0.0.1:8301"));
-  for (const std::string& name :
-       {"", "a b", "a&b", "a+b", "a#b", "a%b", "a\nb", "a\r\nHost: x", "a/b",
-        "a\x7f", "a\xc3\xa9"}) {
+  for (const std::string name : {"", "a b", "a&b", "a+b", "a#b", "a%b", "a\nb",
+                                 "a\r\nHost: x", "a/b", "a\x7f", "a\xc3\xa9"}) {
     items_["servers/" + name] =
         Item("servers/" + name, TargetEntry("10.0.0.1:8301"), 5);
   }
--- a/tools/soaking/faults.py
+++ b/tools/soaking/faults.py
@@ -94,11 +94,14 @@
             await asyncio.sleep(min(left, 0.2))
 
     async def odd_entries(self, dice):
-        """Another writer leaves entries among those of the targets for a while."""
+        """Another writer leaves entries among those of the targets, for a while or for
+        good."""
         name = dice.choice(ODD_NAMES)
         keys = [f"servers/0{name}{i:04}" for i in range(ODD_ENTRIES)]
         for key in keys:
             await self.world.store.put(key, {"note": "no target"})
+        if dice.random() < 0.5:
+            return
         await asyncio.sleep(dice.uniform(0.5, 4.0))
         for key in keys:
             await self.world.store.remove(key)
