--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -176,8 +176,7 @@
     gauge("held_" +
               std::string(kMemoryUseNames.Name(static_cast<memory_use>(i))) +
               "_bytes",
-          "Bytes reserved for bodies and frames of this use",
-          static_cast<double>(load.held[i]));
+          "Bytes reserved for bodies and frames of this use", load.held[i]);
   }
   gauge("answer_bytes", "Bytes of answers kept until their senders settle them",
         load.answer_bytes);
