--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -107,9 +107,9 @@
 TEST(HttpReaderTest, RefusesRequestsWithOtherTransferCodings) {
   const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
   for (const std::string& coding : kOtherCodings) {
-    const auto outcome =
-        Read("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding +
-             "\r\n\r\n" + hidden);
+    std::string text = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: ";
+    text.append(coding).append("\r\n\r\n").append(hidden);
+    const auto outcome = Read(text);
     EXPECT_EQ(outcome.state, read_state::kFailed) << coding;
     EXPECT_EQ(outcome.problem, read_problem::kMalformed) << coding;
   }
