Review: one request that hangs makes a daemon exceed its memory

A daemon keeps each answer until its sender has settled it, and a sender settles only below its oldest call without an answer. Beside one request in 500 that hangs, answers of 60 KB pile up at 20 MB a second though all have been delivered; above its 160 MB the process is ended, and clients of its machine lose what was in progress on kept connections (LOST).

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -23,6 +23,7 @@
 PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20  # At most, of one page of a range.
 HEARTBEAT = 1.5
 PROMISES = (408, 421, 429, 503)  # Not run, and never will be.
+MORE_SETTINGS = {}  # Of all daemons of a case, in place of those of a usual machine.
 
 
 class CannotRun(Exception):
@@ -248,7 +249,7 @@
         self.process = None
         self.log = site.folder / f"{self.name}.log"
         self.settings = site.folder / f"{self.name}.json"
-        self.more = {}
+        self.more = dict(MORE_SETTINGS)
         self.upstream = Upstream(site, self)
 
     def write_settings(self):
