--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -432,9 +433,10 @@
 
     try:
         broken, site = asyncio.run(whole())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # Whatever it was, the rule wasn't judged.
         print("could not run:", repr(error))
         sys.exit(2)
+    shutil.rmtree(site.folder, ignore_errors=True)
     for line in broken:
         site.record.add("BROKEN", line)
         print("broken:", line)
