A status that promises "not run" leaves only if that is known

The caller got that status, which promises that the request hasn't run and never will; it would send it again, and the lease would be signed twice.

Cause: a response without Not-Executed is the answer to a request that ran, and its status was passed on whatever it means to callers.

The caller gets a 502 of the daemon's own, without the target's signature or Retry-After. Requests that may be repeated are sent again behind 408 and 429 too, within their budget.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -62,6 +62,8 @@
   std::uint64_t malformed = 0;
   // Requests read only after their callers had disconnected; not forwarded.
   std::uint64_t read_too_late = 0;
+  // Responses of targets that were withheld; see WithholdFalsePromise().
+  std::uint64_t promises_withheld = 0;
   // Requests without a written response when their connection ended.
   std::array<std::uint64_t, kCallerEndNames.size()> dropped{};
   // Connections that have had their last response, and that their callers
@@ -366,6 +368,7 @@
       Release(answered->exchange);
       return;
     }
+    WithholdFalsePromise(answered->exchange.id, &result);
     if (!ReserveAnswer(result.response.body.size(), &answered->exchange)) {
       LogWarning("answer_dropped",
                  {{.name = "why", .value = "no room"},
@@ -379,6 +382,22 @@
                             : Protocol::Encode(result));
   }
 
+  // The target of a completed request doesn't say that it hasn't run, whatever
+  // its status. A caller that took the status as a promise would have a request
+  // run twice that may run once.
+  void WithholdFalsePromise(std::string_view id, relayed_result* result) {
+    if (result->kind != outcome_kind::kCompleted || !result->at_most_once ||
+        !Protocol::PromisesNotExecuted(result->response.status)) {
+      return;
+    }
+    ++state_->promises_withheld;
+    LogEvent(
+        "promise_withheld",
+        {{.name = "status", .value = std::to_string(result->response.status)},
+         {.name = "request", .value = std::string(id)}});
+    *result = {.kind = outcome_kind::kUnknown, .why = reason::kTargetFailed};
+  }
+
   [[nodiscard]] bool ReserveAnswer(std::size_t bytes, exchange* answered) {
     answered->answer = state_->memory->Open(memory_use::kAnswers);
     return answered->answer.Resize(bytes);
--- a/src/forward/executor.cc
+++ b/src/forward/executor.cc
@@ -567,10 +567,10 @@
   }
   if (answered) {
     vouching_.OnAnswer(result.closing || result.notice.leaving, now);
-    by_kind_[served.kind].throttle.OnResult(
-        !IsServerError(result.response.status), now);
+    by_kind_[served.kind].throttle.OnResult(!IsFailure(result.response.status),
+                                            now);
     by_kind_[served.kind].has_succeeded |=
-        keeps_lineage() && !IsServerError(result.response.status);
+        keeps_lineage() && !IsFailure(result.response.status);
   }
   CountRunEnd(served, result, now);
   log_.Add(
@@ -591,7 +591,7 @@
   answer.queued = ToMicroseconds(served.started - served.arrived);
   answer.served = ToMicroseconds(now - served.started);
   answer.failed_below = answer.kind == outcome_kind::kCompleted &&
-                        IsServerError(answer.response.status) &&
+                        IsFailure(answer.response.status) &&
                         downstream_failures_.IsTooHigh(now);
   Answer(id, std::move(answer));
   if (lost && on_run_lost_ && keeps_lineage()) {
@@ -608,8 +608,7 @@
   if (!served.counted) {
     return;
   }
-  if (result.end == run_end::kAnswered &&
-      !IsServerError(result.response.status)) {
+  if (result.end == run_end::kAnswered && !IsFailure(result.response.status)) {
     entrance_->OnSucceeded(*served.counted, now - served.started);
   } else if (result.end != run_end::kCancelled &&
              result.end != run_end::kNotExecuted) {
@@ -667,7 +666,7 @@
      : answer.kind == outcome_kind::kNotExecuted ? counters_.refused
                                                  : counters_.unknown);
   const bool failed = answer.kind != outcome_kind::kCompleted ||
-                      IsServerError(answer.response.status);
+                      IsFailure(answer.response.status);
   log_.End(id, served.call.request_id, failed);
   if (served.done) {
     served.done(std::move(answer));
--- a/src/forward/forward_pages.cc
+++ b/src/forward/forward_pages.cc
@@ -309,6 +309,10 @@
           sources.callers.requests);
   counter("caller_malformed", "Malformed requests from callers",
           sources.callers.malformed);
+  counter("caller_promises_withheld",
+          "Responses of targets told as unknown, since their status promises "
+          "that a request has not run that may have",
+          sources.callers.promises_withheld);
   counter("caller_read_too_late",
           "Requests read after their callers had disconnected",
           sources.callers.read_too_late);
--- a/src/forward/origin.cc
+++ b/src/forward/origin.cc
@@ -32,9 +32,8 @@
 
 call_result ResultOf(const peer_answer& answer) {
   if (answer.answer.kind == outcome_kind::kCompleted) {
-    return IsServerError(answer.answer.response.status)
-               ? call_result::kErrored
-               : call_result::kAnswered;
+    return IsFailure(answer.answer.response.status) ? call_result::kErrored
+                                                    : call_result::kAnswered;
   }
   if (answer.answer.kind == outcome_kind::kNotExecuted) {
     return answer.heard ? call_result::kRefused : call_result::kFailed;
@@ -419,7 +418,7 @@
                       answer.answer.served,
                       answer.heard ? &answer.answer.load : nullptr, now);
   if (answer.answer.kind == outcome_kind::kCompleted &&
-      !IsServerError(answer.answer.response.status)) {
+      !IsFailure(answer.answer.response.status)) {
     StateOf(call.service)
         .feasibility.OnCompleted(call.placing.method, answer.answer.served,
                                  now);
@@ -652,6 +651,7 @@
 void origin::Finish(call_id id, relayed_result result) {
   const auto found = calls_.find(id);
   const call_ptr call = found->second;
+  result.at_most_once = call->placing.at_most_once;
   Forget(id, *call);
   call->deadline_timer.cancel();
   call->retry_timer.cancel();
@@ -662,7 +662,7 @@
   }
   if (call->from_own_target) {
     local_.OnTargetCallEnd(result.kind != outcome_kind::kCompleted ||
-                               IsServerError(result.response.status),
+                               IsFailure(result.response.status),
                            now);
   }
   ++(result.kind == outcome_kind::kCompleted     ? counters_.completed
@@ -681,7 +681,7 @@
        {.name = "took_ms", .value = std::to_string(took.count())}});
   log_.End(id, call->call.id,
            result.kind != outcome_kind::kCompleted ||
-               IsServerError(result.response.status));
+               IsFailure(result.response.status));
   call->done(std::move(result));
 }
 
--- a/src/forward/origin_repeats.cc
+++ b/src/forward/origin_repeats.cc
@@ -107,9 +107,8 @@
     return false;
   }
   const bool completed = answer.kind == outcome_kind::kCompleted;
-  if (completed &&
-      (!IsServerError(answer.response.status) || answer.failed_below ||
-       call.matched->repeats == repeat_policy::kAtMostOnce)) {
+  if (completed && (!IsFailure(answer.response.status) || answer.failed_below ||
+                    call.matched->repeats == repeat_policy::kAtMostOnce)) {
     return false;
   }
   const bool may_run =
--- a/src/forward/relayed_call.h
+++ b/src/forward/relayed_call.h
@@ -32,6 +32,9 @@
   reason why = reason::kNone;
   milliseconds retry_after{0};
   relayed_response response;  // Set only for kCompleted.
+  // The request may run once only, so that its caller may send it again only if
+  // it is known not to have run.
+  bool at_most_once = false;
 };
 
 using relayed_callback = std::function<void(relayed_result)>;
--- a/src/forward/run_outcome.cc
+++ b/src/forward/run_outcome.cc
@@ -37,9 +37,12 @@
 
 }  // namespace
 
-bool IsServerError(int status) {
+bool IsFailure(int status) {
+  constexpr int kRequestTimeout = 408;
+  constexpr int kTooManyRequests = 429;
   constexpr int kFirstServerError = 500;
-  return status >= kFirstServerError;
+  return status == kRequestTimeout || status == kTooManyRequests ||
+         status >= kFirstServerError;
 }
 
 answer_frame ToAnswerFrame(run_result result) {
--- a/src/forward/run_outcome.h
+++ b/src/forward/run_outcome.h
@@ -7,8 +7,9 @@
 
 namespace pistachioweir {
 
-// True for 500 and above: the target reported a failure.
-[[nodiscard]] bool IsServerError(int status);
+// Whether the target reported that it failed the request, and that the same
+// request may succeed later: 500 and above, 408 and 429.
+[[nodiscard]] bool IsFailure(int status);
 
 // Builds the answer to a run, without its number and load report.
 [[nodiscard]] answer_frame ToAnswerFrame(run_result result);
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -326,9 +326,9 @@
   EXPECT_FALSE(FindHeader(answer.headers, "Response-Signature").has_value());
 }
 
-// A target's error, such as a 503, without Not-Executed means that the request
-// has run. It is forwarded unchanged; its signature identifies the target as
-// its source.
+// A target's error without Not-Executed means that the request has run. It is
+// forwarded unchanged unless its status promises something else; its signature
+// identifies the target as its source.
 TEST_F(forward_path_test, ATargetsOwnFailureIsForwarded) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
@@ -343,6 +343,86 @@
   EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
 }
 
+// Guards against requests that run twice: their target ran them and failed them
+// with a status that callers take as the promise that they have not run.
+TEST_F(forward_path_test, AFailureOfARequestThatRanPromisesNothing) {
+  path_.Configure();
+  int status = 0;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "failed", status,
+                                        "Retry-After: 1\r\n"));
+  };
+  caller client(path_);
+  for (status = 400; status < 600; ++status) {
+    if (status == 421) {
+      continue;  // Says by itself that the request has not run.
+    }
+    client.Request("POST", "/sign/1", "id-" + std::to_string(status), "x");
+    const read_response answer = client.NextResponse();
+    const bool promises = status == 408 || status == 429 || status == 503;
+    EXPECT_EQ(answer.status, promises ? 502 : status);
+    EXPECT_EQ(FindHeader(answer.headers, "Response-Signature").has_value(),
+              !promises)
+        << status;
+    EXPECT_EQ(FindHeader(answer.headers, "Retry-After").has_value(), !promises)
+        << status;
+  }
+  EXPECT_EQ(path_.server.state().promises_withheld, 3U);
+}
+
+// Guards against the same where the target states only behind the body, which
+// isn't part of the head, that it has not run the request.
+TEST_F(forward_path_test, ATrailerPromisesNothing) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(
+        "HTTP/1.1 503 X\r\nRequest-Id: " + Header(request, "Request-Id") +
+        "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        "Not-Executed: 1\r\n\r\n");
+  };
+  caller client(path_);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.NextResponse().status, 502);
+}
+
+// Guards against the same where an earlier target has truly not run it.
+TEST(ForwardPathTest, ARejectionBeforeAFailurePromisesNothing) {
+  forward_path path([](origin_options* options) {
+    options->repeat_sharing = repeat_sharing_policy::kShared;
+    options->repeat_ratio = 20;
+    options->leaf_repeat_ratio = 20;
+    options->starting_repeat_ratio = 20;
+  });
+  path.Configure();
+  path.target.on_request = [&](const read_request& request,
+                               const connection_ptr& from) {
+    const bool first = path.target.requests.size() == 1;
+    from->Send(fake_http_target::Answer(request, "", 503,
+                                        first ? "Not-Executed: 1\r\n" : ""));
+  };
+  caller client(path);
+  client.Request("POST", "/sign/1", "id-1", "x");
+  EXPECT_EQ(client.NextResponse().status, 502);
+  EXPECT_EQ(path.target.requests.size(), 2U);
+}
+
+// Callers may send lookups again, so that their targets' statuses promise
+// nothing that matters.
+TEST_F(forward_path_test, AFailureOfALookupIsForwarded) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    from->Send(fake_http_target::Answer(request, "failed", 503));
+  };
+  caller client(path_);
+  client.Request("GET", "/look/1", "id-1");
+  const read_response answer = client.NextResponse();
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
+}
+
 TEST_F(forward_path_test, AnotherTargetAtTheAddressMeansNotExecuted) {
   path_.Configure();
   path_.target.on_request = [](const read_request& request,
