Tests: answers that end inside their head, at each byte

An operator of another system reports that an upstream stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body, framed as whole. It can't happen here: the reader takes the end of a connection for the end of an answer only behind a whole head (response_reader::FeedEnd(); Beast's parsers in the client of `run`).

No test showed that for more than one cut.

--- a/tests/http_reader_test.cc
+++ b/tests/http_reader_test.cc
@@ -289,6 +289,24 @@
             read_state::kFailed);
 }
 
+// Guards against a head that ends with its connection and counts as whole.
+TEST(HttpReaderTest, APartOfAHeadIsNoAnswer) {
+  for (const std::string& head :
+       {std::string("HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.0 200 OK\r\n\r\n"),
+        std::string("HTTP/1.1 204 No Content\r\nX: y\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n\r\n")}) {
+    read_response response;
+    ASSERT_EQ(ReadAnswer(head, true, &response), read_state::kDone) << head;
+    for (std::size_t i = 0; i < head.size(); ++i) {
+      EXPECT_EQ(ReadAnswer(head.substr(0, i), true, &response),
+                read_state::kFailed)
+          << head.substr(0, i);
+    }
+  }
+}
+
 // Guards against a body that is passed on in a coding that its head no longer
 // names.
 TEST(HttpReaderTest, RefusesAnswersWithOtherTransferCodings) {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -287,5 +287,25 @@
   }
 }
 
+// Guards against a part of a head that is told as an answer.
+TEST_F(http_test, PartsOfAHeadAreLost) {
+  Serve(Echo);
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 0\r\n\r\n";
+  tcp::acceptor acceptor(io_, tcp::endpoint(tcp::v4(), 0));
+  const endpoint address{.ip = "127.0.0.1",
+                         .port = acceptor.local_endpoint().port()};
+  for (std::size_t i = 0; i < head.size(); ++i) {
+    std::thread answering([&] {
+      tcp::socket socket = acceptor.accept();
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+      asio::write(socket, asio::buffer(head, i));
+    });
+    EXPECT_EQ(Send(address, {.path = "/x"}).end, exchange_end::kLost) << i;
+    answering.join();
+  }
+}
+
 }  // namespace
 }  // namespace pistachioweir
