A success without the target's signature is no answer

Cause: an answer counted by its form and its id.

Four tests sent successes without a signature; they sign them now, as otherwise they would pass without what they guard.

--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -292,6 +292,11 @@
       FinishAndClose({.end = run_end::kLost});
       return true;
     }
+    if (answer == target_answer::kUnproven) {
+      FinishAndClose(
+          {.end = run_end::kLost, .problem = read_problem::kUnproven});
+      return true;
+    }
     run_result result{.end = EndOf(answer), .closing = !response.keep_alive};
     if (answer != target_answer::kWrongTarget) {
       result.notice = Protocol::Notice(response);
--- a/src/forward/target_run.h
+++ b/src/forward/target_run.h
@@ -68,6 +68,9 @@
   kOtherRequest,  // A late or duplicate response to an earlier request.
   // May be a response to this request or to an earlier one.
   kUnattributable,
+  // A success without the proof that the platform asks for: callers must not
+  // take it for one, and the request may have run.
+  kUnproven,
 };
 
 // A platform's protocol towards targets, over HTTP/1.1.
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -34,12 +34,13 @@
   kBodyTooLarge,
   // More than a head's length between the bytes of a body in chunks.
   kFramingTooLarge,
-  kNoRoom,  // The reader's owner has no memory for the body.
+  kNoRoom,    // The reader's owner has no memory for the body.
+  kUnproven,  // Whole, but refused by the protocol of the reader's owner.
 };
 
-inline constexpr enum_table<read_problem, 6> kReadProblemNames(
+inline constexpr enum_table<read_problem, 7> kReadProblemNames(
     {"none", "malformed", "head_too_large", "body_too_large",
-     "framing_too_large", "no_room"});
+     "framing_too_large", "no_room", "unproven"});
 
 // A reader leaves untaken at most max_head_bytes beyond what one Feed() adds,
 // and takes at most a fixed multiple of max_body_bytes, whatever part of the
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -264,8 +264,9 @@
   bool in_order = true;
   path_.target.on_request = [&](const read_request& request,
                                 const connection_ptr& from) {
-    from->Send("HTTP/1.1 200 OK\r\nRequest-Id: " +
-               Header(request, "Request-Id") + "\r\n\r\nhello");
+    from->Send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + Header(request, "Request-Id") +
+        "\r\nResponse-Signature: s\r\n\r\nhello");
     if (in_order) {
       from->Close();
     } else {
@@ -343,6 +344,45 @@
   EXPECT_EQ(FindHeader(answer.headers, "Response-Signature"), "s.id-1");
 }
 
+// Guards against successes that callers can't tell from those of another target
+// or of nobody: a head that was cut inside a line and went on, for example.
+TEST_F(forward_path_test, ASuccessWithoutASignatureIsNone) {
+  path_.Configure();
+  std::string answer;
+  path_.target.on_request = [&](const read_request& request,
+                                const connection_ptr& from) {
+    if (request.target.ends_with("well")) {
+      from->Send(fake_http_target::Answer(request, "well"));
+      return;
+    }
+    from->Send(
+        "HTTP/" + answer + "\r\nRequest-Id: " + Header(request, "Request-Id") +
+        "\r\n" +
+        (answer.starts_with("1.0") ? "\r\nno" : "Content-Length: 0\r\n\r\n"));
+    from->Close();
+  };
+  const std::string signature = "\r\nResponse-Signature:";
+  caller client(path_);
+  int number = 0;
+  for (const std::string& each :
+       {std::string("1.1 200 OK"), std::string("1.1 201 Created"),
+        std::string("1.1 204 No Content"), std::string("1.1 206 Part"),
+        std::string("1.0 200 OK"), std::string("1.1 299 X"),
+        "1.1 200 OK" + signature, "1.1 200 OK" + signature + "  ",
+        "1.1 200 OK" + signature + " a" + signature + " b"}) {
+    answer = each;
+    for (const std::string path : {"/sign/", "/look/"}) {
+      client.Request("POST", path + "1", "id-" + std::to_string(++number), "x");
+      const read_response told = client.NextResponse();
+      EXPECT_EQ(told.status, 502) << each;
+      EXPECT_FALSE(FindHeader(told.headers, "Response-Signature")) << each;
+      client.Request("POST", path + "well", "id-" + std::to_string(++number),
+                     "x");
+      EXPECT_EQ(client.NextResponse().status, 200);
+    }
+  }
+}
+
 // Guards against requests that run twice: their target ran them and failed them
 // with a status that callers take as the promise that they have not run.
 TEST_F(forward_path_test, AFailureOfARequestThatRanPromisesNothing) {
--- a/tests/target_pool_test.cc
+++ b/tests/target_pool_test.cc
@@ -140,7 +140,7 @@
   constexpr int kRuns = 20;
   constexpr std::size_t kUploadBytes = 8 << 20;
   target_.on_head = [](fake_http_target::connection& from) {
-    from.Send("HTTP/1.1 200 OK\r\n\r\npart");
+    from.Send("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\npart");
     from.Reset();
   };
   for (int i = 0; i < kRuns; ++i) {
@@ -154,7 +154,7 @@
 // whole.
 TEST_F(target_pool_test, AnAnswerWithoutALengthEndsWithItsConnection) {
   target_.on_request = [](const read_request&, const connection_ptr& from) {
-    from->Send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    from->Send("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nwhole");
     from->Close();
   };
   const run_result result = Run("id-1", std::string(8 << 20, 'x'));
@@ -182,7 +182,7 @@
 // Guards against an answer of another request that bears no id.
 TEST_F(target_pool_test, AnAnswerWithoutAnIdIsTakenOnNewConnectionsOnly) {
   target_.on_request = [](const read_request&, const connection_ptr& from) {
-    from->Send(ResponseHead(200, "", 0, true));
+    from->Send(ResponseHead(200, "Response-Signature: s\r\n", 0, true));
   };
   EXPECT_EQ(Run("id-1").end, run_end::kAnswered);
   EXPECT_EQ(Run("id-2").end, run_end::kLost);
