Responses to HEAD have no body

What callers saw: a failure or refusal of the daemon's own to a HEAD request had a body, whose bytes came where the next response of the connection was due (MIXED).

Cause: caller_session wrote the body of each response; the method of its request wasn't known there.

Change: an exchange knows whether it is to HEAD. Its response is written without a body and without a Content-Length, which isn't known: the 0 that was written for a target's answer was wrong.

Measured: forward_path_test, ResponsesToHeadHaveNoBody, failed before (no response behind the first one could be read), passes. cut_head_test cuts answers to HEAD at each byte: none is told.

--- a/src/forward/caller_session.h
+++ b/src/forward/caller_session.h
@@ -165,6 +165,8 @@
     std::string id;
     origin::call_id call = 0;
     bool open = true;  // Counted in open_requests.
+    // The response has no body: its bytes would be read as the next response.
+    bool to_head = false;
     relayed_response response;
     memory_reservation answer;  // For the body of `response`.
     std::string head;           // Of the response.
@@ -289,7 +291,8 @@
         Protocol::Decode(std::move(request), monotonic_clock::now());
     call.request.body = shared_bytes::Reserved(
         std::move(body), std::exchange(incoming_, memory_reservation()));
-    const entry_ptr begun = Open({.id = call.id}, how);
+    const entry_ptr begun =
+        Open({.id = call.id, .to_head = call.request.verb == "HEAD"}, how);
     // If the event loop is late, the caller may have given up before its
     // request is read. The end of its connection would be read only after the
     // request has been sent to a target.
@@ -418,12 +421,15 @@
     RecordProgress();
     write_begun_ = last_progress_;
     exchange& written = next->exchange;
-    written.head =
-        ResponseHead(written.response.status, written.response.header_block,
-                     written.response.body.size(), !pipeline_.closes());
+    const boost::asio::const_buffer body =
+        written.to_head ? boost::asio::const_buffer()
+                        : boost::asio::buffer(written.response.body);
+    written.head = ResponseHead(
+        written.response.status, written.response.header_block,
+        written.to_head ? std::nullopt : std::optional(body.size()),
+        !pipeline_.closes());
     const std::array<boost::asio::const_buffer, 2> parts{
-        boost::asio::buffer(written.head),
-        boost::asio::buffer(written.response.body)};
+        boost::asio::buffer(written.head), body};
     boost::asio::async_write(
         socket_, parts,
         [self = this->shared_from_this()](error_code error, std::size_t) {
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -301,7 +301,7 @@
 
 std::string ResponseHead(int status,
                          std::string_view header_block,
-                         std::size_t body_bytes,
+                         std::optional<std::size_t> body_bytes,
                          bool keep_alive) {
   std::string head;
   head.reserve(header_block.size() + 128);
@@ -310,8 +310,8 @@
       ToString(http::obsolete_reason(static_cast<http::status>(status))));
   head.append("\r\n").append(header_block);
   const bool bodiless = status == 204 || status == 304;
-  if (!bodiless) {
-    AppendHeader("Content-Length", std::to_string(body_bytes), &head);
+  if (body_bytes && !bodiless) {
+    AppendHeader("Content-Length", std::to_string(*body_bytes), &head);
   }
   if (!keep_alive) {
     AppendHeader("Connection", "close", &head);
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -122,12 +122,12 @@
 };
 
 // Head of a message in front of its body, with a Content-Length where one may
-// stand.
+// stand. A response to HEAD has no body, and its length isn't known.
 [[nodiscard]] std::string RequestHead(const relayed_request& request,
                                       std::string_view more_headers);
 [[nodiscard]] std::string ResponseHead(int status,
                                        std::string_view header_block,
-                                       std::size_t body_bytes,
+                                       std::optional<std::size_t> body_bytes,
                                        bool keep_alive);
 
 // Headers as one block of text.
--- a/tests/cut_head_test.cc
+++ b/tests/cut_head_test.cc
@@ -99,6 +99,17 @@
   });
 }
 
+// Guards against the same where the head is all of the answer.
+TEST_F(cut_head_test, NoPartOfAHeadAnswersHead) {
+  caller client(path_);
+  client.asks_heads = true;
+  const std::string head = Head({.headers = {{"Request-Id", "id-0000"}}});
+  ForEachCut([&] {
+    const bool whole = cut_.bytes == head.size();
+    EXPECT_EQ(Ask(client, "HEAD", "/look/1"), whole ? 200 : 502);
+  });
+}
+
 // Guards against answers in another order than their requests, where one of
 // them is cut.
 TEST_F(cut_head_test, OtherRequestsOfAConnectionKeepTheirAnswers) {
--- a/tests/forward_path_test.cc
+++ b/tests/forward_path_test.cc
@@ -383,6 +383,35 @@
   }
 }
 
+// Guards against the body of a response to HEAD, which its caller takes for the
+// beginning of the next response.
+TEST_F(forward_path_test, ResponsesToHeadHaveNoBody) {
+  path_.Configure();
+  path_.target.on_request = [](const read_request& request,
+                               const connection_ptr& from) {
+    if (request.target.ends_with("well")) {
+      from->Send(
+          "HTTP/1.1 200 OK\r\nRequest-Id: " + Header(request, "Request-Id") +
+          "\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\n");
+    } else {
+      from->Reset();
+    }
+  };
+  caller client(path_);
+  client.asks_heads = true;
+  int number = 0;
+  for (int i = 0; i < 2; ++i) {
+    client.Request("HEAD", "/look/lost", "id-" + std::to_string(++number));
+    EXPECT_EQ(client.NextResponse().status, 502);
+    client.Request("HEAD", "/look/well", "id-" + std::to_string(++number));
+    const read_response well = client.NextResponse();
+    EXPECT_EQ(well.status, 200);
+    EXPECT_EQ(FindHeader(well.headers, "Response-Signature"), "s");
+    client.Request("HEAD", "/nowhere", "id-" + std::to_string(++number));
+    EXPECT_EQ(client.NextResponse().status, 404);
+  }
+}
+
 // Guards against requests that run twice: their target ran them and failed them
 // with a status that callers take as the promise that they have not run.
 TEST_F(forward_path_test, AFailureOfARequestThatRanPromisesNothing) {
--- a/tests/support/forward_path.h
+++ b/tests/support/forward_path.h
@@ -168,6 +168,7 @@
 
   std::vector<read_response> answers;
   bool closed = false;
+  bool asks_heads = false;  // Its requests are HEAD.
 
  private:
   void Read() {
@@ -186,7 +187,7 @@
 
   void ParseResponses() {
     while (!buffer_.empty()) {
-      response_reader reader({}, false);
+      response_reader reader({}, asks_heads);
       std::size_t taken = 0;
       // An incomplete message is parsed again from its beginning.
       if (reader.Feed(buffer_, &taken) != read_state::kDone) {
